--- a/benches/slopes/workers.rs
+++ b/benches/slopes/workers.rs
@@ -9,11 +9,11 @@
 use figloft::model::id::{Generation, JobId};
 use figloft::model::priority::WorkPriority;
 use figloft::model::resource::ResourceSet;
-use figloft::platform::worker::call::WorkerCall;
-use figloft::platform::worker::client::{WorkerClient, WorkerTarget};
-use figloft::platform::worker::fleet::WorkerFleet;
-use figloft::platform::worker::http_form::{WorkerHttpClient, WorkerHttpServer};
-use figloft::platform::worker::task::TaskSpec;
+use figloft::port::worker::call::WorkerCall;
+use figloft::port::worker::client::{WorkerClient, WorkerTarget};
+use figloft::port::worker::fleet::WorkerFleet;
+use figloft::port::worker::http_form::{WorkerHttpClient, WorkerHttpServer};
+use figloft::port::worker::task::TaskSpec;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 
--- a/src/cli/daemon_args.rs
+++ b/src/cli/daemon_args.rs
@@ -10,7 +10,7 @@
 /// The figloft daemon: one entry instance with every duty in it.
 #[derive(Debug, Clone, Parser)]
 #[command(name = "figloftd", version, about, max_term_width = 100)]
-#[command(group(ArgGroup::new("mode").args(["check", "print_defaults", "trial", "serve_store"])))]
+#[command(group(ArgGroup::new("mode").args(["check", "print_defaults", "trial", "serve_store", "platform"])))]
 pub struct DaemonArgs {
     /// Settings file; the defaults hold without one.
     #[arg(long, value_name = "FILE", env = "FIGLOFTD_SETTINGS")]
@@ -21,6 +21,12 @@
     /// Print the defaults as a commented settings file and exit.
     #[arg(long)]
     pub print_defaults: bool,
+    /// Run on the production platform, with the settings file that the platform names in `FIGLOFT_SETTINGS`.
+    #[arg(long)]
+    pub platform: bool,
+    /// Port of the metrics on the platform; none are served without it.
+    #[arg(long, value_name = "PORT", requires = "platform")]
+    pub metrics_port: Option<u16>,
     /// The trial.
     #[command(flatten)]
     pub trial: TrialArgs,
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -10,6 +10,9 @@
     fn now(&self) -> Instant;
     /// Wall-clock time, for records and the audit trail.
     fn wall(&self) -> SystemTime;
+    /// Time since the system's start, including the time for which it was suspended, for leases that others may
+    /// take over meanwhile.
+    fn since_boot(&self) -> Duration;
 }
 
 /// Clock shared by the parts of one process.
@@ -27,6 +30,11 @@
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
+
+    fn since_boot(&self) -> Duration {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+    }
 }
 
 /// Clock that moves only when told to, for tests and benches.
@@ -71,4 +79,8 @@
     fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH + self.elapsed()
     }
+
+    fn since_boot(&self) -> Duration {
+        self.elapsed()
+    }
 }
--- /dev/null
+++ b/src/dispatch/fleet_planner.rs
@@ -0,0 +1,267 @@
+//! Decisions that concern several pools: allowances, waves and moves between pools.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use crate::dispatch::allowance_split::{self, PoolClaim};
+use crate::dispatch::pool_plan::{PoolPlan, PoolReport, WorkerUse};
+use crate::dispatch::site_config::SiteConfig;
+use crate::dispatch::wave_plan::{
+    InstanceEntry, InstanceOutcome, InstanceState, WavePlan, WaveProgress, WaveRequest,
+};
+use crate::model::amount::{AcceleratorCount, MemoryMib, MilliCores};
+use crate::model::id::{InstanceId, OrganisationId, PoolId, WorkerId};
+use crate::model::resource::ResourceSet;
+
+/// Number of a wave.
+pub type WaveNumber = u64;
+
+/// What the fleet's holder wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FleetOrder {
+    /// Store a pool's plan.
+    Publish(PoolId, PoolPlan),
+    /// Store a wave's progress, and announce its state.
+    StoreWave(WaveNumber, WaveProgress),
+    /// Start the upkeep of an instance.
+    Upkeep(InstanceId, WaveNumber),
+    /// Move an instance to another pool.
+    Move(InstanceId, PoolId),
+}
+
+/// State of the fleet's holder.
+#[derive(Debug, Default)]
+pub struct FleetPlanner {
+    config: SiteConfig,
+    instances: BTreeMap<InstanceId, InstanceEntry>,
+    is_listed: bool,
+    reports: BTreeMap<PoolId, PoolReport>,
+    plans: BTreeMap<PoolId, PoolPlan>,
+    waves: BTreeMap<WaveNumber, WavePlan>,
+    unstored: BTreeSet<WaveNumber>,
+}
+
+impl FleetPlanner {
+    /// Creates a planner that knows nothing yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes a configuration.
+    pub fn set_config(&mut self, config: &SiteConfig) {
+        self.config = config.clone();
+    }
+
+    /// Takes the stored plan of a pool at the beginning of a term.
+    pub fn set_plan(&mut self, pool: PoolId, plan: PoolPlan) {
+        self.plans.insert(pool, plan);
+    }
+
+    /// Takes a pool's report.
+    pub fn set_report(&mut self, pool: PoolId, report: PoolReport) {
+        self.reports.insert(pool, report);
+    }
+
+    /// Takes the platform's list, read at `read_at`.
+    pub fn set_instances(&mut self, read_at: Instant, instances: BTreeMap<InstanceId, InstanceEntry>) {
+        self.instances = instances;
+        self.is_listed = true;
+        for wave in self.waves.values_mut() {
+            wave.set_instances(read_at, &self.instances);
+        }
+    }
+
+    /// Takes a wave.
+    pub fn set_wave(
+        &mut self,
+        now: Instant,
+        number: WaveNumber,
+        request: WaveRequest,
+        progress: WaveProgress,
+    ) {
+        if !self.waves.contains_key(&number) {
+            self.waves.insert(number, WavePlan::new(now, request, progress));
+            self.unstored.insert(number);
+        }
+    }
+
+    /// Takes the outcome of an upkeep order.
+    pub fn upkeep_answered(
+        &mut self,
+        now: Instant,
+        instance: &InstanceId,
+        number: WaveNumber,
+        outcome: InstanceOutcome,
+    ) {
+        if let Some(wave) = self.waves.get_mut(&number)
+            && wave.answered(now, instance, outcome)
+        {
+            self.unstored.insert(number);
+        }
+    }
+
+    /// Whether the platform's list has to be read again soon.
+    pub fn needs_list(&self) -> bool {
+        !self.is_listed || self.waves.values().any(WavePlan::is_open)
+    }
+
+    /// Decides what to do now.
+    pub fn decide(&mut self, now: Instant) -> Vec<FleetOrder> {
+        let mut orders = Vec::new();
+        if self.is_listed {
+            self.run_waves(now, &mut orders);
+        }
+        self.publish_plans(&mut orders);
+        orders
+    }
+
+    fn run_waves(&mut self, now: Instant, orders: &mut Vec<FleetOrder>) {
+        let uses = self.worker_uses();
+        for (number, wave) in &mut self.waves {
+            wave.choose_closing(&self.instances, &uses);
+            let due = wave.take_due(now, &self.instances, |entry| {
+                is_vacated(entry, &self.config, &uses)
+            });
+            orders.extend(due.into_iter().map(|id| FleetOrder::Upkeep(id, *number)));
+            if wave.complete() {
+                self.unstored.insert(*number);
+            }
+        }
+        for number in std::mem::take(&mut self.unstored) {
+            if let Some(wave) = self.waves.get(&number) {
+                orders.push(FleetOrder::StoreWave(number, wave.progress().clone()));
+            }
+        }
+    }
+
+    fn worker_uses(&self) -> BTreeMap<WorkerId, WorkerUse> {
+        let uses = self.reports.values().flat_map(|report| &report.workers);
+        uses.map(|(id, usage)| (id.clone(), usage.clone())).collect()
+    }
+
+    fn publish_plans(&mut self, orders: &mut Vec<FleetOrder>) {
+        let pools: Vec<PoolId> = self.config.working_pools().cloned().collect();
+        let allowances = self.allowances(&pools);
+        for pool in &pools {
+            let closing = self.closing_workers(pool);
+            let granted = allowances.get(pool).cloned().unwrap_or_default();
+            let ceilings = self.ceilings(pool, &granted);
+            let old = self.plans.entry(pool.clone()).or_default();
+            let is_same = old.closing == closing && old.allowances == granted;
+            if is_same && old.version.get() > 0 {
+                continue;
+            }
+            let plan = PoolPlan {
+                version: old.version.next(),
+                allowances: granted,
+                ceilings,
+                closing,
+            };
+            *old = plan.clone();
+            orders.push(FleetOrder::Publish(pool.clone(), plan));
+        }
+    }
+
+    fn closing_workers(&self, pool: &PoolId) -> BTreeSet<WorkerId> {
+        let instances = self.waves.values().flat_map(WavePlan::closing);
+        let entries = instances.filter_map(|id| self.instances.get(id));
+        let of_pool = entries.filter(|entry| entry.pool == *pool);
+        of_pool.filter_map(|entry| entry.worker.clone()).collect()
+    }
+
+    /// What a pool may use at most of each limit until it confirms the next plan.
+    fn ceilings(
+        &self,
+        pool: &PoolId,
+        granted: &BTreeMap<OrganisationId, ResourceSet>,
+    ) -> BTreeMap<OrganisationId, ResourceSet> {
+        let all = granted.iter().map(|(organisation, granted)| {
+            let held = self.held(pool, organisation);
+            (organisation.clone(), larger(&held, granted))
+        });
+        all.collect()
+    }
+
+    fn held(&self, pool: &PoolId, organisation: &OrganisationId) -> ResourceSet {
+        let plan = self.plans.get(pool);
+        let report = self.reports.get(pool);
+        let used = report
+            .and_then(|report| report.usage.get(organisation))
+            .copied()
+            .unwrap_or_default();
+        let Some(plan) = plan else {
+            return used;
+        };
+        let is_confirmed = report.is_some_and(|report| report.plan == plan.version);
+        let bounds = if is_confirmed {
+            &plan.allowances
+        } else {
+            &plan.ceilings
+        };
+        larger(&bounds.get(organisation).copied().unwrap_or_default(), &used)
+    }
+
+    fn allowances(&self, pools: &[PoolId]) -> BTreeMap<PoolId, BTreeMap<OrganisationId, ResourceSet>> {
+        let mut allowances: BTreeMap<PoolId, BTreeMap<OrganisationId, ResourceSet>> = BTreeMap::new();
+        for (organisation, config) in &self.config.organisations {
+            if config.limit == ResourceSet::default() {
+                continue;
+            }
+            let claims = |amount: fn(&ResourceSet) -> u64| -> BTreeMap<PoolId, PoolClaim> {
+                let all = pools
+                    .iter()
+                    .map(|pool| (pool.clone(), self.claim(pool, organisation, amount)));
+                all.collect()
+            };
+            let cores = allowance_split::split(config.limit.cores.get(), &claims(|set| set.cores.get()));
+            let memory = allowance_split::split(config.limit.memory.get(), &claims(|set| set.memory.get()));
+            let accelerators = allowance_split::split(
+                u64::from(config.limit.accelerators.get()),
+                &claims(|set| u64::from(set.accelerators.get())),
+            );
+            for pool in pools {
+                let count = u32::try_from(accelerators[pool]).unwrap_or(u32::MAX);
+                let granted = ResourceSet::new(MilliCores::new(cores[pool]), MemoryMib::new(memory[pool]))
+                    .with_accelerators(AcceleratorCount::new(count));
+                allowances
+                    .entry(pool.clone())
+                    .or_default()
+                    .insert(organisation.clone(), granted);
+            }
+        }
+        allowances
+    }
+
+    fn claim(
+        &self,
+        pool: &PoolId,
+        organisation: &OrganisationId,
+        amount: fn(&ResourceSet) -> u64,
+    ) -> PoolClaim {
+        let report = self.reports.get(pool);
+        let find = |sets: &BTreeMap<OrganisationId, ResourceSet>| sets.get(organisation).map_or(0, amount);
+        PoolClaim {
+            ceiling: amount(&self.held(pool, organisation)),
+            used: report.map_or(0, |report| find(&report.usage)),
+            wanted: report.map_or(0, |report| find(&report.wanted)),
+        }
+    }
+}
+
+/// Whether nothing runs on an instance and its pool's holder starts nothing there.
+fn is_vacated(entry: &InstanceEntry, config: &SiteConfig, uses: &BTreeMap<WorkerId, WorkerUse>) -> bool {
+    let is_off = config.pools.get(&entry.pool).is_some_and(|pool| pool.is_spare);
+    let Some(worker) = entry.worker.as_ref().filter(|_| !is_off) else {
+        return entry.state == InstanceState::Up;
+    };
+    uses.get(worker)
+        .is_some_and(|usage| usage.is_closing && usage.runs == 0)
+}
+
+fn larger(a: &ResourceSet, b: &ResourceSet) -> ResourceSet {
+    ResourceSet {
+        cores: a.cores.max(b.cores),
+        memory: a.memory.max(b.memory),
+        accelerators: a.accelerators.max(b.accelerators),
+    }
+}
--- /dev/null
+++ b/src/dispatch/job_record.rs
@@ -0,0 +1,128 @@
+//! Records of jobs in the store.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::dispatch::job_spec::JobSpec;
+use crate::dispatch::millis;
+use crate::model::id::{JobId, OrganisationId, PoolId, QueueId};
+use crate::model::unix_time::UnixMillis;
+
+/// State of a job as shown to callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum JobState {
+    /// No task has started.
+    #[display("pending")]
+    Pending,
+    /// A task has started.
+    #[display("running")]
+    Running,
+    /// All tasks are done.
+    #[display("completed")]
+    Completed,
+    /// A task used up its attempts.
+    #[display("failed")]
+    Failed,
+    /// A caller cancelled the job.
+    #[display("cancelled")]
+    Cancelled,
+}
+
+impl JobState {
+    /// Whether the job is over.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// What every instance needs to answer for a job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobHead {
+    /// Pool on which the job runs.
+    pub pool: PoolId,
+    /// Queue that took it in.
+    pub queue: QueueId,
+    /// State.
+    pub state: JobState,
+    /// End of the job, absent while it goes on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ended: Option<UnixMillis>,
+}
+
+/// Cost and validity of the external service's advice on where a step may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdviceRule {
+    /// Time that one answer takes.
+    #[serde(with = "millis")]
+    pub decide: Duration,
+    /// Further time for each worker named.
+    #[serde(with = "millis")]
+    pub each: Duration,
+    /// Time for which a ticket is valid.
+    #[serde(with = "millis")]
+    pub valid: Duration,
+}
+
+/// The queue's rules at the time of submission.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct QueueRule {
+    /// Priority; 0 goes first.
+    pub priority: u32,
+    /// Failed runs of a task after which the job has failed.
+    pub max_attempts: u32,
+    /// Factor from the longest chain of estimates to the objective.
+    pub slack: f64,
+    /// Time added to the objective.
+    #[serde(with = "millis")]
+    pub target: Duration,
+    /// Set if only an external service knows which workers may run a step.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advice: Option<AdviceRule>,
+}
+
+/// A job as accepted.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// The job.
+    pub id: JobId,
+    /// Pool on which it runs.
+    pub pool: PoolId,
+    /// Queue that took it in.
+    pub queue: QueueId,
+    /// Organisation whose key came with it; absent on open queues.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<OrganisationId>,
+    /// The queue's rules.
+    pub rule: QueueRule,
+    /// Time of acceptance.
+    pub accepted: UnixMillis,
+    /// What to run.
+    pub spec: JobSpec,
+}
+
+/// Progress of one step. Tasks that are absent have not ended.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct StepProgress {
+    /// Tasks that are done.
+    #[serde(skip_serializing_if = "BTreeSet::is_empty")]
+    pub done: BTreeSet<u32>,
+    /// Failed runs of each task.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub failures: BTreeMap<u32, u32>,
+    /// Checkpoint of each task.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub saved: BTreeMap<u32, Arc<str>>,
+}
+
+/// Progress of a job by occurrence and step.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobProgress {
+    /// Steps of each occurrence that has begun.
+    pub occurrences: BTreeMap<u32, Vec<StepProgress>>,
+}
--- /dev/null
+++ b/src/dispatch/mod.rs
@@ -0,0 +1,29 @@
+//! Decisions about jobs on a pool of workers, and about the pools of the fleet, without input or output.
+//!
+//! `pool_scheduler` holds the state of one pool and turns events into orders; the other modules are its parts.
+//! `fleet_planner` decides what concerns several pools.
+
+pub mod allowance_split;
+pub mod fill_pace;
+pub mod fleet_planner;
+pub mod job_record;
+pub mod job_spec;
+pub mod job_state;
+pub mod millis;
+pub mod order;
+pub mod pool_plan;
+pub mod pool_scheduler;
+pub mod pool_size;
+pub mod scheduler_rules;
+pub mod settling;
+pub mod site_config;
+pub mod start_order;
+pub mod start_place;
+pub mod surplus_rule;
+pub mod task_id;
+pub mod wave_plan;
+pub mod worker_blame;
+pub mod worker_entry;
+pub mod worker_lease;
+pub mod worker_report;
+pub mod worker_state;
--- /dev/null
+++ b/src/dispatch/pool_scheduler.rs
@@ -0,0 +1,727 @@
+//! The scheduler of one pool: events in, orders out.
+//!
+//! `report_fold` takes in what workers answer, `start_pass` chooses starts, `vacate_pass` empties workers, and
+//! `progress_flush` collects what has to be stored.
+
+mod progress_flush;
+mod report_fold;
+mod start_pass;
+mod vacate_pass;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::dispatch::job_record::{JobProgress, JobRecord, JobState};
+use crate::dispatch::job_state::{JobRun, TaskState};
+use crate::dispatch::order::{AdviceAnswer, LookFault, LookOrder, Order, StartOutcome, StopOutcome, TaskRun};
+use crate::dispatch::pool_plan::{PoolPlan, PoolReport, WorkerUse};
+use crate::dispatch::scheduler_rules::SchedulerRules;
+use crate::dispatch::settling::SettlingState;
+use crate::dispatch::site_config::{OrganisationConfig, SiteConfig};
+use crate::dispatch::surplus_rule::SurplusRule;
+use crate::dispatch::task_id::{StepId, TaskId};
+use crate::dispatch::worker_entry::WorkerEntry;
+use crate::dispatch::worker_state::{PlacedRun, RunPhase, WorkerState};
+use crate::model::amount::{AcceleratorCount, MemoryMib, MilliCores};
+use crate::model::id::{DutyTerm, JobId, OrganisationId, PoolId, QueueId, WorkerId};
+use crate::model::resource::ResourceSet;
+use crate::model::unix_time::UnixMillis;
+
+pub use progress_flush::{FlushBatch, JobWrite};
+
+/// Longest time for which a worker may hold back its answer to a look until a run ends.
+pub const LOOK_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Pause between an answered look and the next; ends that come close together are listed in one answer.
+pub const LOOK_GAP: Duration = Duration::from_millis(60);
+
+/// Pause after a look without an answer.
+const LOOK_RETRY: Duration = Duration::from_millis(250);
+
+/// Pause before a stop is sent again.
+const STOP_RETRY: Duration = Duration::from_millis(500);
+
+/// Time for which a worker counts as full after it refused a start for want of room.
+const FULL_TIME: Duration = Duration::from_millis(250);
+
+/// Pause before advice is asked for again after a call without an answer.
+const ADVICE_RETRY: Duration = Duration::from_millis(300);
+
+/// Looks in a row that do not list a confirmed run, after which it is stopped.
+const MISSING_LOOKS: u32 = 2;
+
+/// Least difference of two paces that is ordered, in percent.
+const PACE_STEP: u32 = 5;
+
+/// A decision worth a log line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DecisionNote {
+    /// What was decided.
+    pub decision: &'static str,
+    /// Job that it touches.
+    pub job: Option<JobId>,
+    /// Worker that it touches.
+    pub worker: Option<WorkerId>,
+    /// Inputs that decided it.
+    pub inputs: String,
+}
+
+/// Advice on one step.
+#[derive(Debug, Clone)]
+struct StepAdvice {
+    tickets: BTreeMap<WorkerId, Arc<str>>,
+    valid_until: Instant,
+    asked_at: Option<Instant>,
+    retry_at: Instant,
+}
+
+/// The scheduler of one pool.
+#[derive(Debug)]
+pub struct PoolScheduler {
+    pool: PoolId,
+    term: DutyTerm,
+    rules: SchedulerRules,
+    jobs: BTreeMap<JobId, JobRun>,
+    workers: BTreeMap<WorkerId, WorkerState>,
+    plan: PoolPlan,
+    organisations: BTreeMap<OrganisationId, OrganisationConfig>,
+    usage: BTreeMap<OrganisationId, ResourceSet>,
+    settling: SettlingState,
+    surplus: SurplusRule,
+    advice: BTreeMap<StepId, StepAdvice>,
+    change: u64,
+    changed: BTreeMap<u64, JobId>,
+    flushing: BTreeMap<u64, JobId>,
+    stale_cancels: Vec<JobId>,
+    /// Runs beside another run of their task on the same worker, with the time of the last stop.
+    strays: BTreeMap<(WorkerId, TaskRun), Option<Instant>>,
+    notes: Vec<DecisionNote>,
+    is_fenced: bool,
+    next_due: Option<UnixMillis>,
+}
+
+impl PoolScheduler {
+    /// Creates the scheduler of a new term. `settling` holds the workers of the former holder.
+    pub fn new(pool: PoolId, term: DutyTerm, rules: SchedulerRules, settling: SettlingState) -> Self {
+        Self {
+            pool,
+            term,
+            rules,
+            jobs: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            plan: PoolPlan::default(),
+            organisations: BTreeMap::new(),
+            usage: BTreeMap::new(),
+            settling,
+            surplus: SurplusRule::default(),
+            advice: BTreeMap::new(),
+            change: 0,
+            changed: BTreeMap::new(),
+            flushing: BTreeMap::new(),
+            stale_cancels: Vec::new(),
+            strays: BTreeMap::new(),
+            notes: Vec::new(),
+            is_fenced: false,
+            next_due: None,
+        }
+    }
+
+    /// Whether a worker has refused an order for a newer holder's.
+    pub fn is_fenced(&self) -> bool {
+        self.is_fenced
+    }
+
+    /// Jobs that are not over.
+    pub fn job_count(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// A job, for tests and explanations.
+    pub fn job(&self, job: &JobId) -> Option<&JobRun> {
+        self.jobs.get(job)
+    }
+
+    /// The workers.
+    pub fn workers(&self) -> &BTreeMap<WorkerId, WorkerState> {
+        &self.workers
+    }
+
+    /// Takes the decisions made since the last call.
+    pub fn take_notes(&mut self) -> Vec<DecisionNote> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Takes the weights and limits of a new configuration.
+    pub fn set_config(&mut self, config: &SiteConfig) {
+        self.organisations.clone_from(&config.organisations);
+    }
+
+    /// Takes a plan of the fleet's holder; an older one is ignored.
+    pub fn set_plan(&mut self, plan: PoolPlan) {
+        if plan.version >= self.plan.version {
+            self.plan = plan;
+        }
+    }
+
+    /// Takes an accepted job. Jobs of an earlier term come with their progress.
+    pub fn submit(
+        &mut self,
+        now: Instant,
+        accepted_at: Instant,
+        record: JobRecord,
+        old: Option<&JobProgress>,
+    ) {
+        if self.jobs.contains_key(&record.id) {
+            return;
+        }
+        let id = record.id.clone();
+        let mut job = JobRun::new(record, old, accepted_at);
+        job.is_old = old.is_some();
+        if let Some(organisation) = &job.record.organisation
+            && !job.is_old
+        {
+            let weight = self
+                .organisations
+                .get(organisation)
+                .map_or(0.0, |config| config.weight);
+            job.is_surplus = self.surplus.is_surplus(now, organisation, weight);
+        }
+        let is_done = job.is_done();
+        self.jobs.insert(id.clone(), job);
+        if is_done {
+            self.finish(&id, JobState::Completed, "all tasks were done before this term");
+        }
+    }
+
+    /// Takes a cancellation.
+    pub fn cancel(&mut self, job: &JobId) {
+        match self.jobs.get_mut(job) {
+            None => self.stale_cancels.push(job.clone()),
+            Some(run) => {
+                run.is_cancelled = true;
+                if !run.state.is_final() {
+                    self.finish(job, JobState::Cancelled, "cancelled by its caller");
+                }
+            }
+        }
+    }
+
+    /// Ends a job: its runs are stopped and its state is stored.
+    fn finish(&mut self, id: &JobId, state: JobState, reason: &str) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.state = state;
+        job.is_state_new = true;
+        for (number, occurrence) in &job.occurrences {
+            for (step, state) in occurrence.steps.iter().enumerate() {
+                for (index, task) in state.tasks.iter().enumerate() {
+                    let id = StepId::new(id.clone(), *number, step as u32).task(index as u32);
+                    stop_copies(
+                        &mut self.workers,
+                        &id,
+                        task.copies.iter().map(|copy| &copy.worker),
+                    );
+                }
+            }
+        }
+        let inputs = format!("{state}: {reason}");
+        self.advice.retain(|step, _| step.job != *id);
+        self.note("job ended", Some(id.clone()), None, inputs);
+        self.touch(id);
+    }
+
+    /// Notes that a job's state has changed and returns the number of the change.
+    fn touch(&mut self, id: &JobId) -> u64 {
+        self.change += 1;
+        if let Some(job) = self.jobs.get_mut(id)
+            && job.changed.is_none()
+        {
+            job.changed = Some(self.change);
+            self.changed.insert(self.change, id.clone());
+        }
+        self.change
+    }
+
+    fn note(
+        &mut self,
+        decision: &'static str,
+        job: Option<JobId>,
+        worker: Option<WorkerId>,
+        inputs: impl Into<String>,
+    ) {
+        self.notes.push(DecisionNote {
+            decision,
+            job,
+            worker,
+            inputs: inputs.into(),
+        });
+    }
+
+    /// Takes a worker's entry. A later start of its process has forgotten what ran there.
+    pub fn set_worker(&mut self, entry: WorkerEntry) {
+        if entry.pool != self.pool {
+            let id = entry.id;
+            self.remove_worker(&id);
+            return;
+        }
+        let id = entry.id.clone();
+        let Some(worker) = self.workers.get_mut(&id) else {
+            self.workers.insert(id.clone(), WorkerState::new(entry));
+            return;
+        };
+        worker.is_listed = true;
+        if entry.is_draining && !worker.entry.is_draining {
+            let note = format!("{} runs on it", worker.runs.len());
+            worker.entry.is_draining = true;
+            self.note("worker drains", None, Some(id.clone()), note);
+        }
+        let born = entry.born;
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.entry = entry;
+        }
+        self.check_born(&id, born);
+    }
+
+    /// Adds a worker of the former holder that is not in the list any more.
+    pub fn expect_worker(&mut self, worker: &WorkerId) {
+        self.settling.expect(worker);
+    }
+
+    /// Takes the removal of a worker's entry. What runs there keeps its lease.
+    pub fn remove_worker(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.is_listed = false;
+        let inputs = format!("{} runs keep their lease", worker.runs.len());
+        self.note("worker left the list", None, Some(id.clone()), inputs);
+    }
+
+    /// Workers in the list, for removals after a complete read.
+    pub fn listed_workers(&self) -> BTreeSet<WorkerId> {
+        let listed = self.workers.iter().filter(|(_, worker)| worker.is_listed);
+        listed.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Takes the outcome of a start.
+    pub fn start_answered(
+        &mut self,
+        now: Instant,
+        worker_id: &WorkerId,
+        run: &TaskRun,
+        outcome: StartOutcome,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        worker.starting = worker.starting.saturating_sub(1);
+        if worker.look.next_at.is_none() {
+            worker.look.next_at = Some(now + LOOK_GAP);
+        }
+        match outcome {
+            StartOutcome::Unknown => worker.blame.miss_answer(now),
+            StartOutcome::Unhealthy => worker.blame.refuse(now),
+            StartOutcome::NotSent => worker.blame.miss_answer(now),
+            _ => worker.blame.take_answer(),
+        }
+        let Some(placed) = worker
+            .runs
+            .get_mut(&run.task)
+            .filter(|placed| placed.run == run.run)
+        else {
+            return;
+        };
+        match outcome {
+            StartOutcome::Started => {
+                if placed.phase == RunPhase::Starting {
+                    placed.phase = RunPhase::Running;
+                }
+                return;
+            }
+            StartOutcome::Unknown => {
+                placed.phase = RunPhase::Unknown;
+                placed.must_stop = true;
+                let inputs = format!("run {} of task {}", run.run, run.task);
+                self.note(
+                    "start without an answer",
+                    Some(run.task.step.job.clone()),
+                    Some(worker_id.clone()),
+                    inputs,
+                );
+                return;
+            }
+            StartOutcome::NoRoom => worker.full_until = Some(now + FULL_TIME),
+            StartOutcome::Fenced => self.is_fenced = true,
+            StartOutcome::NoTicket => {
+                self.advice.remove(&run.task.step);
+            }
+            StartOutcome::OtherWorker => worker.is_listed = false,
+            _ => {}
+        }
+        self.drop_run(now, worker_id, run, false);
+        let inputs = format!("{outcome:?}: run {} of task {}", run.run, run.task);
+        self.note(
+            "start refused",
+            Some(run.task.step.job.clone()),
+            Some(worker_id.clone()),
+            inputs,
+        );
+        if outcome == StartOutcome::Malformed
+            && let Some(task) = self.task_mut(&run.task)
+        {
+            task.ready_at = Some(now + Duration::from_secs(1));
+        }
+    }
+
+    /// Takes the outcome of a stop.
+    pub fn stop_answered(&mut self, now: Instant, worker_id: &WorkerId, run: &TaskRun, outcome: StopOutcome) {
+        if outcome == StopOutcome::Fenced {
+            self.is_fenced = true;
+        }
+        if outcome == StopOutcome::Taken {
+            self.strays.remove(&(worker_id.clone(), run.clone()));
+        }
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        if outcome == StopOutcome::OtherWorker {
+            worker.is_listed = false;
+        }
+        if let Some(placed) = worker.runs.get_mut(&run.task)
+            && placed.run == run.run
+            && outcome == StopOutcome::Taken
+        {
+            placed.stop_taken = Some(now);
+        }
+    }
+
+    /// Takes a look without a report.
+    pub fn look_failed(&mut self, now: Instant, worker_id: &WorkerId, fault: LookFault) {
+        if fault == LookFault::Fenced {
+            self.is_fenced = true;
+        }
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        worker.look.sent_at = None;
+        worker.look.faults += 1;
+        worker.look.next_at = Some(now + LOOK_RETRY * worker.look.faults.min(4));
+        if fault == LookFault::OtherWorker {
+            worker.is_listed = false;
+        }
+        if worker.look.faults == 1 {
+            let inputs = format!("{fault}, {} runs on it", worker.runs.len());
+            self.note("worker lost", None, Some(worker_id.clone()), inputs);
+        }
+    }
+
+    /// Takes an answer of the advice service; none if there was no answer.
+    pub fn advice_answered(&mut self, now: Instant, step: &StepId, answer: Option<AdviceAnswer>) {
+        let Some(advice) = self.advice.get_mut(step) else {
+            return;
+        };
+        advice.asked_at = None;
+        match answer {
+            None => advice.retry_at = now + ADVICE_RETRY,
+            Some(answer) => {
+                advice.valid_until = now + answer.valid;
+                advice.retry_at = now + ADVICE_RETRY;
+                advice.tickets = answer.tickets.into_iter().collect();
+            }
+        }
+    }
+
+    /// Removes a run that has not started or is over, and frees its task. The checkpoint of a lapsed run is kept.
+    fn drop_run(&mut self, now: Instant, worker_id: &WorkerId, run: &TaskRun, is_lapsed: bool) {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        let Some(placed) = worker.remove_run(&run.task, run.run) else {
+            return;
+        };
+        self.release(&placed);
+        let saved = Arc::clone(&placed.saved);
+        if let Some(task) = self.task_mut(&run.task) {
+            task.copies
+                .retain(|copy| copy.worker != *worker_id || copy.run != run.run);
+            if is_lapsed && !saved.is_empty() {
+                task.saved = saved;
+            }
+            if task.ready_at.is_some_and(|at| at < now) {
+                task.ready_at = None;
+            }
+        }
+    }
+
+    fn release(&mut self, placed: &PlacedRun) {
+        if let Some(organisation) = &placed.organisation
+            && let Some(usage) = self.usage.get_mut(organisation)
+        {
+            *usage = usage.minus(&placed.demand);
+        }
+    }
+
+    fn task_mut(&mut self, task: &TaskId) -> Option<&mut TaskState> {
+        let job = self.jobs.get_mut(&task.step.job)?;
+        job.step_mut(&task.step)?.tasks.get_mut(task.index as usize)
+    }
+
+    /// Decides what to do now. `may_extend` tells whether the lease of the duty certainly holds, so that tasks
+    /// may be started and leases extended.
+    pub fn decide(&mut self, now: Instant, wall: UnixMillis, may_extend: bool) -> Vec<Order> {
+        let mut orders = Vec::new();
+        if self.is_fenced {
+            return orders;
+        }
+        self.expire_runs(now);
+        self.order_stops(now, &mut orders);
+        if may_extend {
+            self.begin_due(now, wall);
+            self.vacate(now);
+            self.order_starts(now, &mut orders);
+            self.order_paces(&mut orders);
+        }
+        self.order_looks(now, may_extend, &mut orders);
+        orders
+    }
+
+    fn begin_due(&mut self, now: Instant, wall: UnixMillis) {
+        let early = self.rules.early_time / 2;
+        let horizon = wall.get() + early.as_millis() as u64;
+        if self.next_due.is_some_and(|due| due.get() > horizon) {
+            return;
+        }
+        self.next_due = None;
+        for job in self
+            .jobs
+            .values_mut()
+            .filter(|job| job.record.spec.schedule.is_some())
+        {
+            if job.state.is_final() {
+                continue;
+            }
+            job.begin_due(now, wall, early);
+            if let Some(due) = job.next_due() {
+                self.next_due = Some(self.next_due.map_or(due, |old| old.min(due)));
+            }
+        }
+    }
+
+    /// Drops the runs of silent workers whose leases have certainly ended.
+    fn expire_runs(&mut self, now: Instant) {
+        let mut lapsed = Vec::new();
+        for (id, worker) in &self.workers {
+            if worker.look.faults == 0 || worker.runs.is_empty() {
+                continue;
+            }
+            let end = worker.lease.end().or_else(|| self.settling.end());
+            if end.is_some_and(|end| now < end) {
+                continue;
+            }
+            let over = worker
+                .runs
+                .iter()
+                .filter(|(_, run)| run.phase != RunPhase::Starting);
+            lapsed.extend(over.map(|(task, run)| (id.clone(), task_run(task, run))));
+        }
+        for (worker, run) in lapsed {
+            self.drop_run(now, &worker, &run, true);
+            let inputs = format!("run {} of task {}", run.run, run.task);
+            self.note(
+                "lease ended",
+                Some(run.task.step.job.clone()),
+                Some(worker),
+                inputs,
+            );
+        }
+    }
+
+    fn order_stops(&mut self, now: Instant, orders: &mut Vec<Order>) {
+        let retry = STOP_RETRY.max(self.rules.stop_time + LOOK_GAP);
+        for worker in self.workers.values_mut() {
+            let target = worker.target();
+            for (task, run) in &mut worker.runs {
+                let is_due = run.stop_sent.is_none_or(|at| now >= at + retry);
+                if !run.must_stop || run.phase == RunPhase::Starting || !is_due {
+                    continue;
+                }
+                run.stop_sent = Some(now);
+                orders.push(Order::Stop(target.clone(), task_run(task, run)));
+            }
+        }
+        for ((worker, run), sent_at) in &mut self.strays {
+            let is_due = sent_at.is_none_or(|at| now >= at + retry);
+            if let Some(state) = self.workers.get(worker).filter(|_| is_due) {
+                *sent_at = Some(now);
+                orders.push(Order::Stop(state.target(), run.clone()));
+            }
+        }
+    }
+
+    fn order_paces(&mut self, orders: &mut Vec<Order>) {
+        for worker in self.workers.values_mut() {
+            let percent = worker.pace.percent();
+            let target = worker.target();
+            let fillers = worker.runs.iter_mut().filter(|(_, run)| run.is_filler);
+            for (task, run) in fillers {
+                let differs = run.pace.abs_diff(percent) >= PACE_STEP;
+                if differs && run.phase == RunPhase::Running && !run.must_stop {
+                    run.pace = percent;
+                    orders.push(Order::Pace(target.clone(), task_run(task, run), percent));
+                }
+            }
+        }
+    }
+
+    fn order_looks(&mut self, now: Instant, may_extend: bool, orders: &mut Vec<Order>) {
+        let durable = self.durable();
+        let lease = self.rules.lease;
+        for worker in self.workers.values_mut() {
+            let has_cause = !worker.runs.is_empty()
+                || worker.ends.has_ready(durable)
+                || (worker.is_listed && !worker.is_seen);
+            let is_due = worker.look.next_at.is_none_or(|at| at <= now);
+            if worker.look.sent_at.is_some() || !has_cause || !is_due {
+                continue;
+            }
+            let is_calm = worker.is_seen && worker.look.faults == 0 && !worker.runs.is_empty();
+            let deadline_ms = if may_extend && !worker.runs.is_empty() {
+                worker.lease.grant(now, lease)
+            } else {
+                None
+            };
+            worker.look.sent_at = Some(now);
+            orders.push(Order::Look(LookOrder {
+                target: worker.target(),
+                acknowledged: worker.ends.acknowledge(durable),
+                deadline_ms,
+                wait: if is_calm { LOOK_WAIT } else { Duration::ZERO },
+            }));
+        }
+    }
+
+    /// Time at which [`Self::decide`] should run again without an event.
+    pub fn next_wakeup(&self, now: Instant, wall: UnixMillis) -> Instant {
+        let mut next = now + Duration::from_millis(500);
+        let mut consider = |at: Instant| next = next.min(at.max(now + Duration::from_millis(2)));
+        for worker in self.workers.values() {
+            let is_wanted = !worker.runs.is_empty() || (worker.is_listed && !worker.is_seen);
+            if is_wanted && worker.look.sent_at.is_none() {
+                consider(worker.look.next_at.unwrap_or(now));
+            }
+            if let Some(at) = worker.full_until.filter(|at| *at > now) {
+                consider(at);
+            }
+            if let Some(at) = worker.blame.avoid_until().filter(|at| *at > now) {
+                consider(at);
+            }
+        }
+        if let Some(at) = self.settling.end().filter(|at| *at > now) {
+            consider(at);
+        }
+        if let Some(due) = self.next_due {
+            consider(now + Duration::from_millis(due.get().saturating_sub(wall.get())));
+        }
+        next
+    }
+
+    /// Waiting jobs of each queue.
+    pub fn waiting(&self) -> BTreeMap<QueueId, u32> {
+        let mut waiting = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| job.is_waiting()) {
+            *waiting.entry(job.record.queue.clone()).or_insert(0) += 1;
+        }
+        waiting
+    }
+
+    /// What to tell the fleet's holder and the next holder.
+    pub fn report(&self, now: Instant) -> PoolReport {
+        let mut report = PoolReport {
+            plan: self.plan.version,
+            usage: self.usage.clone(),
+            ..PoolReport::default()
+        };
+        report.usage.retain(|_, usage| *usage != ResourceSet::default());
+        for (id, worker) in &self.workers {
+            if !worker.is_listed && worker.runs.is_empty() {
+                continue;
+            }
+            let lasting = worker.runs.values().filter(|run| run.is_lasting);
+            let usage = WorkerUse {
+                runs: worker.runs.len() as u32,
+                lasting: lasting.clone().count() as u32,
+                is_closing: self.plan.closing.contains(id),
+            };
+            report.used = report.used.plus(&worker.used);
+            let reserved = lasting.fold(ResourceSet::default(), |sum, run| sum.plus(&run.reserved));
+            report.lasting = report.lasting.plus(&reserved);
+            report.workers.insert(id.clone(), usage);
+        }
+        self.add_ready(now, &mut report);
+        report
+    }
+
+    fn add_ready(&self, now: Instant, report: &mut PoolReport) {
+        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+            for occurrence in job.occurrences.values() {
+                for (number, step) in occurrence.steps.iter().enumerate() {
+                    let spec = &job.record.spec.steps[number];
+                    if spec.is_lasting && !spec.is_filler {
+                        let most = spec.most_per_worker.unwrap_or(u32::MAX).max(1);
+                        report.spread = report.spread.max(spec.tasks.div_ceil(most));
+                    }
+                    if step.open == 0 || !job.is_step_ready(occurrence, number) {
+                        continue;
+                    }
+                    let waiting = step.tasks.iter().filter(|task| task.is_waiting(now)).count() as u64;
+                    if waiting == 0 {
+                        continue;
+                    }
+                    let reserved = multiply(&spec.reserved(), waiting);
+                    report.ready = report.ready.plus(&reserved);
+                    if spec.is_lasting {
+                        report.lasting = report.lasting.plus(&reserved);
+                    }
+                    if let Some(organisation) = &job.record.organisation {
+                        let wanted = report.wanted.entry(organisation.clone()).or_default();
+                        *wanted = wanted.plus(&multiply(&spec.demand, waiting));
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Several times a set of resources.
+fn multiply(set: &ResourceSet, times: u64) -> ResourceSet {
+    ResourceSet {
+        cores: MilliCores::new(set.cores.get() * times),
+        memory: MemoryMib::new(set.memory.get() * times),
+        accelerators: AcceleratorCount::new(set.accelerators.get() * times as u32),
+    }
+}
+
+fn task_run(task: &TaskId, run: &PlacedRun) -> TaskRun {
+    TaskRun {
+        task: task.clone(),
+        run: run.run,
+    }
+}
+
+/// Marks the copies of a task as to be stopped.
+fn stop_copies<'a>(
+    workers: &mut BTreeMap<WorkerId, WorkerState>,
+    task: &TaskId,
+    on: impl Iterator<Item = &'a WorkerId>,
+) {
+    for worker in on {
+        let placed = workers
+            .get_mut(worker)
+            .and_then(|worker| worker.runs.get_mut(task));
+        if let Some(placed) = placed {
+            placed.must_stop = true;
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/pool_scheduler/progress_flush.rs
@@ -0,0 +1,83 @@
+//! What has to be stored, in the order of the changes.
+
+use crate::dispatch::job_record::{JobHead, JobProgress};
+use crate::dispatch::pool_scheduler::PoolScheduler;
+use crate::model::id::JobId;
+use crate::model::unix_time::UnixMillis;
+
+/// Writes of one job.
+#[derive(Debug, Clone, PartialEq)]
+pub struct JobWrite {
+    /// The job.
+    pub job: JobId,
+    /// Its state, if that has changed.
+    pub head: Option<JobHead>,
+    /// Its progress; absent if the job is over, so that its records are deleted.
+    pub progress: Option<JobProgress>,
+    /// Whether a cancellation is stored with it.
+    pub is_cancelled: bool,
+}
+
+/// Writes that go to the store together.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct FlushBatch {
+    /// Jobs.
+    pub jobs: Vec<JobWrite>,
+    /// Cancellations of jobs that are over, to be deleted.
+    pub stale_cancels: Vec<JobId>,
+}
+
+impl PoolScheduler {
+    /// Highest change up to which all changes are stored.
+    pub(super) fn durable(&self) -> u64 {
+        let waiting = self.changed.keys().next();
+        let flushing = self.flushing.keys().next();
+        let first = waiting.into_iter().chain(flushing).min();
+        first.map_or(self.change, |first| first - 1)
+    }
+
+    /// Whether something has to be stored.
+    pub fn has_changes(&self) -> bool {
+        !self.changed.is_empty() || !self.stale_cancels.is_empty()
+    }
+
+    /// Takes the oldest changes. [`Self::flush_done`] has to follow before the next call.
+    pub fn take_flush(&mut self, wall: UnixMillis, most_jobs: usize) -> FlushBatch {
+        let mut batch = FlushBatch::default();
+        while batch.jobs.len() < most_jobs
+            && let Some((change, id)) = self.changed.pop_first()
+        {
+            self.flushing.insert(change, id.clone());
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            job.changed = None;
+            let head = job.is_state_new.then(|| job.head(wall));
+            job.is_state_new = false;
+            batch.jobs.push(JobWrite {
+                job: id,
+                head,
+                progress: (!job.state.is_final()).then(|| job.progress()),
+                is_cancelled: job.is_cancelled,
+            });
+        }
+        let room = most_jobs - batch.jobs.len();
+        let stale = self.stale_cancels.len().min(room);
+        batch.stale_cancels = self.stale_cancels.drain(..stale).collect();
+        batch
+    }
+
+    /// Notes that the last batch is stored. Jobs that are over are forgotten.
+    pub fn flush_done(&mut self) {
+        let flushed = std::mem::take(&mut self.flushing);
+        for id in flushed.into_values() {
+            let is_over = self
+                .jobs
+                .get(&id)
+                .is_some_and(|job| job.state.is_final() && job.changed.is_none());
+            if is_over {
+                self.jobs.remove(&id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/pool_scheduler/report_fold.rs
@@ -0,0 +1,378 @@
+//! Takes in what workers list: ends, runs of this and former holders, and runs that are missing.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::dispatch::job_record::JobState;
+use crate::dispatch::job_state::TaskCopy;
+use crate::dispatch::order::TaskRun;
+use crate::dispatch::pool_scheduler::{LOOK_GAP, MISSING_LOOKS, PoolScheduler, stop_copies, task_run};
+use crate::dispatch::task_id::TaskId;
+use crate::dispatch::worker_report::{EndedRow, RunEnd, RunningRow, WorkerReport};
+use crate::dispatch::worker_state::{EndLog, PlacedRun, RunPhase};
+use crate::model::id::WorkerId;
+use crate::model::resource::ResourceSet;
+use crate::model::unix_time::UnixMillis;
+
+impl PoolScheduler {
+    /// Takes a report that answers a look sent at `sent_at`.
+    pub fn look_answered(
+        &mut self,
+        now: Instant,
+        worker_id: &WorkerId,
+        sent_at: Instant,
+        report: WorkerReport,
+    ) {
+        self.check_born(worker_id, report.born);
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        worker.look.sent_at = None;
+        worker.look.next_at = Some(now + LOOK_GAP);
+        let is_outdated = report.born.is_some() && report.born < worker.born;
+        if is_outdated {
+            return;
+        }
+        let is_regained = worker.look.faults > 0;
+        worker.look.faults = 0;
+        worker.answered_at = Some(now);
+        worker.lease.observe(now, report.clock_ms);
+        worker.blame.take_answer();
+        let is_first = !worker.is_seen;
+        worker.is_seen = true;
+        if is_first && !report.running.is_empty() {
+            // The lease is extended at once: the former holder's may end soon.
+            worker.look.next_at = None;
+        }
+        self.settling.see(worker_id);
+        if is_regained {
+            self.note(
+                "worker regained",
+                None,
+                Some(worker_id.clone()),
+                format!("{} runs listed", report.running.len()),
+            );
+        }
+        let mut ended = report.ended;
+        ended.sort_by_key(|row| row.sequence);
+        for row in ended {
+            self.take_end(now, worker_id, row);
+        }
+        for row in &report.running {
+            self.take_running(now, worker_id, row);
+        }
+        self.find_missing(now, worker_id, sent_at, report.clock_ms, &report.running);
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            let tail = worker.worst_tail();
+            worker.pace.observe(now, tail);
+        }
+    }
+
+    /// Compares the start of a worker's process with the known one. A later start runs nothing of before, but
+    /// may carry out orders that had no answer.
+    pub(super) fn check_born(&mut self, worker_id: &WorkerId, born: Option<UnixMillis>) {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        if born.is_none() || born <= worker.born {
+            return;
+        }
+        let is_first = worker.born.is_none();
+        worker.born = born;
+        if is_first {
+            return;
+        }
+        worker.ends = EndLog::default();
+        worker.lease.reset();
+        worker.is_seen = false;
+        worker.look.next_at = None;
+        let mut over = Vec::new();
+        for (task, run) in &mut worker.runs {
+            match run.phase {
+                RunPhase::Running => over.push(task_run(task, run)),
+                RunPhase::Unknown => run.stop_taken = None,
+                RunPhase::Starting => {}
+            }
+        }
+        let inputs = format!("{} runs ended with its former life", over.len());
+        self.note("worker started again", None, Some(worker_id.clone()), inputs);
+        let now = Instant::now();
+        for run in over {
+            self.drop_run(now, worker_id, &run, true);
+        }
+    }
+
+    fn take_end(&mut self, now: Instant, worker_id: &WorkerId, row: EndedRow) {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        if worker.ends.is_known(row.sequence) {
+            return;
+        }
+        let placed = worker.remove_run(&row.task, row.run);
+        if let Some(placed) = &placed {
+            let elapsed = now.saturating_duration_since(placed.placed_at);
+            let estimate = if placed.is_lasting {
+                Duration::ZERO
+            } else {
+                placed.estimate
+            };
+            if row.end == RunEnd::Done {
+                worker.blame.succeed(elapsed, estimate);
+            }
+            let placed = placed.clone();
+            self.release(&placed);
+        }
+        let change = self.apply_end(now, worker_id, &row);
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            worker.ends.push(row.sequence, change);
+        }
+    }
+
+    /// Applies an end to its task and returns the change that has to be stored before it is acknowledged.
+    fn apply_end(&mut self, now: Instant, worker_id: &WorkerId, row: &EndedRow) -> u64 {
+        let id = row.task.step.job.clone();
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return 0;
+        };
+        let is_over = job.state.is_final();
+        let max_attempts = job.record.rule.max_attempts.max(1);
+        let Some(spec) = job.record.spec.steps.get(row.task.step.step as usize).cloned() else {
+            return 0;
+        };
+        let Some(step) = job.step_mut(&row.task.step) else {
+            return 0;
+        };
+        let is_first_failure = step.failed_run != Some(row.run) || !spec.is_gang;
+        let Some(task) = step.tasks.get_mut(row.task.index as usize) else {
+            return 0;
+        };
+        task.copies
+            .retain(|copy| copy.worker != *worker_id || copy.run != row.run);
+        task.last_run = task.last_run.max(row.run);
+        if task.is_done || is_over {
+            return 0;
+        }
+        if !row.saved.is_empty() {
+            task.saved = Arc::clone(&row.saved);
+        }
+        match row.end {
+            RunEnd::Done => {
+                self.complete_task(&row.task, spec.is_gang);
+                return self.touch(&id);
+            }
+            RunEnd::Failed => {
+                if is_first_failure {
+                    task.failures += 1;
+                }
+                task.avoid.insert(worker_id.clone());
+                let failures = task.failures;
+                step.failed_run = Some(row.run);
+                let is_avoided = self
+                    .workers
+                    .get_mut(worker_id)
+                    .is_some_and(|worker| worker.blame.fail(now, &id));
+                let inputs = format!("task {}, failure {failures} of {max_attempts}", row.task);
+                self.note("run failed", Some(id.clone()), Some(worker_id.clone()), inputs);
+                if is_avoided {
+                    self.note(
+                        "worker avoided",
+                        None,
+                        Some(worker_id.clone()),
+                        "failures of several jobs",
+                    );
+                }
+                if failures >= max_attempts && !spec.is_lasting {
+                    self.finish(&id, JobState::Failed, "a task used up its attempts");
+                }
+            }
+            RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {
+                if row.saved.is_empty() {
+                    return 0;
+                }
+            }
+        }
+        self.touch(&id)
+    }
+
+    fn complete_task(&mut self, task_id: &TaskId, is_gang: bool) {
+        let id = &task_id.step.job;
+        let Some(step) = self.jobs.get_mut(id).and_then(|job| job.step_mut(&task_id.step)) else {
+            return;
+        };
+        let mut done = Vec::new();
+        for (index, task) in step.tasks.iter_mut().enumerate() {
+            if (index as u32 == task_id.index || is_gang) && !task.is_done {
+                task.is_done = true;
+                step.open -= 1;
+                done.push((task_id.step.task(index as u32), task.copies.clone()));
+            }
+        }
+        for (task, copies) in done {
+            // The members of a gang end together by themselves.
+            if !is_gang {
+                stop_copies(&mut self.workers, &task, copies.iter().map(|copy| &copy.worker));
+            }
+        }
+        let is_done = self.jobs.get(id).is_some_and(|job| job.is_done());
+        if is_done {
+            self.finish(id, JobState::Completed, "all tasks are done");
+        }
+    }
+
+    fn take_running(&mut self, now: Instant, worker_id: &WorkerId, row: &RunningRow) {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        if let Some(placed) = worker.runs.get_mut(&row.task)
+            && placed.run == row.run
+        {
+            placed.missing = 0;
+            placed.percent = row.percent;
+            placed.load = row.load;
+            if !row.saved.is_empty() {
+                placed.saved = Arc::clone(&row.saved);
+            }
+            if placed.phase == RunPhase::Starting {
+                placed.phase = RunPhase::Running;
+            }
+            return;
+        }
+        self.adopt(now, worker_id, row);
+    }
+
+    /// Takes over a run of a former holder, or has it stopped if no job needs it.
+    fn adopt(&mut self, now: Instant, worker_id: &WorkerId, row: &RunningRow) {
+        let run = TaskRun {
+            task: row.task.clone(),
+            run: row.run,
+        };
+        let is_wanted = self.is_run_wanted(&run.task);
+        let is_reserved = self
+            .workers
+            .get(worker_id)
+            .is_some_and(|worker| worker.runs.contains_key(&row.task));
+        if is_reserved {
+            // Another run of the task is expected here; this one is stopped without a place of its own.
+            self.strays.entry((worker_id.clone(), run)).or_insert(None);
+            return;
+        }
+        let job = self.jobs.get(&row.task.step.job);
+        let spec = job.and_then(|job| job.record.spec.steps.get(row.task.step.step as usize));
+        let organisation = job.and_then(|job| job.record.organisation.clone());
+        let placed = PlacedRun {
+            run: row.run,
+            phase: RunPhase::Running,
+            reserved: spec.map_or_else(ResourceSet::default, |spec| spec.reserved()),
+            demand: spec.map_or_else(ResourceSet::default, |spec| spec.demand),
+            organisation: organisation.clone(),
+            placed_at: now,
+            estimate: spec.map_or(Duration::ZERO, |spec| spec.estimate),
+            is_lasting: spec.is_some_and(|spec| spec.is_lasting),
+            is_filler: spec.is_some_and(|spec| spec.is_filler),
+            tail_target_ms: spec.and_then(|spec| spec.tail_target_ms),
+            percent: row.percent,
+            load: row.load,
+            saved: Arc::clone(&row.saved),
+            deadline_ms: 0,
+            // The pace that a former holder ordered is not known; the next order sets it.
+            pace: 0,
+            must_stop: !is_wanted,
+            stop_sent: None,
+            stop_taken: None,
+            missing: 0,
+        };
+        if let Some(organisation) = organisation {
+            let usage = self.usage.entry(organisation).or_default();
+            *usage = usage.plus(&placed.demand);
+        }
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            worker.add_run(row.task.clone(), placed);
+        }
+        if is_wanted {
+            self.count_adopted(now, worker_id, &run);
+        } else {
+            let inputs = format!("run {} of task {} belongs to no open task", row.run, row.task);
+            self.note(
+                "stray run",
+                Some(row.task.step.job.clone()),
+                Some(worker_id.clone()),
+                inputs,
+            );
+        }
+    }
+
+    fn count_adopted(&mut self, now: Instant, worker_id: &WorkerId, run: &TaskRun) {
+        if let Some(task) = self.task_mut(&run.task) {
+            task.last_run = task.last_run.max(run.run);
+            task.copies.push(TaskCopy {
+                worker: worker_id.clone(),
+                run: run.run,
+                placed_at: now,
+            });
+        }
+        let id = &run.task.step.job;
+        if let Some(job) = self.jobs.get_mut(id)
+            && job.state == JobState::Pending
+        {
+            job.state = JobState::Running;
+            job.is_state_new = true;
+            let id = id.clone();
+            self.touch(&id);
+        }
+    }
+
+    /// Whether a listed run may go on: its task is open, its turn has come and no other run of it is known.
+    fn is_run_wanted(&self, task: &TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.step.job) else {
+            return false;
+        };
+        let Some(occurrence) = job.occurrences.get(&task.step.occurrence) else {
+            return false;
+        };
+        let number = task.step.step as usize;
+        let state = occurrence.steps.get(number);
+        let Some(state) = state.and_then(|step| step.tasks.get(task.index as usize)) else {
+            return false;
+        };
+        let may_copy = job.record.spec.steps[number].is_speculative;
+        !job.state.is_final() && !state.is_done && (may_copy || state.copies.is_empty())
+    }
+
+    /// Resolves runs that the report does not list.
+    fn find_missing(
+        &mut self,
+        now: Instant,
+        worker_id: &WorkerId,
+        sent_at: Instant,
+        clock_ms: u64,
+        running: &[RunningRow],
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        let mut gone = Vec::new();
+        for (task, placed) in &mut worker.runs {
+            let is_listed = running
+                .iter()
+                .any(|row| row.run == placed.run && row.task == *task);
+            let is_newer = placed.placed_at >= sent_at;
+            if is_listed || is_newer || placed.phase == RunPhase::Starting {
+                continue;
+            }
+            let is_stopped = placed.stop_taken.is_some_and(|at| at <= sent_at);
+            let is_late = placed.phase == RunPhase::Unknown && clock_ms > placed.deadline_ms;
+            if is_stopped || is_late {
+                gone.push(task_run(task, placed));
+                continue;
+            }
+            if placed.phase == RunPhase::Running {
+                placed.missing += 1;
+                placed.must_stop |= placed.missing >= MISSING_LOOKS;
+            }
+        }
+        for run in gone {
+            self.drop_run(now, worker_id, &run, false);
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/pool_scheduler/start_pass.rs
@@ -0,0 +1,443 @@
+//! Chooses which tasks start where.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::dispatch::job_record::JobState;
+use crate::dispatch::job_spec::StepSpec;
+use crate::dispatch::job_state::{JobRun, TaskCopy};
+use crate::dispatch::order::{Order, StartOrder, TaskRun};
+use crate::dispatch::pool_scheduler::{ADVICE_RETRY, PoolScheduler, StepAdvice, task_run};
+use crate::dispatch::start_order::{StartKey, StepFacts};
+use crate::dispatch::start_place::{self, PlaceRequest};
+use crate::dispatch::task_id::{StepId, TaskId};
+use crate::dispatch::worker_state::{PlacedRun, RunPhase};
+use crate::model::id::{OrganisationId, RunNumber, WorkerId};
+use crate::model::resource::ResourceSet;
+
+/// Run numbers that one term may use for a task; the next term begins above them.
+const RUNS_PER_TERM: u64 = 1_000;
+
+/// Starts chosen in one pass; the rest follows when these are under way.
+const MOST_STARTS: usize = 96;
+
+/// Workers named in one call for advice; the cost of a call grows with them.
+const ADVICE_WORKERS: usize = 30;
+
+/// Calls for advice in flight; the service answers one call at a time.
+const ADVICE_CALLS: usize = 2;
+
+/// Margin before the end of a ticket's validity.
+const TICKET_MARGIN: Duration = Duration::from_millis(150);
+
+/// Run time over estimate after which a task that allows it gets a second copy.
+const COPY_FACTOR: f64 = 2.0;
+
+/// Added to the run time after which a task gets a second copy.
+const COPY_DELAY: Duration = Duration::from_millis(400);
+
+impl PoolScheduler {
+    pub(super) fn order_starts(&mut self, now: Instant, orders: &mut Vec<Order>) {
+        let mut ready = self.ready_steps(now);
+        ready.sort_unstable();
+        let first = orders.len();
+        for key in &ready {
+            if orders.len() - first >= MOST_STARTS {
+                break;
+            }
+            self.start_step(now, key.step(), orders);
+        }
+        if orders.len() - first < MOST_STARTS {
+            self.start_copies(now, orders);
+        }
+    }
+
+    /// Steps with tasks that wait for a start.
+    fn ready_steps(&self, now: Instant) -> Vec<StartKey> {
+        let is_settling = self.settling.is_open(now);
+        let mut ready = Vec::new();
+        for (id, job) in &self.jobs {
+            if job.state.is_final() || (is_settling && job.is_old) {
+                continue;
+            }
+            for (number, occurrence) in &job.occurrences {
+                for (step, state) in occurrence.steps.iter().enumerate() {
+                    let has_waiting = state.open > 0 && state.tasks.iter().any(|task| task.is_waiting(now));
+                    if !has_waiting || !job.is_step_ready(occurrence, step) {
+                        continue;
+                    }
+                    let facts = step_facts(job, step, occurrence.due_at);
+                    let step = StepId::new(id.clone(), *number, step as u32);
+                    ready.push(StartKey::new(now, &facts, step));
+                }
+            }
+        }
+        ready
+    }
+
+    fn start_step(&mut self, now: Instant, step: &StepId, orders: &mut Vec<Order>) {
+        let Some(job) = self.jobs.get(&step.job) else {
+            return;
+        };
+        let spec = job.record.spec.steps[step.step as usize].clone();
+        let organisation = job.record.organisation.clone();
+        let Some(state) = job.step(step) else {
+            return;
+        };
+        let waiting: Vec<u32> = (0..)
+            .zip(&state.tasks)
+            .filter(|(_, task)| task.is_waiting(now))
+            .map(|(index, _)| index)
+            .collect();
+        if spec.is_gang && waiting.len() < state.tasks.len() {
+            return;
+        }
+        let has_advice = job.record.rule.advice.is_some();
+        if has_advice && !self.has_tickets(now, step, &spec, orders) {
+            return;
+        }
+        if spec.is_gang {
+            self.start_gang(now, step, &spec, organisation.as_ref(), &waiting, orders);
+            return;
+        }
+        for index in waiting {
+            let task = step.task(index);
+            if !self.is_within_limit(organisation.as_ref(), &spec.demand) {
+                return;
+            }
+            let Some(worker) = self.choose_worker(now, &task, &spec, has_advice) else {
+                return;
+            };
+            let run = self.next_run(&task);
+            self.place(now, &worker, &task, run, &spec, organisation.as_ref(), orders);
+        }
+    }
+
+    /// Starts all members together, or none.
+    fn start_gang(
+        &mut self,
+        now: Instant,
+        step: &StepId,
+        spec: &StepSpec,
+        organisation: Option<&OrganisationId>,
+        members: &[u32],
+        orders: &mut Vec<Order>,
+    ) {
+        let run = members
+            .iter()
+            .map(|index| self.next_run(&step.task(*index)))
+            .max();
+        let Some(run) = run else {
+            return;
+        };
+        let has_advice = self.advice.contains_key(step);
+        let mut gang = Vec::new();
+        let mut placed: Vec<(WorkerId, TaskRun)> = Vec::new();
+        for index in members {
+            let task = step.task(*index);
+            let worker = self
+                .is_within_limit(organisation, &spec.demand)
+                .then(|| self.choose_worker(now, &task, spec, has_advice))
+                .flatten();
+            let Some(worker) = worker else {
+                for (worker, run) in placed {
+                    if let Some(state) = self.workers.get_mut(&worker) {
+                        state.starting = state.starting.saturating_sub(1);
+                    }
+                    self.drop_run(now, &worker, &run, false);
+                }
+                return;
+            };
+            self.place(now, &worker, &task, run, spec, organisation, &mut gang);
+            placed.push((worker, TaskRun { task, run }));
+        }
+        orders.append(&mut gang);
+    }
+
+    /// A run number above all that were used for the task.
+    fn next_run(&self, task: &TaskId) -> RunNumber {
+        let base = (self.term.get().saturating_sub(1)) * RUNS_PER_TERM;
+        let job = self.jobs.get(&task.step.job);
+        let state = job.and_then(|job| job.step(&task.step)?.tasks.get(task.index as usize));
+        let last = state.map_or(RunNumber::default(), |state| state.last_run);
+        last.max(RunNumber::new(base)).next()
+    }
+
+    /// Whether an organisation may have this much more running on the pool.
+    fn is_within_limit(&self, organisation: Option<&OrganisationId>, demand: &ResourceSet) -> bool {
+        let Some(organisation) = organisation else {
+            return true;
+        };
+        let Some(config) = self.organisations.get(organisation) else {
+            return true;
+        };
+        if config.limit == ResourceSet::default() {
+            return true;
+        }
+        let used = self.usage.get(organisation).copied().unwrap_or_default();
+        let allowance = self
+            .plan
+            .allowances
+            .get(organisation)
+            .copied()
+            .unwrap_or_default();
+        allowance.covers(&used.plus(demand))
+    }
+
+    fn choose_worker(
+        &self,
+        now: Instant,
+        task: &TaskId,
+        spec: &StepSpec,
+        has_advice: bool,
+    ) -> Option<WorkerId> {
+        let none = BTreeSet::new();
+        let job = self.jobs.get(&task.step.job)?;
+        let step = job.step(&task.step)?;
+        let state = step.tasks.get(task.index as usize)?;
+        let rack = if spec.is_same_rack {
+            self.rack_of(step.tasks.iter().flat_map(|task| &task.copies))
+        } else {
+            spec.rack.clone()
+        };
+        let advice = self.advice.get(&task.step).filter(|_| has_advice);
+        let allowed = advice.map(|advice| &advice.tickets);
+        let request = PlaceRequest {
+            step: &task.step,
+            spec,
+            avoid: if state.avoid.is_empty() {
+                &none
+            } else {
+                &state.avoid
+            },
+            closing: &self.plan.closing,
+            rack: rack.as_deref(),
+            allowed,
+        };
+        start_place::choose(now, &self.workers, &request)
+    }
+
+    /// Rack of the copies that run, or the rack with the most room.
+    fn rack_of<'a>(&self, mut copies: impl Iterator<Item = &'a TaskCopy>) -> Option<Arc<str>> {
+        if let Some(copy) = copies.next() {
+            return self.workers.get(&copy.worker)?.entry.rack().cloned();
+        }
+        let mut racks: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+        for worker in self.workers.values().filter(|worker| worker.is_listed) {
+            if let Some(rack) = worker.entry.rack() {
+                *racks.entry(Arc::clone(rack)).or_default() += worker.free().cores.get();
+            }
+        }
+        let widest = racks.into_iter().max_by_key(|(_, free)| *free);
+        widest.map(|(rack, _)| rack)
+    }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "a start consists of these independent parts"
+    )]
+    fn place(
+        &mut self,
+        now: Instant,
+        worker_id: &WorkerId,
+        task: &TaskId,
+        run: RunNumber,
+        spec: &StepSpec,
+        organisation: Option<&OrganisationId>,
+        orders: &mut Vec<Order>,
+    ) {
+        let ticket = self
+            .advice
+            .get(&task.step)
+            .and_then(|advice| advice.tickets.get(worker_id).cloned());
+        let lease = self.rules.lease;
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        let Some(deadline_ms) = worker.lease.grant(now, lease) else {
+            return;
+        };
+        worker.starting += 1;
+        let target = worker.target();
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let text = Arc::clone(&job.record.spec.text);
+        let is_first = job.state == JobState::Pending;
+        if is_first {
+            job.state = JobState::Running;
+            job.is_state_new = true;
+        }
+        let Some(state) = job
+            .step_mut(&task.step)
+            .and_then(|step| step.tasks.get_mut(task.index as usize))
+        else {
+            return;
+        };
+        state.last_run = run;
+        state.copies.push(TaskCopy {
+            worker: worker_id.clone(),
+            run,
+            placed_at: now,
+        });
+        let saved = Arc::clone(&state.saved);
+        worker.add_run(
+            task.clone(),
+            PlacedRun {
+                run,
+                phase: RunPhase::Starting,
+                reserved: spec.reserved(),
+                demand: spec.demand,
+                organisation: organisation.cloned(),
+                placed_at: now,
+                estimate: spec.estimate,
+                is_lasting: spec.is_lasting,
+                is_filler: spec.is_filler,
+                tail_target_ms: spec.tail_target_ms,
+                percent: 0.0,
+                load: 0.0,
+                saved: Arc::clone(&saved),
+                deadline_ms,
+                pace: 100,
+                must_stop: false,
+                stop_sent: None,
+                stop_taken: None,
+                missing: 0,
+            },
+        );
+        if let Some(organisation) = organisation {
+            let usage = self.usage.entry(organisation.clone()).or_default();
+            *usage = usage.plus(&spec.demand);
+        }
+        if is_first {
+            let id = task.step.job.clone();
+            self.note(
+                "first start",
+                Some(id.clone()),
+                Some(worker_id.clone()),
+                format!("task {task}"),
+            );
+            self.touch(&id);
+        }
+        orders.push(Order::Start(StartOrder {
+            target,
+            run: TaskRun {
+                task: task.clone(),
+                run,
+            },
+            text,
+            saved,
+            deadline_ms,
+            ticket,
+        }));
+    }
+
+    /// Whether tickets for the step are at hand; asks for them if not.
+    fn has_tickets(&mut self, now: Instant, step: &StepId, spec: &StepSpec, orders: &mut Vec<Order>) -> bool {
+        let is_usable = |worker: &WorkerId| {
+            let state = self.workers.get(worker);
+            state.is_some_and(|state| state.is_usable(now) && state.free().covers(&spec.reserved()))
+        };
+        if let Some(advice) = self.advice.get(step) {
+            let is_valid = now + TICKET_MARGIN < advice.valid_until;
+            if is_valid && advice.tickets.keys().any(is_usable) {
+                return true;
+            }
+            if advice.asked_at.is_some() || now < advice.retry_at {
+                return false;
+            }
+        }
+        let calls = self
+            .advice
+            .values()
+            .filter(|advice| advice.asked_at.is_some())
+            .count();
+        if calls >= ADVICE_CALLS {
+            return false;
+        }
+        let mut named: Vec<_> = self
+            .workers
+            .values()
+            .filter(|worker| worker.is_usable(now) && start_place::is_fit(worker, spec))
+            .filter(|worker| !self.plan.closing.contains(&worker.entry.id))
+            .collect();
+        if named.is_empty() {
+            return false;
+        }
+        named.sort_by_key(|worker| std::cmp::Reverse(worker.free().cores));
+        named.truncate(ADVICE_WORKERS);
+        let named = named.into_iter().map(|worker| worker.entry.id.clone()).collect();
+        self.advice.insert(
+            step.clone(),
+            StepAdvice {
+                tickets: BTreeMap::new(),
+                valid_until: now,
+                asked_at: Some(now),
+                retry_at: now + ADVICE_RETRY,
+            },
+        );
+        orders.push(Order::Advise(step.clone(), named));
+        false
+    }
+
+    /// Starts second copies of tasks that take far longer than estimated, where the step allows copies.
+    fn start_copies(&mut self, now: Instant, orders: &mut Vec<Order>) {
+        let mut slow = Vec::new();
+        for worker in self.workers.values() {
+            for (task, run) in &worker.runs {
+                let limit = run.estimate.mul_f64(COPY_FACTOR) + COPY_DELAY;
+                let is_slow = !run.is_lasting && now.saturating_duration_since(run.placed_at) > limit;
+                if is_slow && !run.must_stop && run.phase == RunPhase::Running {
+                    slow.push(task_run(task, run));
+                }
+            }
+        }
+        for TaskRun { task, .. } in slow {
+            let Some(job) = self.jobs.get(&task.step.job) else {
+                continue;
+            };
+            let spec = job.record.spec.steps[task.step.step as usize].clone();
+            let organisation = job.record.organisation.clone();
+            let copies = job
+                .step(&task.step)
+                .and_then(|step| step.tasks.get(task.index as usize))
+                .map_or(0, |task| task.copies.len());
+            let may_copy = spec.is_speculative && copies == 1 && job.record.rule.advice.is_none();
+            if !may_copy || !self.is_within_limit(organisation.as_ref(), &spec.demand) {
+                continue;
+            }
+            let Some(worker) = self.choose_worker(now, &task, &spec, false) else {
+                continue;
+            };
+            let is_elsewhere = self
+                .workers
+                .get(&worker)
+                .is_some_and(|state| !state.runs.contains_key(&task) && !state.blame.is_slow());
+            if is_elsewhere {
+                let run = self.next_run(&task);
+                self.note(
+                    "second copy",
+                    Some(task.step.job.clone()),
+                    Some(worker.clone()),
+                    format!("task {task}"),
+                );
+                self.place(now, &worker, &task, run, &spec, organisation.as_ref(), orders);
+            }
+        }
+    }
+}
+
+fn step_facts(job: &JobRun, step: usize, accepted_at: Instant) -> StepFacts {
+    let spec = &job.record.spec.steps[step];
+    StepFacts {
+        priority: job.record.rule.priority,
+        is_lasting: spec.is_lasting,
+        is_filler: spec.is_filler,
+        has_begun: job.state == JobState::Running,
+        is_surplus: job.is_surplus,
+        accepted_at,
+        objective: job.objective,
+        chain: job.chains[step],
+    }
+}
--- /dev/null
+++ b/src/dispatch/pool_scheduler/vacate_pass.rs
@@ -0,0 +1,104 @@
+//! Empties workers that drain or that the plan closes, within the availability budget of each step.
+
+use std::time::Instant;
+
+use crate::dispatch::pool_scheduler::PoolScheduler;
+use crate::dispatch::start_place::{self, PlaceRequest};
+use crate::dispatch::task_id::TaskId;
+use crate::dispatch::worker_state::RunPhase;
+use crate::model::id::WorkerId;
+
+/// Progress of a lasting task that is at work.
+const AT_WORK: f64 = 100.0;
+
+impl PoolScheduler {
+    /// Stops lasting tasks on workers to be vacated, where another worker has room for them. Other tasks end
+    /// by themselves.
+    pub(super) fn vacate(&mut self, now: Instant) {
+        let mut moving: Vec<(WorkerId, TaskId)> = Vec::new();
+        for (id, worker) in &self.workers {
+            let is_draining = worker.entry.is_draining && worker.is_listed;
+            if !is_draining && !self.plan.closing.contains(id) {
+                continue;
+            }
+            for (task, run) in &worker.runs {
+                let is_idle = run.must_stop || run.phase != RunPhase::Running || !run.is_lasting;
+                if is_idle || moving.iter().any(|(_, other)| other.step == task.step) {
+                    continue;
+                }
+                if (is_draining || self.has_spare_member(task)) && self.has_room(now, task) {
+                    moving.push((id.clone(), task.clone()));
+                }
+            }
+        }
+        for (worker, task) in moving {
+            let placed = self
+                .workers
+                .get_mut(&worker)
+                .and_then(|worker| worker.runs.get_mut(&task));
+            if let Some(placed) = placed {
+                placed.must_stop = true;
+            }
+            self.note(
+                "task moves",
+                Some(task.step.job.clone()),
+                Some(worker),
+                format!("task {task}"),
+            );
+        }
+    }
+
+    /// Whether the step can miss one more task: fewer others than allowed are away from their work.
+    fn has_spare_member(&self, task: &TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.step.job) else {
+            return true;
+        };
+        let spec = &job.record.spec.steps[task.step.step as usize];
+        let Some(step) = job.step(&task.step) else {
+            return true;
+        };
+        let mut away = 0;
+        for (index, state) in (0_u32..).zip(&step.tasks) {
+            if index == task.index {
+                continue;
+            }
+            let id = task.step.task(index);
+            let is_at_work = state.copies.iter().any(|copy| self.is_at_work(&copy.worker, &id));
+            if !is_at_work {
+                away += 1;
+            }
+        }
+        away < spec.may_miss.max(1)
+    }
+
+    fn is_at_work(&self, worker: &WorkerId, task: &TaskId) -> bool {
+        let run = self
+            .workers
+            .get(worker)
+            .filter(|worker| worker.look.faults == 0)
+            .and_then(|worker| worker.runs.get(task));
+        run.is_some_and(|run| run.phase == RunPhase::Running && run.percent >= AT_WORK && !run.must_stop)
+    }
+
+    fn has_room(&self, now: Instant, task: &TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.step.job) else {
+            return false;
+        };
+        let spec = &job.record.spec.steps[task.step.step as usize];
+        let Some(state) = job
+            .step(&task.step)
+            .and_then(|step| step.tasks.get(task.index as usize))
+        else {
+            return false;
+        };
+        let request = PlaceRequest {
+            step: &task.step,
+            spec,
+            avoid: &state.avoid,
+            closing: &self.plan.closing,
+            rack: None,
+            allowed: None,
+        };
+        start_place::choose(now, &self.workers, &request).is_some()
+    }
+}
--- /dev/null
+++ b/src/dispatch/pool_size.rs
@@ -0,0 +1,1 @@
+//! Sizes of pools.
--- /dev/null
+++ b/src/dispatch/start_order.rs
@@ -0,0 +1,101 @@
+//! Order in which ready steps start.
+//!
+//! Answers demand that takes turns: for some seconds a queue asks for several times what its pool holds, and a
+//! job after its objective is worth little to its caller. What can still be in time goes first, by its latest
+//! start, with jobs that have begun before others; what is late and an organisation's surplus use what is left.
+
+use std::time::{Duration, Instant};
+
+use crate::dispatch::task_id::StepId;
+
+/// Classes of ready steps in the order of their start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StartClass {
+    /// Tasks that serve users until their job is cancelled.
+    Serving,
+    /// Part of a job that has begun and can be in time.
+    Begun,
+    /// Part of a job that can be in time.
+    InTime,
+    /// Part of a job that is its organisation's surplus.
+    Surplus,
+    /// Part of a job that will be late.
+    Late,
+    /// Part of a job that is too late to be of use to its caller.
+    Overdue,
+    /// Tasks that use the processor time left by others.
+    Filler,
+}
+
+/// What the order of a step depends on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StepFacts {
+    /// Priority of the queue; 0 goes first.
+    pub priority: u32,
+    /// Whether the tasks run until the job is cancelled.
+    pub is_lasting: bool,
+    /// Whether the tasks use only what others leave.
+    pub is_filler: bool,
+    /// Whether a task of the job has started.
+    pub has_begun: bool,
+    /// Whether the job is its organisation's surplus.
+    pub is_surplus: bool,
+    /// Time of acceptance, or due time of the occurrence.
+    pub accepted_at: Instant,
+    /// Time from acceptance to the objective.
+    pub objective: Duration,
+    /// Longest chain of estimates from this step to the end of the job.
+    pub chain: Duration,
+}
+
+/// A job up to this multiple of its objective is late; after it the job is of no use.
+const LATE_FACTOR: u32 = 3;
+
+/// Place of a step in the order.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StartKey {
+    class: StartClass,
+    priority: u32,
+    /// Time until the latest start, in milliseconds; only for the order within a class.
+    slack_ms: i64,
+    step: StepId,
+}
+
+impl StartKey {
+    /// Rates a step.
+    pub fn new(now: Instant, facts: &StepFacts, step: StepId) -> Self {
+        let age = now.saturating_duration_since(facts.accepted_at);
+        let end = age + facts.chain;
+        let class = if facts.is_filler {
+            StartClass::Filler
+        } else if facts.is_lasting {
+            StartClass::Serving
+        } else if end > facts.objective * LATE_FACTOR {
+            StartClass::Overdue
+        } else if end > facts.objective {
+            StartClass::Late
+        } else if facts.is_surplus {
+            StartClass::Surplus
+        } else if facts.has_begun {
+            StartClass::Begun
+        } else {
+            StartClass::InTime
+        };
+        Self {
+            class,
+            priority: facts.priority,
+            slack_ms: facts.objective.as_millis() as i64 - end.as_millis() as i64,
+            step,
+        }
+    }
+
+    /// The class.
+    pub fn class(&self) -> StartClass {
+        self.class
+    }
+
+    /// The step.
+    pub fn step(&self) -> &StepId {
+        &self.step
+    }
+}
--- /dev/null
+++ b/src/dispatch/start_place.rs
@@ -0,0 +1,90 @@
+//! Chooses the worker for a task.
+//!
+//! Answers pools near their capacity: tasks that end fill the fullest worker that has room, so that large tasks
+//! find room and workers become empty; tasks that serve are spread over workers, away from those that fill.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::dispatch::job_spec::StepSpec;
+use crate::dispatch::task_id::StepId;
+use crate::dispatch::worker_state::WorkerState;
+use crate::model::id::WorkerId;
+
+/// Starts in flight at one worker; more would open further connections and wait at a worker that does not answer.
+pub const MOST_STARTING: u32 = 6;
+
+/// What the choice depends on.
+#[derive(Debug, Clone, Copy)]
+pub struct PlaceRequest<'a> {
+    /// The step.
+    pub step: &'a StepId,
+    /// Its tasks.
+    pub spec: &'a StepSpec,
+    /// Workers on which the task failed.
+    pub avoid: &'a BTreeSet<WorkerId>,
+    /// Workers that are being vacated.
+    pub closing: &'a BTreeSet<WorkerId>,
+    /// Rack that is preferred.
+    pub rack: Option<&'a str>,
+    /// Workers that may run the step, if only some may.
+    pub allowed: Option<&'a BTreeMap<WorkerId, Arc<str>>>,
+}
+
+/// Order of candidates; the lowest is chosen.
+type PlaceRank = (bool, bool, u64, u64);
+
+/// Whether a worker could run the task at all, whatever it runs now.
+pub fn is_fit(worker: &WorkerState, spec: &StepSpec) -> bool {
+    let has_label = spec
+        .label
+        .as_ref()
+        .is_none_or(|label| worker.entry.has_label(label));
+    has_label && worker.entry.capacity.covers(&spec.reserved())
+}
+
+/// Whether a worker can take the task now.
+pub fn is_candidate(now: Instant, worker: &WorkerState, request: &PlaceRequest<'_>) -> bool {
+    let id = &worker.entry.id;
+    let most = request.spec.most_per_worker;
+    is_fit(worker, request.spec)
+        && worker.is_usable(now)
+        && worker.starting < MOST_STARTING
+        && worker.free().covers(&request.spec.reserved())
+        && !request.closing.contains(id)
+        && request.allowed.is_none_or(|allowed| allowed.contains_key(id))
+        && most.is_none_or(|most| worker.count_step(request.step) < most)
+}
+
+/// Chooses a worker, if any has room.
+pub fn choose(
+    now: Instant,
+    workers: &BTreeMap<WorkerId, WorkerState>,
+    request: &PlaceRequest<'_>,
+) -> Option<WorkerId> {
+    let candidates = workers
+        .values()
+        .filter(|worker| is_candidate(now, worker, request));
+    let best = candidates.min_by_key(|worker| rank(worker, request))?;
+    Some(best.entry.id.clone())
+}
+
+fn rank(worker: &WorkerState, request: &PlaceRequest<'_>) -> PlaceRank {
+    let is_bad = worker.blame.is_slow() || request.avoid.contains(&worker.entry.id);
+    let is_far = request
+        .rack
+        .is_some_and(|rack| worker.entry.rack().is_none_or(|own| &**own != rack));
+    let free = worker.free().cores.get();
+    let (crowd, room) = if request.spec.is_lasting {
+        let beside = if request.spec.is_filler {
+            worker.serving()
+        } else {
+            worker.runs.values().filter(|run| run.is_lasting).count()
+        };
+        (beside as u64, u64::MAX - free)
+    } else {
+        (0, free)
+    };
+    (is_bad, is_far, crowd, room)
+}
--- /dev/null
+++ b/src/dispatch/surplus_rule.rs
@@ -0,0 +1,44 @@
+//! Marks jobs that an organisation submits beyond its weight in jobs a second.
+//!
+//! Answers the load of one organisation that sends many times its usual: its surplus goes behind the others'
+//! work, so that they are served as before, and still runs where there is room.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use crate::model::id::OrganisationId;
+
+/// Seconds of submissions that an organisation may save up.
+const BURST_SECONDS: f64 = 2.0;
+
+#[derive(Debug, Clone, Copy)]
+struct JobBucket {
+    level: f64,
+    at: Instant,
+}
+
+/// Token buckets of the organisations.
+#[derive(Debug, Clone, Default)]
+pub struct SurplusRule {
+    buckets: BTreeMap<OrganisationId, JobBucket>,
+}
+
+impl SurplusRule {
+    /// Takes a job and tells whether it is surplus. Weight 0 sets no bound.
+    pub fn is_surplus(&mut self, now: Instant, organisation: &OrganisationId, weight: f64) -> bool {
+        if weight <= 0.0 {
+            return false;
+        }
+        let most = (weight * BURST_SECONDS).max(1.0);
+        let full = JobBucket { level: most, at: now };
+        let bucket = self.buckets.entry(organisation.clone()).or_insert(full);
+        let gained = now.saturating_duration_since(bucket.at).as_secs_f64() * weight;
+        bucket.level = (bucket.level + gained).min(most);
+        bucket.at = now;
+        if bucket.level < 1.0 {
+            return true;
+        }
+        bucket.level -= 1.0;
+        false
+    }
+}
--- /dev/null
+++ b/src/dispatch/wave_plan.rs
@@ -0,0 +1,235 @@
+//! Waves of upkeep: which instances to vacate and when to start their upkeep.
+//!
+//! Answers waves that are due while pools are at their peak: instances are vacated a few ahead of the number that
+//! may be down, idle ones first, so that the wave keeps its time and no running work is cut.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::dispatch::pool_plan::WorkerUse;
+use crate::model::id::{InstanceId, PoolId, WorkerId};
+
+/// Instances that are vacated beyond the number that may be down at once.
+const VACATE_AHEAD: usize = 1;
+
+/// Pause before a refused upkeep is asked for again.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// State of an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum InstanceState {
+    /// Its worker may run.
+    #[display("up")]
+    Up,
+    /// On its way to another pool.
+    #[display("moving")]
+    Moving,
+    /// Down for its upkeep.
+    #[display("upkeep")]
+    Upkeep,
+    /// Down for another reason.
+    #[display("down")]
+    Down,
+}
+
+/// An instance in the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InstanceEntry {
+    /// Pool.
+    pub pool: PoolId,
+    /// State.
+    pub state: InstanceState,
+    /// Its worker, if it has one.
+    pub worker: Option<WorkerId>,
+}
+
+/// A wave as requested.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WaveRequest {
+    /// Instances that are due.
+    pub instances: BTreeSet<InstanceId>,
+    /// Time for the whole wave.
+    pub duration: Duration,
+    /// Most instances that may be down for it at once.
+    pub most_down: usize,
+}
+
+/// Progress of a wave, stored so that the next holder does not vacate an instance twice.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct WaveProgress {
+    /// Instances whose upkeep has begun, and those that cannot have one.
+    pub begun: BTreeSet<InstanceId>,
+    /// Whether the end has been announced.
+    pub is_complete: bool,
+}
+
+/// Outcome of an order to the machine API.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum InstanceOutcome {
+    /// Done, or done before.
+    #[display("done")]
+    Done,
+    /// Not up, or leaving.
+    #[display("busy")]
+    Busy,
+    /// Not part of the wave, no such instance, or a pool of other instances.
+    #[display("not applicable")]
+    NotApplicable,
+    /// A newer holder has given orders.
+    #[display("fenced")]
+    Fenced,
+    /// No answer; it may have been carried out.
+    #[display("unknown")]
+    Unknown,
+    /// Refused; nothing was done.
+    #[display("refused")]
+    Refused,
+}
+
+/// One wave.
+#[derive(Debug, Clone)]
+pub struct WavePlan {
+    request: WaveRequest,
+    progress: WaveProgress,
+    /// Instances that are or may be down, with the time at which the upkeep was ordered.
+    down: BTreeMap<InstanceId, Instant>,
+    closing: BTreeSet<InstanceId>,
+    in_flight: BTreeSet<InstanceId>,
+    retry_at: BTreeMap<InstanceId, Instant>,
+}
+
+impl WavePlan {
+    /// Creates the plan of a wave with its stored progress. Instances whose upkeep a former holder began may
+    /// still be down.
+    pub fn new(now: Instant, request: WaveRequest, progress: WaveProgress) -> Self {
+        let down = progress.begun.iter().map(|id| (id.clone(), now)).collect();
+        Self {
+            request,
+            progress,
+            down,
+            closing: BTreeSet::new(),
+            in_flight: BTreeSet::new(),
+            retry_at: BTreeMap::new(),
+        }
+    }
+
+    /// Progress to store.
+    pub fn progress(&self) -> &WaveProgress {
+        &self.progress
+    }
+
+    /// Instances that are being vacated.
+    pub fn closing(&self) -> &BTreeSet<InstanceId> {
+        &self.closing
+    }
+
+    /// Whether instances are or may be down, or wait to be.
+    pub fn is_open(&self) -> bool {
+        !self.progress.is_complete || !self.down.is_empty()
+    }
+
+    /// Takes the platform's list, read at `read_at`: an instance that is up is not down any more.
+    pub fn set_instances(&mut self, read_at: Instant, instances: &BTreeMap<InstanceId, InstanceEntry>) {
+        self.down.retain(|id, ordered_at| {
+            let entry = instances.get(id);
+            let is_back = entry.is_none_or(|entry| entry.state == InstanceState::Up);
+            !(is_back && read_at > *ordered_at)
+        });
+        let missing = |id: &&InstanceId| !instances.contains_key(*id);
+        let gone: Vec<InstanceId> = self.request.instances.iter().filter(missing).cloned().collect();
+        for id in gone {
+            self.closing.remove(&id);
+            self.progress.begun.insert(id);
+        }
+    }
+
+    /// Chooses instances to vacate.
+    pub fn choose_closing(
+        &mut self,
+        instances: &BTreeMap<InstanceId, InstanceEntry>,
+        uses: &BTreeMap<WorkerId, WorkerUse>,
+    ) {
+        let room = self.request.most_down + VACATE_AHEAD;
+        let busy = self.closing.len() + self.down.len();
+        let mut due: Vec<(u32, u32, &InstanceId)> = Vec::new();
+        for id in &self.request.instances {
+            let is_taken = self.progress.begun.contains(id) || self.closing.contains(id);
+            let Some(entry) = instances.get(id).filter(|_| !is_taken) else {
+                continue;
+            };
+            let usage = entry.worker.as_ref().and_then(|worker| uses.get(worker));
+            let usage = usage.cloned().unwrap_or_default();
+            due.push((usage.lasting, usage.runs, id));
+        }
+        due.sort();
+        let chosen: Vec<InstanceId> = due
+            .into_iter()
+            .take(room.saturating_sub(busy))
+            .map(|(_, _, id)| id.clone())
+            .collect();
+        self.closing.extend(chosen);
+    }
+
+    /// Instances whose upkeep can start now. `is_empty` tells whether the pool's holder has vacated an instance.
+    pub fn take_due(
+        &mut self,
+        now: Instant,
+        instances: &BTreeMap<InstanceId, InstanceEntry>,
+        is_empty: impl Fn(&InstanceEntry) -> bool,
+    ) -> Vec<InstanceId> {
+        let mut due = Vec::new();
+        for id in &self.closing {
+            if self.down.len() + due.len() >= self.request.most_down {
+                break;
+            }
+            let is_paused = self.retry_at.get(id).is_some_and(|at| now < *at);
+            let entry = instances.get(id).filter(|entry| entry.state == InstanceState::Up);
+            if is_paused || self.in_flight.contains(id) || !entry.is_some_and(&is_empty) {
+                continue;
+            }
+            due.push(id.clone());
+        }
+        for id in &due {
+            self.in_flight.insert(id.clone());
+            self.down.insert(id.clone(), now);
+        }
+        due
+    }
+
+    /// Takes the outcome of an upkeep order. Returns whether the progress changed.
+    pub fn answered(&mut self, now: Instant, instance: &InstanceId, outcome: InstanceOutcome) -> bool {
+        self.in_flight.remove(instance);
+        match outcome {
+            InstanceOutcome::Done | InstanceOutcome::NotApplicable => {
+                self.closing.remove(instance);
+                if outcome == InstanceOutcome::NotApplicable {
+                    self.down.remove(instance);
+                } else {
+                    self.down.insert(instance.clone(), now);
+                }
+                self.progress.begun.insert(instance.clone())
+            }
+            InstanceOutcome::Busy | InstanceOutcome::Refused | InstanceOutcome::Fenced => {
+                self.down.remove(instance);
+                self.retry_at.insert(instance.clone(), now + RETRY_PAUSE);
+                false
+            }
+            // It may be down; the order is repeated, which is harmless if it was carried out.
+            InstanceOutcome::Unknown => {
+                self.retry_at.insert(instance.clone(), now + RETRY_PAUSE);
+                false
+            }
+        }
+    }
+
+    /// Marks the wave as complete once all instances have begun their upkeep. Returns whether that is new.
+    pub fn complete(&mut self) -> bool {
+        let is_done = self.request.instances.is_subset(&self.progress.begun);
+        let is_new = is_done && !self.progress.is_complete;
+        self.progress.is_complete |= is_done;
+        is_new
+    }
+}
--- /dev/null
+++ b/src/dispatch/worker_blame.rs
@@ -0,0 +1,129 @@
+//! Evidence against a worker: failures of several jobs, orders without an answer, and slow work.
+//!
+//! Answers workers that fail all they start or leave orders unanswered: a worker that fails fast is free at once
+//! and would attract ever more work. A job that always fails is no evidence by itself.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use crate::model::id::JobId;
+
+/// Time for which a failure counts.
+const FAILURE_WINDOW: Duration = Duration::from_secs(8);
+
+/// Jobs that must have failed on the worker before it is avoided.
+const DISTINCT_JOBS: usize = 2;
+
+/// Time for which a worker is avoided at first; doubles with each time without a success between.
+const FIRST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Longest time for which a worker is avoided.
+const LONGEST_PAUSE: Duration = Duration::from_secs(12);
+
+/// Orders in a row without an answer after which the worker is avoided.
+const SILENT_ORDERS: u32 = 2;
+
+/// Time for which a worker that refused an order as unhealthy is avoided.
+const UNHEALTHY_PAUSE: Duration = Duration::from_millis(400);
+
+/// Weight of the newest run time in the average.
+const SLOWNESS_GAIN: f64 = 0.3;
+
+/// Run time over estimate above which a worker counts as slow.
+const SLOW_RATIO: f64 = 2.5;
+
+/// Evidence against one worker.
+#[derive(Debug, Clone, Default)]
+pub struct WorkerBlame {
+    failures: VecDeque<(Instant, JobId)>,
+    avoid_until: Option<Instant>,
+    pauses: u32,
+    silent_orders: u32,
+    is_on_trial: bool,
+    slowness: Option<f64>,
+}
+
+impl WorkerBlame {
+    /// Takes a failed run. Returns whether the worker is avoided from now on.
+    pub fn fail(&mut self, now: Instant, job: &JobId) -> bool {
+        while let Some((at, _)) = self.failures.front()
+            && now.saturating_duration_since(*at) > FAILURE_WINDOW
+        {
+            self.failures.pop_front();
+        }
+        self.failures.push_back((now, job.clone()));
+        let jobs: BTreeSet<&JobId> = self.failures.iter().map(|(_, job)| job).collect();
+        if jobs.len() < DISTINCT_JOBS && !self.is_on_trial {
+            return false;
+        }
+        self.pause(now);
+        true
+    }
+
+    fn pause(&mut self, now: Instant) {
+        let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.pauses.min(8));
+        self.pauses += 1;
+        self.is_on_trial = true;
+        self.failures.clear();
+        self.avoid_until = Some(now + pause.min(LONGEST_PAUSE));
+    }
+
+    /// Takes a run that ended as done after `elapsed`, against its estimate.
+    pub fn succeed(&mut self, elapsed: Duration, estimate: Duration) {
+        self.failures.pop_front();
+        self.is_on_trial = false;
+        self.pauses = 0;
+        self.silent_orders = 0;
+        self.observe(elapsed, estimate);
+    }
+
+    /// Takes a run time, or the time for which a run has gone on beyond its estimate.
+    pub fn observe(&mut self, elapsed: Duration, estimate: Duration) {
+        if estimate.is_zero() {
+            return;
+        }
+        let ratio = elapsed.as_secs_f64() / estimate.as_secs_f64();
+        let old = self.slowness.unwrap_or(1.0);
+        self.slowness = Some(old + (ratio - old) * SLOWNESS_GAIN);
+    }
+
+    /// Takes an order without an answer.
+    pub fn miss_answer(&mut self, now: Instant) {
+        self.silent_orders += 1;
+        if self.silent_orders >= SILENT_ORDERS {
+            self.silent_orders = 0;
+            self.pause(now);
+        }
+    }
+
+    /// Takes an answered order.
+    pub fn take_answer(&mut self) {
+        self.silent_orders = 0;
+    }
+
+    /// Takes a refusal of an unhealthy worker.
+    pub fn refuse(&mut self, now: Instant) {
+        let until = now + UNHEALTHY_PAUSE;
+        self.avoid_until = Some(self.avoid_until.map_or(until, |old| old.max(until)));
+    }
+
+    /// Whether the worker gets no work.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        self.avoid_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether the worker has to prove itself with one run at a time.
+    pub fn is_on_trial(&self) -> bool {
+        self.is_on_trial
+    }
+
+    /// Whether the worker is far slower than estimates.
+    pub fn is_slow(&self) -> bool {
+        self.slowness.is_some_and(|ratio| ratio > SLOW_RATIO)
+    }
+
+    /// End of the time for which the worker is avoided.
+    pub fn avoid_until(&self) -> Option<Instant> {
+        self.avoid_until
+    }
+}
--- /dev/null
+++ b/src/dispatch/worker_state.rs
@@ -0,0 +1,238 @@
+//! What the holder of a pool knows of one worker.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::dispatch::fill_pace::FillPace;
+use crate::dispatch::order::OrderTarget;
+use crate::dispatch::task_id::{StepId, TaskId};
+use crate::dispatch::worker_blame::WorkerBlame;
+use crate::dispatch::worker_entry::WorkerEntry;
+use crate::dispatch::worker_lease::WorkerLease;
+use crate::model::id::{OrganisationId, RunNumber};
+use crate::model::resource::ResourceSet;
+use crate::model::unix_time::UnixMillis;
+
+/// Certainty about a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunPhase {
+    /// The start was sent and is not answered.
+    Starting,
+    /// The worker confirmed it.
+    Running,
+    /// The start had no answer; it may be carried out later.
+    Unknown,
+}
+
+/// A run that is or may be on a worker.
+#[derive(Debug, Clone)]
+pub struct PlacedRun {
+    /// The run.
+    pub run: RunNumber,
+    /// Certainty.
+    pub phase: RunPhase,
+    /// What it takes from the worker's capacity.
+    pub reserved: ResourceSet,
+    /// What counts against its organisation's limit.
+    pub demand: ResourceSet,
+    /// Organisation of the job.
+    pub organisation: Option<OrganisationId>,
+    /// Time of the start, or of its discovery.
+    pub placed_at: Instant,
+    /// Estimated run time.
+    pub estimate: Duration,
+    /// Whether it runs until its job is cancelled.
+    pub is_lasting: bool,
+    /// Whether it uses only the processor time that others leave.
+    pub is_filler: bool,
+    /// Bound of its response times in milliseconds.
+    pub tail_target_ms: Option<u64>,
+    /// Progress at the last look.
+    pub percent: f64,
+    /// Tail of response times in milliseconds, for a serving task, at the last look.
+    pub load: f64,
+    /// Newest checkpoint.
+    pub saved: Arc<str>,
+    /// End of the lease that its start carried, on the worker's clock; the order has no effect after it.
+    pub deadline_ms: u64,
+    /// Pace that was last ordered, in percent.
+    pub pace: u32,
+    /// Whether it has to be stopped.
+    pub must_stop: bool,
+    /// Time of the last stop sent.
+    pub stop_sent: Option<Instant>,
+    /// Time at which the worker took the stop.
+    pub stop_taken: Option<Instant>,
+    /// Looks in a row that did not list it though it was confirmed.
+    pub missing: u32,
+}
+
+/// Ends that a worker has listed, until they are acknowledged.
+#[derive(Debug, Clone, Default)]
+pub struct EndLog {
+    seen: u64,
+    acknowledged: u64,
+    /// Number of an end and the change that has to be written first.
+    waiting: VecDeque<(u64, u64)>,
+}
+
+impl EndLog {
+    /// Whether an end has been applied already.
+    pub fn is_known(&self, sequence: u64) -> bool {
+        sequence <= self.seen
+    }
+
+    /// Takes an end that depends on a change; 0 depends on nothing.
+    pub fn push(&mut self, sequence: u64, change: u64) {
+        self.seen = self.seen.max(sequence);
+        self.waiting.push_back((sequence, change));
+    }
+
+    /// The highest end that may be acknowledged when all changes up to `durable` are written.
+    pub fn acknowledge(&mut self, durable: u64) -> u64 {
+        while let Some((sequence, change)) = self.waiting.front()
+            && *change <= durable
+        {
+            self.acknowledged = self.acknowledged.max(*sequence);
+            self.waiting.pop_front();
+        }
+        self.acknowledged
+    }
+
+    /// Whether ends wait for an acknowledgement that can be given now.
+    pub fn has_ready(&self, durable: u64) -> bool {
+        self.waiting.front().is_some_and(|(_, change)| *change <= durable)
+    }
+}
+
+/// State of the looks at a worker.
+#[derive(Debug, Clone, Default)]
+pub struct LookState {
+    /// Time at which the look in flight was sent.
+    pub sent_at: Option<Instant>,
+    /// Earliest time of the next look.
+    pub next_at: Option<Instant>,
+    /// Looks in a row without an answer.
+    pub faults: u32,
+    /// End of the last look that acknowledged something.
+    pub acknowledged: u64,
+}
+
+/// A worker.
+#[derive(Debug, Clone)]
+pub struct WorkerState {
+    /// Its entry in the list.
+    pub entry: WorkerEntry,
+    /// Whether the list still has the entry.
+    pub is_listed: bool,
+    /// Start of its process.
+    pub born: Option<UnixMillis>,
+    /// Lease of its runs.
+    pub lease: WorkerLease,
+    /// What it runs or may run.
+    pub runs: BTreeMap<TaskId, PlacedRun>,
+    /// Capacity that is taken.
+    pub used: ResourceSet,
+    /// Ends.
+    pub ends: EndLog,
+    /// Looks.
+    pub look: LookState,
+    /// Whether it has answered a look in this term.
+    pub is_seen: bool,
+    /// Time of the last answer.
+    pub answered_at: Option<Instant>,
+    /// Evidence against it.
+    pub blame: WorkerBlame,
+    /// Time until which it counts as full after a refusal.
+    pub full_until: Option<Instant>,
+    /// Starts in flight.
+    pub starting: u32,
+    /// Pace of its fillers.
+    pub pace: FillPace,
+}
+
+impl WorkerState {
+    /// Creates the state of a worker that has not been looked at.
+    pub fn new(entry: WorkerEntry) -> Self {
+        Self {
+            born: entry.born,
+            entry,
+            is_listed: true,
+            lease: WorkerLease::default(),
+            runs: BTreeMap::new(),
+            used: ResourceSet::default(),
+            ends: EndLog::default(),
+            look: LookState::default(),
+            is_seen: false,
+            answered_at: None,
+            blame: WorkerBlame::default(),
+            full_until: None,
+            starting: 0,
+            pace: FillPace::default(),
+        }
+    }
+
+    /// Address for an order.
+    pub fn target(&self) -> OrderTarget {
+        OrderTarget {
+            worker: self.entry.id.clone(),
+            address: self.entry.address,
+        }
+    }
+
+    /// Capacity that is not taken.
+    pub fn free(&self) -> ResourceSet {
+        self.entry.capacity.minus(&self.used)
+    }
+
+    /// Adds a run.
+    pub fn add_run(&mut self, task: TaskId, run: PlacedRun) {
+        self.used = self.used.plus(&run.reserved);
+        self.runs.insert(task, run);
+    }
+
+    /// Removes a run.
+    pub fn remove_run(&mut self, task: &TaskId, run: RunNumber) -> Option<PlacedRun> {
+        if self.runs.get(task)?.run != run {
+            return None;
+        }
+        let removed = self.runs.remove(task)?;
+        self.used = self.used.minus(&removed.reserved);
+        Some(removed)
+    }
+
+    /// Tasks of a step on this worker.
+    pub fn count_step(&self, step: &StepId) -> u32 {
+        let first = step.task(0);
+        self.runs
+            .range(first..)
+            .take_while(|(task, _)| task.step == *step)
+            .count() as u32
+    }
+
+    /// Highest tail over target of the serving tasks.
+    pub fn worst_tail(&self) -> Option<f64> {
+        let tails = self.runs.values().filter_map(|run| {
+            let target = run.tail_target_ms?;
+            Some(run.load / target.max(1) as f64)
+        });
+        tails.reduce(f64::max)
+    }
+
+    /// Number of serving tasks.
+    pub fn serving(&self) -> usize {
+        self.runs
+            .values()
+            .filter(|run| run.tail_target_ms.is_some())
+            .count()
+    }
+
+    /// Whether it is listed, sound and may get work.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        let is_open = self.is_listed && self.is_seen && !self.entry.is_draining;
+        let is_full = self.full_until.is_some_and(|until| now < until);
+        let is_trial_over = !self.blame.is_on_trial() || self.runs.is_empty();
+        is_open && !is_full && !self.blame.is_avoided(now) && is_trial_over && self.look.faults == 0
+    }
+}
--- /dev/null
+++ b/src/duty/config_follower.rs
@@ -0,0 +1,42 @@
+//! Follows the operators' configuration.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{Logger, info, warn};
+use tokio::sync::watch;
+
+use crate::dispatch::site_config::SiteConfig;
+use crate::duty::prefix_follower;
+use crate::platform::config;
+use crate::platform::store::{CONFIG_KEY, StoreGateway, StoreItem};
+
+/// Follows the configuration; versions below the one in force are ignored.
+pub async fn follow(store: StoreGateway, sender: watch::Sender<Option<Arc<SiteConfig>>>, log: Logger) {
+    prefix_follower::follow(store, CONFIG_KEY, Duration::ZERO, &log, |news| {
+        let items = news.into_items();
+        for item in items.iter().filter(|item| &*item.key == CONFIG_KEY) {
+            take(item, &sender, &log);
+        }
+        true
+    })
+    .await;
+}
+
+fn take(item: &StoreItem, sender: &watch::Sender<Option<Arc<SiteConfig>>>, log: &Logger) {
+    let config = match config::decode_config(&item.value) {
+        Ok(config) => config,
+        Err(error) => {
+            warn!(log, "configuration refused"; "revision" => %item.revision, "error" => %error);
+            return;
+        }
+    };
+    let current = sender.borrow().as_ref().map(|config| config.version);
+    if current.is_some_and(|current| current >= config.version) {
+        return;
+    }
+    info!(log, "configuration in force"; "version" => %config.version, "revision" => %item.revision,
+        "queues" => config.queues.len(), "pools" => config.pools.len(),
+        "organisations" => config.organisations.len());
+    sender.send_replace(Some(Arc::new(config)));
+}
--- /dev/null
+++ b/src/duty/duty_board.rs
@@ -0,0 +1,285 @@
+//! Claims duties that no session holds.
+//!
+//! Answers the loss of holders and the start of all instances at once: a candidate waits the longer the more duties
+//! it holds and the less processor it has, so that duties spread over the instances.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use slog::{info, warn};
+use tokio::sync::mpsc;
+
+use crate::duty::fleet_duty;
+use crate::duty::job_keys;
+use crate::duty::node_parts::{NodeParts, STORE_TIMEOUT};
+use crate::duty::pool_duty;
+use crate::duty::prefix_follower::{self, PrefixNews};
+use crate::duty::tenure_writer::{DutyTenure, TermRecord};
+use crate::error::Result;
+use crate::model::id::{DutyTerm, LeaseId, PoolId, StoreRevision, WriteNonce};
+use crate::platform::store::{StoreEvent, StoreItem, StoreWrite, WriteOutcome};
+
+/// Name of the duty for what concerns several pools.
+pub const FLEET_DUTY: &str = "fleet";
+
+/// Prefix of the names of the pools' duties.
+const POOL_DUTY_PREFIX: &str = "pool-";
+
+/// Delay of a claim for each duty that is held already.
+const DELAY_PER_DUTY: Duration = Duration::from_millis(150);
+
+/// Delay of a claim for each place in the candidate's own order of the duties.
+const DELAY_PER_RANK: Duration = Duration::from_millis(15);
+
+/// Random part of the delay of a claim.
+const DELAY_JITTER_MS: u64 = 25;
+
+/// Processor share at which delays are as given; they grow as the share falls.
+const USUAL_SHARE: f64 = 0.25;
+
+/// Time between looks at the board without news.
+const BOARD_TICK: Duration = Duration::from_millis(50);
+
+/// Pause after a claim that failed.
+const CLAIM_PAUSE: Duration = Duration::from_millis(200);
+
+#[derive(Debug)]
+enum BoardEvent {
+    News(PrefixNews),
+    Claimed(Arc<str>, Option<DutyTenure>),
+    Ended(Arc<str>),
+}
+
+/// State of the board.
+#[derive(Debug)]
+struct DutyBoard {
+    parts: NodeParts,
+    sender: mpsc::UnboundedSender<BoardEvent>,
+    /// Holders by duty; absent before the first complete read.
+    holders: Option<BTreeMap<Arc<str>, Arc<str>>>,
+    held: BTreeSet<Arc<str>>,
+    claiming: BTreeSet<Arc<str>>,
+    claim_at: BTreeMap<Arc<str>, Instant>,
+}
+
+/// Claims and carries duties until the process stops and all duties have ended.
+pub async fn run(parts: NodeParts) {
+    let (sender, mut receiver) = mpsc::unbounded_channel();
+    let news = sender.clone();
+    let take = move |item| news.send(BoardEvent::News(item)).is_ok();
+    let follower = prefix_follower::spawn(
+        &parts.store,
+        job_keys::DUTY_PREFIX.into(),
+        Duration::ZERO,
+        &parts.log,
+        take,
+    );
+    let mut board = DutyBoard {
+        parts,
+        sender,
+        holders: None,
+        held: BTreeSet::new(),
+        claiming: BTreeSet::new(),
+        claim_at: BTreeMap::new(),
+    };
+    loop {
+        if let Ok(Some(event)) = tokio::time::timeout(BOARD_TICK, receiver.recv()).await {
+            board.take(event);
+        }
+        if board.parts.is_stopping() {
+            if board.held.is_empty() && board.claiming.is_empty() {
+                break;
+            }
+            continue;
+        }
+        board.claim_free();
+    }
+    follower.abort();
+}
+
+impl DutyBoard {
+    fn take(&mut self, event: BoardEvent) {
+        match event {
+            BoardEvent::News(PrefixNews::Complete(items)) => {
+                self.holders = Some(items.iter().map(holder_of).collect());
+            }
+            BoardEvent::News(PrefixNews::Changes(events)) => {
+                let holders = self.holders.get_or_insert_default();
+                for event in events {
+                    match event {
+                        StoreEvent::Written(item) => {
+                            let (duty, holder) = holder_of(&item);
+                            holders.insert(duty, holder);
+                        }
+                        StoreEvent::Removed(key) => {
+                            holders.remove(job_keys::last_part(&key));
+                        }
+                    }
+                }
+            }
+            BoardEvent::Claimed(duty, tenure) => {
+                self.claiming.remove(&duty);
+                match tenure {
+                    Some(tenure) => self.carry(tenure),
+                    None => {
+                        self.claim_at.insert(duty, Instant::now() + CLAIM_PAUSE);
+                    }
+                }
+            }
+            BoardEvent::Ended(duty) => {
+                self.held.remove(&duty);
+                self.claim_at.insert(duty, Instant::now() + CLAIM_PAUSE);
+            }
+        }
+    }
+
+    /// Duties that the configuration asks for.
+    fn wanted(&self) -> Vec<Arc<str>> {
+        let Some(config) = self.parts.config.borrow().clone() else {
+            return Vec::new();
+        };
+        let pools = config
+            .working_pools()
+            .map(|pool| format!("{POOL_DUTY_PREFIX}{pool}").into());
+        let mut wanted: Vec<Arc<str>> = pools.collect();
+        wanted.push(FLEET_DUTY.into());
+        let session = self.parts.session.clone();
+        wanted.sort_by_key(|duty| {
+            let mut hasher = DefaultHasher::new();
+            (session.as_str(), duty).hash(&mut hasher);
+            hasher.finish()
+        });
+        wanted
+    }
+
+    fn claim_free(&mut self) {
+        let Some(lease) = self.parts.lease.borrow().valid_lease(&self.parts.clock) else {
+            return;
+        };
+        let Some(holders) = &self.holders else {
+            return;
+        };
+        let now = Instant::now();
+        let wanted = self.wanted();
+        let mut due = Vec::new();
+        for (rank, duty) in wanted.iter().enumerate() {
+            let holder = holders.get(duty);
+            // A claim whose answer was lost shows as held here, though nothing carries it.
+            let is_free = holder.is_none_or(|holder| **holder == *self.parts.session.as_str());
+            if !is_free || self.held.contains(duty) || self.claiming.contains(duty) {
+                self.claim_at.remove(duty);
+                continue;
+            }
+            let load = self.held.len() + self.claiming.len() + due.len();
+            let delay = claim_delay(load, rank, self.parts.settings.cpu_share);
+            let at = *self
+                .claim_at
+                .entry(Arc::clone(duty))
+                .or_insert_with(|| now + delay);
+            if at <= now {
+                due.push(Arc::clone(duty));
+                break;
+            }
+        }
+        for duty in due {
+            self.claim_at.retain(|other, _| *other == duty);
+            self.claiming.insert(Arc::clone(&duty));
+            let (parts, sender) = (self.parts.clone(), self.sender.clone());
+            tokio::spawn(async move {
+                let tenure = claim(&parts, &duty, lease).await;
+                let tenure = tenure.unwrap_or_else(|error| {
+                    warn!(parts.log, "claim failed"; "duty" => &*duty, "error" => %error);
+                    None
+                });
+                // The board is gone only when the process stops.
+                let _ = sender.send(BoardEvent::Claimed(duty, tenure));
+            });
+        }
+    }
+
+    fn carry(&mut self, tenure: DutyTenure) {
+        let duty = Arc::clone(&tenure.duty);
+        info!(self.parts.log, "duty held"; "duty" => &*duty, "term" => %tenure.term, "lease" => %tenure.lease);
+        self.held.insert(Arc::clone(&duty));
+        let (parts, sender) = (self.parts.clone(), self.sender.clone());
+        tokio::spawn(async move {
+            let pool = duty.strip_prefix(POOL_DUTY_PREFIX).map(PoolId::new);
+            let reason = match pool {
+                Some(Ok(pool)) => pool_duty::run(parts.clone(), pool, tenure).await,
+                Some(Err(error)) => Err(error),
+                None => fleet_duty::run(parts.clone(), tenure).await,
+            };
+            match reason {
+                Ok(reason) => info!(parts.log, "duty ended"; "duty" => &*duty, "reason" => %reason),
+                Err(error) => warn!(parts.log, "duty failed"; "duty" => &*duty, "error" => %error),
+            }
+            // The board is gone only when the process stops.
+            let _ = sender.send(BoardEvent::Ended(duty));
+        });
+    }
+}
+
+fn holder_of(item: &StoreItem) -> (Arc<str>, Arc<str>) {
+    let holder = String::from_utf8_lossy(&item.value);
+    (job_keys::last_part(&item.key).into(), holder.into())
+}
+
+fn claim_delay(load: usize, rank: usize, cpu_share: f64) -> Duration {
+    let fixed = DELAY_PER_DUTY * load as u32 + DELAY_PER_RANK * rank as u32;
+    let scale = (USUAL_SHARE / cpu_share.max(0.01)).clamp(0.3, 3.0);
+    let jitter = rand::rng().random_range(0..DELAY_JITTER_MS);
+    fixed.mul_f64(scale) + Duration::from_millis(jitter)
+}
+
+/// Tries to take a duty. None if another session has it.
+async fn claim(parts: &NodeParts, duty: &Arc<str>, lease: LeaseId) -> Result<Option<DutyTenure>> {
+    let duty_key = job_keys::duty_key(duty);
+    let term_key = job_keys::term_key(duty);
+    let current = parts.store.get(&term_key, STORE_TIMEOUT).await?;
+    let (record, revision) = match &current {
+        None => (None, StoreRevision::default()),
+        Some(item) => {
+            let record: TermRecord = job_keys::decode(&term_key, &item.value)?;
+            (Some(record), item.revision)
+        }
+    };
+    let holder = parts.store.get(&duty_key, STORE_TIMEOUT).await?;
+    // The own session as holder means that an earlier claim took effect without an answer, or that the duty
+    // failed here. It is taken again with a higher term, since its orders may still be on their way.
+    let is_taken = |holder: &StoreItem| holder.value != parts.session.as_str().as_bytes();
+    if holder.as_ref().is_some_and(is_taken) {
+        return Ok(None);
+    }
+    let holder_revision = holder.map_or(StoreRevision::default(), |holder| holder.revision);
+    let term = record.map_or(DutyTerm::new(1), |record| record.term.next());
+    let record = TermRecord {
+        term,
+        session: parts.session.clone(),
+        nonce: WriteNonce::new(rand::rng().random()),
+    };
+    let mut write = StoreWrite {
+        expected: vec![
+            (Arc::clone(&duty_key), holder_revision),
+            (Arc::clone(&term_key), revision),
+        ],
+        ..StoreWrite::default()
+    };
+    write.put(duty_key, parts.session.as_str().as_bytes().to_vec(), Some(lease));
+    write.put(term_key, job_keys::encode(&record)?, None);
+    match parts.store.commit(&write, STORE_TIMEOUT).await? {
+        WriteOutcome::Done(revision) => Ok(Some(new_tenure(duty, term, revision, lease))),
+        WriteOutcome::Conflict(_) | WriteOutcome::LeaseEnded => Ok(None),
+    }
+}
+
+fn new_tenure(duty: &Arc<str>, term: DutyTerm, revision: StoreRevision, lease: LeaseId) -> DutyTenure {
+    DutyTenure {
+        duty: Arc::clone(duty),
+        term,
+        revision,
+        lease,
+    }
+}
--- /dev/null
+++ b/src/duty/fleet_duty.rs
@@ -0,0 +1,388 @@
+//! Carries the duty for what concerns several pools: plans, waves and moves.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use slog::{Logger, info, o, warn};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use crate::dispatch::fleet_planner::{FleetOrder, FleetPlanner, WaveNumber};
+use crate::dispatch::pool_plan::PoolPlan;
+use crate::dispatch::wave_plan::{InstanceEntry, InstanceOutcome, WaveProgress};
+use crate::duty::job_keys;
+use crate::duty::node_parts::{NodeParts, STORE_TIMEOUT};
+use crate::duty::pool_load;
+use crate::duty::prefix_follower::{self, PrefixNews};
+use crate::duty::tenure_writer::{self, DutyTenure, TenureOutcome, TenureWriter, WriterEvent, WriterJob};
+use crate::error::Result;
+use crate::model::id::{InstanceId, LeaseId, PoolId};
+use crate::platform::instance::InstanceGateway;
+use crate::platform::store::{StoreItem, StoreWrite};
+use crate::platform::wave;
+
+/// Time in which reports are taken together.
+const REPORT_GAP: Duration = Duration::from_millis(40);
+
+/// Time between reads of the list of instances while it is needed.
+const LIST_GAP: Duration = Duration::from_millis(400);
+
+/// Time between decisions without news.
+const PLAN_TICK: Duration = Duration::from_millis(100);
+
+/// Plans and waves in one write.
+const WRITE_ORDERS: usize = 10;
+
+enum FleetEvent {
+    Reports(PrefixNews),
+    Waves(PrefixNews),
+    Listed(Instant, Result<BTreeMap<InstanceId, InstanceEntry>>),
+    Upkeep(InstanceId, WaveNumber, InstanceOutcome),
+    Moved(InstanceId, InstanceOutcome),
+    Writer(WriterEvent),
+}
+
+struct FleetShell {
+    parts: NodeParts,
+    log: Logger,
+    planner: FleetPlanner,
+    gateway: Option<InstanceGateway>,
+    sender: mpsc::UnboundedSender<FleetEvent>,
+    writer: mpsc::UnboundedSender<WriterJob>,
+    lease: LeaseId,
+    is_writing: bool,
+    /// Writes that wait for the one before.
+    unwritten: VecDeque<FleetOrder>,
+    is_listing: bool,
+    next_list: Instant,
+    wave_progress: BTreeMap<WaveNumber, WaveProgress>,
+    ended: Option<&'static str>,
+}
+
+/// Carries the duty until another session takes it or the process stops. Returns why it ended.
+///
+/// # Errors
+/// The store's error if a write cannot succeed.
+pub async fn run(parts: NodeParts, tenure: DutyTenure) -> Result<&'static str> {
+    let log = parts.log.new(o!("duty" => "fleet", "term" => tenure.term.get()));
+    let (plans, waves) = load(&parts, &log).await;
+    let (sender, mut receiver) = mpsc::unbounded_channel();
+    let (writer, jobs) = mpsc::unbounded_channel();
+    let tenure_writer = TenureWriter::new(
+        parts.store.clone(),
+        parts.session.clone(),
+        tenure.clone(),
+        log.clone(),
+    );
+    let events = sender.clone();
+    let send = move |event| events.send(FleetEvent::Writer(event)).is_ok();
+    let tasks = vec![
+        tokio::spawn(tenure_writer::run_writer(tenure_writer, jobs, send)),
+        follow(
+            &parts,
+            job_keys::REPORT_PREFIX,
+            REPORT_GAP,
+            &log,
+            &sender,
+            FleetEvent::Reports,
+        ),
+        follow(
+            &parts,
+            wave::WAVE_PREFIX,
+            Duration::ZERO,
+            &log,
+            &sender,
+            FleetEvent::Waves,
+        ),
+    ];
+    let mut planner = FleetPlanner::new();
+    for (pool, plan) in plans {
+        planner.set_plan(pool, plan);
+    }
+    let gateway = parts.settings.instances.map(|address| {
+        let holder: Arc<str> = parts.session.as_str().into();
+        InstanceGateway::new(parts.caller.clone(), address, holder, tenure.term)
+    });
+    let mut shell = FleetShell {
+        next_list: parts.clock.now(),
+        parts,
+        log,
+        planner,
+        gateway,
+        sender,
+        writer,
+        lease: tenure.lease,
+        is_writing: false,
+        unwritten: VecDeque::new(),
+        is_listing: false,
+        wave_progress: waves,
+        ended: None,
+    };
+    let reason = shell.carry(&mut receiver).await;
+    tasks.iter().for_each(JoinHandle::abort);
+    reason
+}
+
+fn follow(
+    parts: &NodeParts,
+    prefix: &'static str,
+    gap: Duration,
+    log: &Logger,
+    sender: &mpsc::UnboundedSender<FleetEvent>,
+    wrap: fn(PrefixNews) -> FleetEvent,
+) -> JoinHandle<()> {
+    let sender = sender.clone();
+    let take = move |news| sender.send(wrap(news)).is_ok();
+    prefix_follower::spawn(&parts.store, prefix.into(), gap, log, take)
+}
+
+/// Reads the plans and the progress of waves, until the store answers.
+async fn load(
+    parts: &NodeParts,
+    log: &Logger,
+) -> (BTreeMap<PoolId, PoolPlan>, BTreeMap<WaveNumber, WaveProgress>) {
+    let mut faults = 0;
+    loop {
+        match read(parts).await {
+            Ok(found) => return found,
+            Err(error) => {
+                if faults == 0 {
+                    warn!(log, "records not read"; "error" => %error);
+                }
+                faults += 1;
+                tokio::time::sleep(prefix_follower::pause(faults)).await;
+            }
+        }
+    }
+}
+
+async fn read(parts: &NodeParts) -> Result<(BTreeMap<PoolId, PoolPlan>, BTreeMap<WaveNumber, WaveProgress>)> {
+    let mut plans = BTreeMap::new();
+    let (items, _) = parts.store.range(job_keys::PLAN_PREFIX, STORE_TIMEOUT).await?;
+    for item in &items {
+        let pool = PoolId::new(job_keys::last_part(&item.key))?;
+        if let Some(plan) = pool_load::read_record(parts, Some(item)) {
+            plans.insert(pool, plan);
+        }
+    }
+    let mut waves = BTreeMap::new();
+    let (items, _) = parts.store.range(job_keys::WAVE_PREFIX, STORE_TIMEOUT).await?;
+    for item in &items {
+        let number = job_keys::last_part(&item.key).parse();
+        if let (Ok(number), Some(progress)) = (number, pool_load::read_record(parts, Some(item))) {
+            waves.insert(number, progress);
+        }
+    }
+    Ok((plans, waves))
+}
+
+impl FleetShell {
+    async fn carry(&mut self, receiver: &mut mpsc::UnboundedReceiver<FleetEvent>) -> Result<&'static str> {
+        let mut config = self.parts.config.clone();
+        if let Some(config) = config.borrow_and_update().clone() {
+            self.planner.set_config(&config);
+        }
+        loop {
+            if let Ok(event) = tokio::time::timeout(PLAN_TICK, receiver.recv()).await {
+                let Some(event) = event else {
+                    return Ok("no sender is left");
+                };
+                self.take(event)?;
+            }
+            while let Ok(event) = receiver.try_recv() {
+                self.take(event)?;
+            }
+            if config.has_changed().unwrap_or(false)
+                && let Some(config) = config.borrow_and_update().clone()
+            {
+                self.planner.set_config(&config);
+            }
+            if let Some(reason) = self.ended {
+                return Ok(reason);
+            }
+            if self.parts.is_stopping() {
+                return Ok("the process stops");
+            }
+            self.act();
+        }
+    }
+
+    fn take(&mut self, event: FleetEvent) -> Result<()> {
+        let now = self.parts.clock.now();
+        match event {
+            FleetEvent::Reports(news) => {
+                for item in news.into_items() {
+                    let pool = PoolId::new(job_keys::last_part(&item.key))?;
+                    if let Some(report) = pool_load::read_record(&self.parts, Some(&item)) {
+                        self.planner.set_report(pool, report);
+                    }
+                }
+            }
+            FleetEvent::Waves(news) => {
+                for item in news.into_items() {
+                    self.take_wave(now, &item);
+                }
+            }
+            FleetEvent::Listed(read_at, list) => {
+                self.is_listing = false;
+                match list {
+                    Ok(list) => self.planner.set_instances(read_at, list),
+                    Err(error) => warn!(self.log, "instances not listed"; "error" => %error),
+                }
+            }
+            FleetEvent::Upkeep(instance, number, outcome) => {
+                info!(self.log, "upkeep ordered"; "instance" => %instance, "wave" => number, "outcome" => %outcome);
+                self.planner.upkeep_answered(now, &instance, number, outcome);
+                self.check_fenced(outcome);
+            }
+            FleetEvent::Moved(instance, outcome) => {
+                info!(self.log, "move ordered"; "instance" => %instance, "outcome" => %outcome);
+                self.check_fenced(outcome);
+            }
+            FleetEvent::Writer(WriterEvent::Written(outcome)) => {
+                self.is_writing = false;
+                self.check_deposed(outcome?);
+            }
+            FleetEvent::Writer(WriterEvent::Resumed(lease, outcome)) => {
+                self.is_writing = false;
+                self.check_deposed(outcome?);
+                self.lease = lease;
+                info!(self.log, "duty resumed"; "lease" => %lease);
+            }
+        }
+        Ok(())
+    }
+
+    fn check_deposed(&mut self, outcome: TenureOutcome) {
+        if outcome == TenureOutcome::Deposed {
+            self.ended = Some("another session holds the duty");
+        }
+    }
+
+    fn check_fenced(&mut self, outcome: InstanceOutcome) {
+        if outcome == InstanceOutcome::Fenced {
+            self.ended = Some("the machine API has seen a newer holder");
+        }
+    }
+
+    fn take_wave(&mut self, now: Instant, item: &StoreItem) {
+        match wave::decode_wave(&item.key, &item.value) {
+            Ok((number, request)) => {
+                info!(self.log, "wave requested"; "wave" => number, "instances" => request.instances.len(),
+                    "most_down" => request.most_down, "duration_ms" => request.duration.as_millis() as u64);
+                let progress = self.wave_progress.get(&number).cloned().unwrap_or_default();
+                self.planner.set_wave(now, number, request, progress);
+            }
+            Err(error) => warn!(self.log, "wave refused"; "error" => %error),
+        }
+    }
+
+    fn act(&mut self) {
+        let now = self.parts.clock.now();
+        let valid = self.parts.lease.borrow().valid_lease(&self.parts.clock);
+        if let Some(lease) = valid
+            && lease != self.lease
+            && !self.is_writing
+        {
+            self.is_writing = true;
+            self.send_writer(WriterJob::Resume(lease));
+        }
+        if valid != Some(self.lease) {
+            return;
+        }
+        self.read_list(now);
+        for order in self.planner.decide(now) {
+            match order {
+                FleetOrder::Publish(..) | FleetOrder::StoreWave(..) => self.unwritten.push_back(order),
+                FleetOrder::Upkeep(instance, number) => self.start_upkeep(instance, number),
+                FleetOrder::Move(instance, pool) => self.start_move(instance, pool),
+            }
+        }
+        self.flush();
+    }
+
+    fn send_writer(&mut self, job: WriterJob) {
+        if self.writer.send(job).is_err() {
+            self.ended = Some("the writer has ended");
+        }
+    }
+
+    fn read_list(&mut self, now: Instant) {
+        let Some(gateway) = self.gateway.clone() else {
+            return;
+        };
+        if self.is_listing || now < self.next_list || !self.planner.needs_list() {
+            return;
+        }
+        self.is_listing = true;
+        self.next_list = now + LIST_GAP;
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            let list = gateway.list().await;
+            // The shell is gone only when the duty has ended.
+            let _ = sender.send(FleetEvent::Listed(now, list));
+        });
+    }
+
+    fn start_upkeep(&self, instance: InstanceId, number: WaveNumber) {
+        let Some(gateway) = self.gateway.clone() else {
+            return;
+        };
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            let outcome = gateway.start_upkeep(&instance, number).await;
+            // The shell is gone only when the duty has ended.
+            let _ = sender.send(FleetEvent::Upkeep(instance, number, outcome));
+        });
+    }
+
+    fn start_move(&self, instance: InstanceId, pool: PoolId) {
+        let Some(gateway) = self.gateway.clone() else {
+            return;
+        };
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            let outcome = gateway.move_instance(&instance, &pool).await;
+            // The shell is gone only when the duty has ended.
+            let _ = sender.send(FleetEvent::Moved(instance, outcome));
+        });
+    }
+
+    fn flush(&mut self) {
+        if self.is_writing || self.unwritten.is_empty() {
+            return;
+        }
+        let count = self.unwritten.len().min(WRITE_ORDERS);
+        let orders: Vec<FleetOrder> = self.unwritten.drain(..count).collect();
+        match encode(&orders) {
+            Ok(write) => {
+                self.is_writing = true;
+                self.send_writer(WriterJob::Write(write));
+            }
+            Err(error) => {
+                warn!(self.log, "write not encoded"; "error" => %error);
+                self.ended = Some("a write cannot be encoded");
+            }
+        }
+    }
+}
+
+fn encode(orders: &[FleetOrder]) -> Result<StoreWrite> {
+    let mut write = StoreWrite::default();
+    for order in orders {
+        match order {
+            FleetOrder::Publish(pool, plan) => {
+                write.put(job_keys::plan_key(pool), job_keys::encode(plan)?, None);
+            }
+            FleetOrder::StoreWave(number, progress) => {
+                let key = format!("{}{number}", job_keys::WAVE_PREFIX);
+                write.put(key, job_keys::encode(progress)?, None);
+                let (key, value) = wave::encode_status(*number, progress.is_complete)?;
+                write.put(key, value, None);
+            }
+            FleetOrder::Upkeep(..) | FleetOrder::Move(..) => {}
+        }
+    }
+    Ok(write)
+}
--- /dev/null
+++ b/src/duty/node_lease.rs
@@ -0,0 +1,119 @@
+//! The process's lease in the store. All duties held here end with it.
+
+use std::time::Duration;
+
+use slog::{info, warn};
+use tokio::sync::watch;
+
+use crate::clock::SharedClock;
+use crate::model::id::LeaseId;
+use crate::platform::store::StoreGateway;
+use slog::Logger;
+
+/// Time to live. A lost holder is replaced after it; a holder that cannot renew stops ordering before it.
+const LEASE_TIME: Duration = Duration::from_millis(2_000);
+
+/// Time between renewals.
+const RENEWAL_GAP: Duration = Duration::from_millis(500);
+
+/// Pause after a renewal without an answer.
+const RETRY_GAP: Duration = Duration::from_millis(100);
+
+/// Time for one renewal.
+const RENEWAL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Margin between the end of the own trust in the lease and its end in the store.
+const END_MARGIN: Duration = Duration::from_millis(150);
+
+/// What is known of the lease.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LeaseStanding {
+    /// The lease, if there is one.
+    pub lease: Option<LeaseId>,
+    /// Time since boot until which it certainly holds.
+    pub valid_until: Duration,
+}
+
+impl LeaseStanding {
+    /// The lease, if it certainly holds.
+    pub fn valid_lease(&self, clock: &SharedClock) -> Option<LeaseId> {
+        self.lease.filter(|_| clock.since_boot() < self.valid_until)
+    }
+}
+
+/// Keeps a lease until the process stops, then ends it.
+pub async fn keep(
+    store: StoreGateway,
+    clock: SharedClock,
+    least: Duration,
+    standing: watch::Sender<LeaseStanding>,
+    mut released: watch::Receiver<bool>,
+    log: Logger,
+) {
+    let ttl = LEASE_TIME.max(least);
+    let mut is_lost = false;
+    loop {
+        if *released.borrow() {
+            break;
+        }
+        let pause = renew(&store, &clock, ttl, &standing, &mut is_lost, &log).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            _ = released.changed() => {}
+        }
+    }
+    let lease = standing.borrow().lease;
+    standing.send_replace(LeaseStanding::default());
+    if let Some(lease) = lease {
+        match store.end_lease(lease, RENEWAL_TIMEOUT).await {
+            Ok(()) => info!(log, "lease ended"; "lease" => %lease),
+            Err(error) => warn!(log, "lease runs out by itself"; "lease" => %lease, "error" => %error),
+        }
+    }
+}
+
+/// Renews or creates the lease once and returns the pause before the next time.
+async fn renew(
+    store: &StoreGateway,
+    clock: &SharedClock,
+    ttl: Duration,
+    standing: &watch::Sender<LeaseStanding>,
+    is_lost: &mut bool,
+    log: &Logger,
+) -> Duration {
+    let sent_at = clock.since_boot();
+    let current = *standing.borrow();
+    let outcome = match current.lease {
+        Some(lease) => store
+            .keep_lease(lease, RENEWAL_TIMEOUT)
+            .await
+            .map(|holds| holds.then_some((lease, ttl))),
+        None => store.grant_lease(ttl, RENEWAL_TIMEOUT).await.map(Some),
+    };
+    match outcome {
+        Ok(Some((lease, granted))) => {
+            if *is_lost || current.lease != Some(lease) {
+                info!(log, "lease held"; "lease" => %lease, "ttl_ms" => granted.as_millis() as u64);
+            }
+            *is_lost = false;
+            let valid_until = sent_at + granted.saturating_sub(END_MARGIN);
+            standing.send_replace(LeaseStanding {
+                lease: Some(lease),
+                valid_until,
+            });
+            RENEWAL_GAP
+        }
+        Ok(None) => {
+            warn!(log, "lease lost"; "lease" => ?current.lease.map(LeaseId::get));
+            standing.send_replace(LeaseStanding::default());
+            Duration::ZERO
+        }
+        Err(error) => {
+            if !*is_lost {
+                warn!(log, "lease not renewed"; "error" => %error);
+            }
+            *is_lost = true;
+            RETRY_GAP
+        }
+    }
+}
--- /dev/null
+++ b/src/duty/node_parts.rs
@@ -0,0 +1,60 @@
+//! What the parts of one process share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::Logger;
+use tokio::sync::watch;
+
+use crate::clock::SharedClock;
+use crate::dispatch::site_config::SiteConfig;
+use crate::duty::duty_metrics::DutyMetrics;
+use crate::duty::node_lease::LeaseStanding;
+use crate::model::id::SessionId;
+use crate::model::unix_time::UnixMillis;
+use crate::platform::http::HttpCaller;
+use crate::platform::settings::NodeSettings;
+use crate::platform::store::StoreGateway;
+
+/// Time for one call to the store. Its answers take milliseconds, and some tens of times that when it is slow.
+pub const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// The configuration in force; none before the first was read.
+pub type ConfigReceiver = watch::Receiver<Option<Arc<SiteConfig>>>;
+
+/// Parts shared by the duties and the callers' API of one process.
+#[derive(Debug, Clone)]
+pub struct NodeParts {
+    /// Settings.
+    pub settings: Arc<NodeSettings>,
+    /// This life of the process.
+    pub session: SessionId,
+    /// Clock.
+    pub clock: SharedClock,
+    /// Client for all calls.
+    pub caller: HttpCaller,
+    /// The store.
+    pub store: StoreGateway,
+    /// The configuration.
+    pub config: ConfigReceiver,
+    /// The lease under which duties are held.
+    pub lease: watch::Receiver<LeaseStanding>,
+    /// Whether the process is being stopped.
+    pub stopping: watch::Receiver<bool>,
+    /// Metrics.
+    pub metrics: Arc<DutyMetrics>,
+    /// Log.
+    pub log: Logger,
+}
+
+impl NodeParts {
+    /// Wall-clock time.
+    pub fn wall(&self) -> UnixMillis {
+        UnixMillis::from(self.clock.wall())
+    }
+
+    /// Whether the process is being stopped.
+    pub fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+}
--- /dev/null
+++ b/src/duty/platform_node.rs
@@ -0,0 +1,234 @@
+//! One process on the platform: start, reload and stop.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use prometheus::Registry;
+use rand::Rng;
+use slog::{Logger, info, o, warn};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::clock::{SharedClock, SystemClock};
+use crate::duty::config_follower;
+use crate::duty::duty_board;
+use crate::duty::duty_metrics::DutyMetrics;
+use crate::duty::node_lease::{self, LeaseStanding};
+use crate::duty::node_parts::NodeParts;
+use crate::error::{Error, ErrorKind, Result};
+use crate::model::id::SessionId;
+use crate::platform::caller::READINESS_PATH;
+use crate::platform::http::HttpCaller;
+use crate::platform::settings::{NodeSettings, SETTINGS_VARIABLE};
+use crate::platform::store::StoreGateway;
+use crate::request::answer;
+use crate::request::http_entry::{self, CallHandler, RunningServer, ServerLimits};
+use crate::request::job_intake::JobIntake;
+use crate::request::queue_api::QueueApi;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Limits of the servers.
+const SERVER_LIMITS: ServerLimits = ServerLimits {
+    workers: 1,
+    keep_alive: Duration::from_secs(15),
+    head_timeout: Duration::from_secs(3),
+};
+
+/// Time for the duties to store their state at the end.
+const DUTY_END: Duration = Duration::from_millis(1_200);
+
+/// Time after the signal in which the balancer still sends new connections: two missed readiness checks.
+const BALANCER_TIME: Duration = Duration::from_millis(3_000);
+
+/// Part of the grace time that is left unused before the process would be killed.
+const GRACE_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// Pause between looks at the calls in flight.
+const FLIGHT_TICK: Duration = Duration::from_millis(50);
+
+/// Runs one process until it is told to stop.
+///
+/// # Errors
+/// `bad_record` if the settings cannot be read, `internal` if an address cannot be bound.
+pub async fn run(metrics_port: Option<u16>, log: &Logger) -> Result<()> {
+    let path = settings_path()?;
+    let settings = Arc::new(NodeSettings::read(&path)?);
+    let session = draw_session(&settings.node)?;
+    let log = log.new(o!("node" => settings.node.to_string(), "session" => session.to_string()));
+    let signals = NodeSignals::new()?;
+    let clock: SharedClock = Arc::new(SystemClock);
+    let registry = Registry::new();
+    let caller = HttpCaller::new();
+    let store = StoreGateway::new(caller.clone(), settings.store, &registry)?;
+    let (config_sender, config) = watch::channel(None);
+    let (lease_sender, lease) = watch::channel(LeaseStanding::default());
+    let (stop, stopping) = watch::channel(false);
+    let (release, released) = watch::channel(false);
+    let parts = NodeParts {
+        settings: Arc::clone(&settings),
+        session,
+        clock: Arc::clone(&clock),
+        caller,
+        store: store.clone(),
+        config,
+        lease,
+        stopping,
+        metrics: Arc::new(DutyMetrics::new(registry)?),
+        log: log.clone(),
+    };
+    let servers = start_servers(&parts, metrics_port)?;
+    tokio::spawn(config_follower::follow(store.clone(), config_sender, log.clone()));
+    let least = settings.least_store_lease;
+    let keeper = tokio::spawn(node_lease::keep(
+        store,
+        Arc::clone(&clock),
+        least,
+        lease_sender,
+        released,
+        log.clone(),
+    ));
+    let board = tokio::spawn(duty_board::run(parts.clone()));
+    info!(log, "process started"; "version" => env!("CARGO_PKG_VERSION"), "zone" => %settings.zone,
+        "callers" => %settings.callers, "store" => %settings.store, "cpu_share" => settings.cpu_share);
+    wait_for_stop(signals, &path, &settings, &log).await;
+    let started = clock.now();
+    info!(log, "process stops"; "grace_ms" => settings.grace.as_millis() as u64);
+    stop.send_replace(true);
+    end_duties(board, keeper, &release, &log).await;
+    wait_for_calls(&parts, started).await;
+    info!(log, "process stopped"; "ms" => clock.now().saturating_duration_since(started).as_millis() as u64);
+    drop(servers);
+    Ok(())
+}
+
+fn settings_path() -> Result<PathBuf> {
+    let path = std::env::var_os(SETTINGS_VARIABLE);
+    path.map(PathBuf::from)
+        .ok_or_else(|| Error::new(ErrorKind::BadRecord, format!("{SETTINGS_VARIABLE} is not set")))
+}
+
+/// A name for this life of the process that is never used again.
+fn draw_session(node: &str) -> Result<SessionId> {
+    let node: String = node.chars().take(40).collect();
+    SessionId::new(format!("{node}-{:012x}", rand::rng().random::<u64>() >> 16))
+}
+
+struct NodeSignals {
+    terminate: Signal,
+    interrupt: Signal,
+    reload: Signal,
+}
+
+impl NodeSignals {
+    fn new() -> Result<Self> {
+        let listen = |kind| {
+            signal(kind).map_err(|error| Error::new(ErrorKind::Internal, format!("signal handler: {error}")))
+        };
+        Ok(Self {
+            terminate: listen(SignalKind::terminate())?,
+            interrupt: listen(SignalKind::interrupt())?,
+            reload: listen(SignalKind::hangup())?,
+        })
+    }
+}
+
+/// Waits for the signal to stop. Settings that change meanwhile are compared with those in use.
+async fn wait_for_stop(mut signals: NodeSignals, path: &Path, settings: &NodeSettings, log: &Logger) {
+    loop {
+        tokio::select! {
+            _ = signals.terminate.recv() => return,
+            _ = signals.interrupt.recv() => return,
+            _ = signals.reload.recv() => match NodeSettings::read(path) {
+                Ok(new) => info!(log, "settings reloaded"; "changed" => new != *settings),
+                Err(error) => warn!(log, "settings not reloaded"; "error" => %error),
+            },
+        }
+    }
+}
+
+fn start_servers(parts: &NodeParts, metrics_port: Option<u16>) -> Result<Vec<RunningServer>> {
+    let intake = JobIntake::start(parts.store.clone(), Arc::clone(&parts.clock));
+    let api = Arc::new(QueueApi::new(parts.clone(), intake));
+    let mut servers = vec![
+        start_server(parts.settings.callers, api.handler())?,
+        start_server(parts.settings.readiness, readiness_handler(parts.clone()))?,
+    ];
+    if let Some(port) = metrics_port {
+        let address = SocketAddr::new(parts.settings.address, port);
+        servers.push(start_server(address, metrics_handler(parts.clone()))?);
+    }
+    Ok(servers)
+}
+
+fn start_server(address: SocketAddr, handler: CallHandler) -> Result<RunningServer> {
+    let fault =
+        |error: std::io::Error| Error::new(ErrorKind::Internal, format!("address {address}: {error}"));
+    let listener = TcpListener::bind(address).map_err(fault)?;
+    http_entry::start_server(listener, SERVER_LIMITS, handler).map_err(fault)
+}
+
+/// Ready once a configuration is in force, while the store answers and the process is not being stopped.
+fn readiness_handler(parts: NodeParts) -> CallHandler {
+    Arc::new(move |call| {
+        let is_ready = parts.config.borrow().is_some() && !parts.is_stopping() && !parts.store.is_lost();
+        let (status, text) = if call.parts.uri.path() != READINESS_PATH {
+            (StatusCode::NOT_FOUND, "not found\n")
+        } else if is_ready {
+            (StatusCode::OK, "ready\n")
+        } else {
+            (StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+        };
+        let answer = answer::text_answer(status, "text/plain", text);
+        Box::pin(std::future::ready(answer))
+    })
+}
+
+fn metrics_handler(parts: NodeParts) -> CallHandler {
+    Arc::new(move |call| {
+        let answer = if call.parts.uri.path() == METRICS_PATH {
+            match parts.metrics.text() {
+                Ok(text) => answer::text_answer(StatusCode::OK, "text/plain; version=0.0.4", text),
+                Err(error) => answer::error_answer(&error),
+            }
+        } else {
+            answer::text_answer(StatusCode::NOT_FOUND, "text/plain", "not found\n")
+        };
+        Box::pin(std::future::ready(answer))
+    })
+}
+
+/// Lets the duties store their state, then ends the lease so that other instances take them over at once.
+async fn end_duties(
+    board: JoinHandle<()>,
+    keeper: JoinHandle<()>,
+    release: &watch::Sender<bool>,
+    log: &Logger,
+) {
+    if tokio::time::timeout(DUTY_END, board).await.is_err() {
+        warn!(log, "duties did not end in time");
+    }
+    release.send_replace(true);
+    if tokio::time::timeout(DUTY_END, keeper).await.is_err() {
+        warn!(log, "lease was not ended in time");
+    }
+}
+
+/// Serves callers until the balancer has noticed and no call is in flight, at most for the grace time.
+async fn wait_for_calls(parts: &NodeParts, started: std::time::Instant) {
+    let last = parts.settings.grace.saturating_sub(GRACE_MARGIN);
+    let first = BALANCER_TIME.min(last);
+    loop {
+        let elapsed = parts.clock.now().saturating_duration_since(started);
+        let is_idle = parts.metrics.calls_in_flight() == 0;
+        if elapsed >= last || (elapsed >= first && is_idle) {
+            return;
+        }
+        tokio::time::sleep(FLIGHT_TICK).await;
+    }
+}
--- /dev/null
+++ b/src/duty/pool_duty.rs
@@ -0,0 +1,616 @@
+//! Carries the duty for one pool: feeds the scheduler with events and executes its orders.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use slog::{Logger, debug, info, o, warn};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use crate::dispatch::job_record::{JobProgress, JobRecord};
+use crate::dispatch::order::{
+    AdviceAnswer, LookFault, LookOrder, Order, StartOrder, StartOutcome, StopOutcome, TaskRun,
+};
+use crate::dispatch::pool_plan::PoolReport;
+use crate::dispatch::pool_scheduler::{FlushBatch, PoolScheduler};
+use crate::dispatch::settling::SettlingState;
+use crate::dispatch::task_id::StepId;
+use crate::dispatch::worker_lease::WorkerLease;
+use crate::dispatch::worker_report::WorkerReport;
+use crate::duty::job_keys;
+use crate::duty::node_parts::{NodeParts, STORE_TIMEOUT};
+use crate::duty::pool_load::{self, PoolRecords};
+use crate::duty::prefix_follower::{self, PrefixNews};
+use crate::duty::tenure_writer::{self, DutyTenure, TenureOutcome, TenureWriter, WriterEvent, WriterJob};
+use crate::error::{Error, ErrorKind, Result};
+use crate::model::id::{JobId, LeaseId, PoolId, QueueId, WorkerId};
+use crate::platform::advice;
+use crate::platform::discovery;
+use crate::platform::store::{StoreEvent, StoreItem, StoreWrite, WORKER_PREFIX, WriteOutcome};
+use crate::platform::worker::WorkerGateway;
+
+/// Jobs in one write: each takes up to four of the entries that a transaction may have.
+const FLUSH_JOBS: usize = 7;
+
+/// Least time between two writes; ends that come close together are stored together.
+const FLUSH_GAP: Duration = Duration::from_millis(40);
+
+/// Least time between two reports.
+const REPORT_GAP: Duration = Duration::from_millis(250);
+
+/// Least time between two writes of the waiting counts, which may be 2 s old.
+const WAITING_GAP: Duration = Duration::from_millis(700);
+
+/// Time in which changes of the list of workers are taken together.
+const WORKER_GAP: Duration = Duration::from_millis(60);
+
+/// Time for which a former holder may go on after its lease ended without noticing it.
+const FORMER_HOLDER_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time for the last write when the process stops.
+const LAST_WRITE_TIME: Duration = Duration::from_millis(600);
+
+enum PoolEvent {
+    Inbox(PrefixNews),
+    Workers(PrefixNews),
+    Plan(PrefixNews),
+    Started(WorkerId, TaskRun, StartOutcome),
+    Stopped(WorkerId, TaskRun, StopOutcome),
+    Looked(WorkerId, Instant, std::result::Result<WorkerReport, LookFault>),
+    Advised(StepId, Option<AdviceAnswer>),
+    Writer(WriterEvent),
+    Counted(bool),
+}
+
+struct PoolShell {
+    parts: NodeParts,
+    pool: PoolId,
+    log: Logger,
+    scheduler: PoolScheduler,
+    gateway: WorkerGateway,
+    sender: mpsc::UnboundedSender<PoolEvent>,
+    writer: mpsc::UnboundedSender<WriterJob>,
+    lease: LeaseId,
+    is_writing: bool,
+    next_flush: Instant,
+    reported: Option<PoolReport>,
+    next_report: Instant,
+    waiting: Option<(LeaseId, BTreeMap<QueueId, u32>)>,
+    is_counting: bool,
+    next_count: Instant,
+    /// Progress of jobs of former terms; taken by the first complete read of the inbox.
+    old_progress: Option<BTreeMap<JobId, JobProgress>>,
+    ended: Option<&'static str>,
+}
+
+/// Carries the duty until another session takes it or the process stops. Returns why it ended.
+///
+/// # Errors
+/// The store's error if a write cannot succeed.
+pub async fn run(parts: NodeParts, pool: PoolId, tenure: DutyTenure) -> Result<&'static str> {
+    let log = parts
+        .log
+        .new(o!("pool" => pool.to_string(), "term" => tenure.term.get()));
+    let started = parts.clock.now();
+    let records = pool_load::load(&parts, &pool).await;
+    info!(log, "records read"; "jobs_with_progress" => records.progress.len(),
+        "former_workers" => records.report.workers.len(),
+        "ms" => parts.clock.now().saturating_duration_since(started).as_millis() as u64);
+    let (sender, mut receiver) = mpsc::unbounded_channel();
+    let (writer, jobs) = mpsc::unbounded_channel();
+    let tenure_writer = TenureWriter::new(
+        parts.store.clone(),
+        parts.session.clone(),
+        tenure.clone(),
+        log.clone(),
+    );
+    let events = sender.clone();
+    let send = move |event| events.send(PoolEvent::Writer(event)).is_ok();
+    let tasks = vec![
+        tokio::spawn(tenure_writer::run_writer(tenure_writer, jobs, send)),
+        follow(
+            &parts,
+            job_keys::inbox_prefix(&pool),
+            Duration::ZERO,
+            &log,
+            &sender,
+            PoolEvent::Inbox,
+        ),
+        follow(
+            &parts,
+            WORKER_PREFIX.into(),
+            WORKER_GAP,
+            &log,
+            &sender,
+            PoolEvent::Workers,
+        ),
+        follow(
+            &parts,
+            job_keys::plan_key(&pool),
+            Duration::ZERO,
+            &log,
+            &sender,
+            PoolEvent::Plan,
+        ),
+    ];
+    let mut shell = PoolShell::new(parts, pool, log, &tenure, records, sender, writer);
+    let reason = shell.carry(&mut receiver).await;
+    tasks.iter().for_each(JoinHandle::abort);
+    shell.parts.metrics.set_jobs(shell.pool.as_str(), 0);
+    reason
+}
+
+fn follow(
+    parts: &NodeParts,
+    prefix: Arc<str>,
+    gap: Duration,
+    log: &Logger,
+    sender: &mpsc::UnboundedSender<PoolEvent>,
+    wrap: fn(PrefixNews) -> PoolEvent,
+) -> JoinHandle<()> {
+    let sender = sender.clone();
+    let take = move |news| sender.send(wrap(news)).is_ok();
+    prefix_follower::spawn(&parts.store, prefix, gap, log, take)
+}
+
+impl PoolShell {
+    fn new(
+        parts: NodeParts,
+        pool: PoolId,
+        log: Logger,
+        tenure: &DutyTenure,
+        records: PoolRecords,
+        sender: mpsc::UnboundedSender<PoolEvent>,
+        writer: mpsc::UnboundedSender<WriterJob>,
+    ) -> Self {
+        let now = parts.clock.now();
+        let rules = parts.settings.rules;
+        let former: BTreeSet<WorkerId> = records.report.workers.keys().cloned().collect();
+        let until = now + WorkerLease::longest(rules.lease) + FORMER_HOLDER_MARGIN;
+        let settling = SettlingState::new(former, until);
+        let mut scheduler = PoolScheduler::new(pool.clone(), tenure.term, rules, settling);
+        scheduler.set_plan(records.plan);
+        let gateway = WorkerGateway::new(parts.caller.clone(), tenure.term);
+        Self {
+            parts,
+            pool,
+            log,
+            scheduler,
+            gateway,
+            sender,
+            writer,
+            lease: tenure.lease,
+            is_writing: false,
+            next_flush: now,
+            reported: None,
+            next_report: now,
+            waiting: None,
+            is_counting: false,
+            next_count: now,
+            old_progress: Some(records.progress),
+            ended: None,
+        }
+    }
+
+    async fn carry(&mut self, receiver: &mut mpsc::UnboundedReceiver<PoolEvent>) -> Result<&'static str> {
+        let mut config = self.parts.config.clone();
+        if let Some(config) = config.borrow_and_update().clone() {
+            self.scheduler.set_config(&config);
+        }
+        loop {
+            let now = self.parts.clock.now();
+            let wakeup = self.next_wakeup(now);
+            tokio::select! {
+                event = receiver.recv() => {
+                    let Some(event) = event else {
+                        return Ok("no sender is left");
+                    };
+                    self.take(event)?;
+                }
+                () = tokio::time::sleep_until(wakeup.into()) => {}
+            }
+            while let Ok(event) = receiver.try_recv() {
+                self.take(event)?;
+            }
+            if config.has_changed().unwrap_or(false)
+                && let Some(config) = config.borrow_and_update().clone()
+            {
+                self.scheduler.set_config(&config);
+            }
+            if let Some(reason) = self.ended {
+                return Ok(reason);
+            }
+            if self.parts.is_stopping() {
+                return self.finish(receiver).await;
+            }
+            self.act();
+        }
+    }
+
+    fn next_wakeup(&self, now: Instant) -> Instant {
+        let mut wakeup = self.scheduler.next_wakeup(now, self.parts.wall());
+        if !self.is_writing && self.scheduler.has_changes() {
+            wakeup = wakeup.min(self.next_flush.max(now));
+        }
+        wakeup
+    }
+
+    /// Stores what is known and leaves the rest to the next holder.
+    async fn finish(&mut self, receiver: &mut mpsc::UnboundedReceiver<PoolEvent>) -> Result<&'static str> {
+        let end = tokio::time::Instant::now() + LAST_WRITE_TIME;
+        loop {
+            self.next_flush = self.parts.clock.now();
+            self.flush();
+            if !self.is_writing {
+                return Ok("the process stops");
+            }
+            match tokio::time::timeout_at(end, receiver.recv()).await {
+                Ok(Some(event)) => self.take(event)?,
+                Ok(None) | Err(_) => return Ok("the process stops; the last write is not confirmed"),
+            }
+        }
+    }
+
+    fn take(&mut self, event: PoolEvent) -> Result<()> {
+        let now = self.parts.clock.now();
+        match event {
+            PoolEvent::Inbox(news) => self.take_inbox(now, news),
+            PoolEvent::Workers(news) => self.take_workers(news),
+            PoolEvent::Plan(news) => self.take_plan(news),
+            PoolEvent::Started(worker, run, outcome) => {
+                self.scheduler.start_answered(now, &worker, &run, outcome);
+            }
+            PoolEvent::Stopped(worker, run, outcome) => {
+                self.scheduler.stop_answered(now, &worker, &run, outcome);
+            }
+            PoolEvent::Looked(worker, sent_at, Ok(report)) => {
+                self.scheduler.look_answered(now, &worker, sent_at, report);
+            }
+            PoolEvent::Looked(worker, _, Err(fault)) => self.scheduler.look_failed(now, &worker, fault),
+            PoolEvent::Advised(step, answer) => self.scheduler.advice_answered(now, &step, answer),
+            PoolEvent::Writer(WriterEvent::Written(outcome)) => {
+                self.is_writing = false;
+                match outcome? {
+                    TenureOutcome::Written => self.scheduler.flush_done(),
+                    TenureOutcome::Deposed => self.ended = Some("another session holds the duty"),
+                }
+            }
+            PoolEvent::Writer(WriterEvent::Resumed(lease, outcome)) => {
+                self.is_writing = false;
+                match outcome? {
+                    TenureOutcome::Written => {
+                        self.lease = lease;
+                        info!(self.log, "duty resumed"; "lease" => %lease);
+                    }
+                    TenureOutcome::Deposed => self.ended = Some("another session holds the duty"),
+                }
+            }
+            PoolEvent::Counted(is_stored) => {
+                self.is_counting = false;
+                if !is_stored {
+                    self.waiting = None;
+                }
+            }
+        }
+        if self.scheduler.is_fenced() {
+            self.ended = Some("a worker has seen a newer holder");
+        }
+        Ok(())
+    }
+
+    fn take_inbox(&mut self, now: Instant, news: PrefixNews) {
+        // Deletions are the holder's own.
+        let items = news.into_items();
+        let old = self.old_progress.take();
+        let wall = self.parts.wall();
+        let mut cancelled = Vec::new();
+        for item in &items {
+            let (job, is_cancel) = match job_keys::inbox_job(&item.key) {
+                Ok(found) => found,
+                Err(error) => {
+                    warn!(self.log, "record ignored"; "key" => &*item.key, "error" => %error);
+                    continue;
+                }
+            };
+            if is_cancel {
+                cancelled.push(job);
+                continue;
+            }
+            let Some(record) = pool_load::read_record::<JobRecord>(&self.parts, Some(item)) else {
+                continue;
+            };
+            let age = Duration::from_millis(wall.get().saturating_sub(record.accepted.get()));
+            let accepted_at = match &old {
+                None => now,
+                Some(_) => now.checked_sub(age).unwrap_or(now),
+            };
+            let unstarted = JobProgress::default();
+            let progress = old.as_ref().map(|old| old.get(&job).unwrap_or(&unstarted));
+            self.scheduler.submit(now, accepted_at, record, progress);
+        }
+        for job in cancelled {
+            self.scheduler.cancel(&job);
+        }
+    }
+
+    fn take_workers(&mut self, news: PrefixNews) {
+        match news {
+            PrefixNews::Complete(items) => {
+                let mut gone = self.scheduler.listed_workers();
+                for item in &items {
+                    if let Some(worker) = self.take_worker(item) {
+                        gone.remove(&worker);
+                    }
+                }
+                for worker in gone {
+                    self.scheduler.remove_worker(&worker);
+                }
+            }
+            PrefixNews::Changes(events) => {
+                for event in events {
+                    match event {
+                        StoreEvent::Written(item) => {
+                            self.take_worker(&item);
+                        }
+                        StoreEvent::Removed(key) => {
+                            if let Ok(worker) = discovery::worker_of(&key) {
+                                self.scheduler.remove_worker(&worker);
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes an entry; a malformed one names no worker to use.
+    fn take_worker(&mut self, item: &StoreItem) -> Option<WorkerId> {
+        match discovery::decode_entry(&item.key, &item.value) {
+            Ok(entry) if entry.pool == self.pool => {
+                let id = entry.id.clone();
+                if !self.scheduler.workers().contains_key(&id) {
+                    self.scheduler.expect_worker(&id);
+                }
+                self.scheduler.set_worker(entry);
+                Some(id)
+            }
+            Ok(entry) => {
+                self.scheduler.remove_worker(&entry.id);
+                None
+            }
+            Err(error) => {
+                debug!(self.log, "entry ignored"; "key" => &*item.key, "error" => %error);
+                if let Ok(worker) = discovery::worker_of(&item.key) {
+                    self.scheduler.remove_worker(&worker);
+                }
+                None
+            }
+        }
+    }
+
+    fn take_plan(&mut self, news: PrefixNews) {
+        let items = news.into_items();
+        let key = job_keys::plan_key(&self.pool);
+        for item in items.iter().filter(|item| item.key == key) {
+            if let Some(plan) = pool_load::read_record(&self.parts, Some(item)) {
+                self.scheduler.set_plan(plan);
+            }
+        }
+    }
+
+    fn act(&mut self) {
+        let now = self.parts.clock.now();
+        let standing = *self.parts.lease.borrow();
+        let valid = standing.valid_lease(&self.parts.clock);
+        if let Some(lease) = valid
+            && lease != self.lease
+            && !self.is_writing
+        {
+            self.is_writing = true;
+            self.send_writer(WriterJob::Resume(lease));
+        }
+        let may_extend = valid == Some(self.lease);
+        let orders = self.scheduler.decide(now, self.parts.wall(), may_extend);
+        for order in orders {
+            self.execute(order);
+        }
+        for note in self.scheduler.take_notes() {
+            self.parts.metrics.count_decision(note.decision);
+            let job = note.job.as_ref().map_or("", JobId::as_str);
+            let worker = note.worker.as_ref().map_or("", WorkerId::as_str);
+            info!(self.log, "{}", note.decision; "job" => job, "worker" => worker, "inputs" => note.inputs);
+        }
+        self.flush();
+        self.publish_waiting(now, valid);
+        self.parts
+            .metrics
+            .set_jobs(self.pool.as_str(), self.scheduler.job_count());
+    }
+
+    fn send_writer(&mut self, job: WriterJob) {
+        if self.writer.send(job).is_err() {
+            self.ended = Some("the writer has ended");
+        }
+    }
+
+    fn flush(&mut self) {
+        let now = self.parts.clock.now();
+        if self.is_writing || now < self.next_flush {
+            return;
+        }
+        let report = self.due_report(now);
+        if !self.scheduler.has_changes() && report.is_none() {
+            return;
+        }
+        let batch = self.scheduler.take_flush(self.parts.wall(), FLUSH_JOBS);
+        match self.encode_batch(&batch, report.as_ref()) {
+            Ok(write) => {
+                if report.is_some() {
+                    self.reported = report;
+                    self.next_report = now + REPORT_GAP;
+                }
+                self.is_writing = true;
+                self.next_flush = now + FLUSH_GAP;
+                self.send_writer(WriterJob::Write(write));
+            }
+            Err(error) => {
+                warn!(self.log, "write not encoded"; "error" => %error);
+                self.ended = Some("a write cannot be encoded");
+            }
+        }
+    }
+
+    fn due_report(&self, now: Instant) -> Option<PoolReport> {
+        if now < self.next_report {
+            return None;
+        }
+        let report = self.scheduler.report(now);
+        (self.reported.as_ref() != Some(&report)).then_some(report)
+    }
+
+    fn encode_batch(&self, batch: &FlushBatch, report: Option<&PoolReport>) -> Result<StoreWrite> {
+        let mut write = StoreWrite::default();
+        for job in &batch.jobs {
+            if let Some(head) = &job.head {
+                write.put(job_keys::head_key(&job.job), job_keys::encode(head)?, None);
+            }
+            match &job.progress {
+                Some(progress) => {
+                    let key = job_keys::progress_key(&self.pool, &job.job);
+                    write.put(key, job_keys::encode(progress)?, None);
+                }
+                None => {
+                    write.deletes.push(job_keys::inbox_key(&self.pool, &job.job));
+                    write.deletes.push(job_keys::progress_key(&self.pool, &job.job));
+                    if job.is_cancelled {
+                        write.deletes.push(job_keys::cancel_key(&self.pool, &job.job));
+                    }
+                }
+            }
+        }
+        for job in &batch.stale_cancels {
+            write.deletes.push(job_keys::cancel_key(&self.pool, job));
+        }
+        if let Some(report) = report {
+            write.put(job_keys::report_key(&self.pool), job_keys::encode(report)?, None);
+        }
+        Ok(write)
+    }
+
+    /// Publishes the waiting counts under the lease, so that they vanish with their holder.
+    fn publish_waiting(&mut self, now: Instant, lease: Option<LeaseId>) {
+        let Some(lease) = lease.filter(|_| !self.is_counting && now >= self.next_count) else {
+            return;
+        };
+        if self.old_progress.is_some() {
+            return;
+        }
+        let waiting = self.scheduler.waiting();
+        let is_same = self
+            .waiting
+            .as_ref()
+            .is_some_and(|(old_lease, old)| *old_lease == lease && *old == waiting);
+        if is_same {
+            return;
+        }
+        let value = match job_keys::encode(&waiting) {
+            Ok(value) => value,
+            Err(error) => {
+                warn!(self.log, "waiting counts not encoded"; "error" => %error);
+                return;
+            }
+        };
+        self.waiting = Some((lease, waiting));
+        self.is_counting = true;
+        self.next_count = now + WAITING_GAP;
+        let mut write = StoreWrite::default();
+        write.put(job_keys::waiting_key(&self.pool), value, Some(lease));
+        let (store, sender, log) = (self.parts.store.clone(), self.sender.clone(), self.log.clone());
+        tokio::spawn(async move {
+            let outcome = store.commit(&write, STORE_TIMEOUT).await;
+            let is_stored = matches!(outcome, Ok(WriteOutcome::Done(_)));
+            if !is_stored {
+                debug!(log, "waiting counts not stored"; "outcome" => ?outcome);
+            }
+            // The shell is gone only when the duty has ended.
+            let _ = sender.send(PoolEvent::Counted(is_stored));
+        });
+    }
+
+    fn execute(&self, order: Order) {
+        let (gateway, sender, parts) = (self.gateway.clone(), self.sender.clone(), self.parts.clone());
+        let log = self.log.clone();
+        let sent_at = parts.clock.now();
+        tokio::spawn(async move {
+            let event = match order {
+                Order::Start(order) => start(&gateway, &parts, order, sent_at).await,
+                Order::Stop(target, run) => {
+                    let outcome = gateway.stop(&target, &run).await;
+                    count(&parts, "stop", &format!("{outcome:?}"), sent_at);
+                    PoolEvent::Stopped(target.worker, run, outcome)
+                }
+                Order::Look(order) => look(&gateway, &parts, order, sent_at).await,
+                Order::Pace(target, run, percent) => {
+                    let is_taken = gateway.pace(&target, &run, percent).await;
+                    count(
+                        &parts,
+                        "pace",
+                        if is_taken { "Taken" } else { "Refused" },
+                        sent_at,
+                    );
+                    info!(log, "pace ordered"; "job" => %run.task.step.job, "worker" => %target.worker,
+                        "task" => %run.task, "percent" => percent, "taken" => is_taken);
+                    return;
+                }
+                Order::Advise(step, workers) => ask_advice(&parts, &log, step, &workers, sent_at).await,
+            };
+            // The shell is gone only when the duty has ended.
+            let _ = sender.send(event);
+        });
+    }
+}
+
+async fn start(gateway: &WorkerGateway, parts: &NodeParts, order: StartOrder, sent_at: Instant) -> PoolEvent {
+    let outcome = gateway.start(&order).await;
+    count(parts, "start", &format!("{outcome:?}"), sent_at);
+    PoolEvent::Started(order.target.worker, order.run, outcome)
+}
+
+async fn look(gateway: &WorkerGateway, parts: &NodeParts, order: LookOrder, sent_at: Instant) -> PoolEvent {
+    let outcome = gateway.look(&order).await;
+    let name = match &outcome {
+        Ok(_) => "Report".to_owned(),
+        Err(fault) => format!("{fault:?}"),
+    };
+    count(parts, "look", &name, sent_at);
+    PoolEvent::Looked(order.target.worker, sent_at, outcome)
+}
+
+async fn ask_advice(
+    parts: &NodeParts,
+    log: &Logger,
+    step: StepId,
+    workers: &[WorkerId],
+    sent_at: Instant,
+) -> PoolEvent {
+    let address = parts
+        .settings
+        .advice
+        .ok_or_else(|| Error::new(ErrorKind::BadRecord, "the settings name no advice service"));
+    let answer = match address {
+        Ok(address) => advice::ask(&parts.caller, address, &step, workers).await,
+        Err(error) => Err(error),
+    };
+    let outcome = if answer.is_ok() { "Answer" } else { "NoAnswer" };
+    count(parts, "advise", outcome, sent_at);
+    if let Err(error) = &answer {
+        warn!(log, "no advice"; "job" => %step.job, "step" => %step, "workers" => workers.len(), "error" => %error);
+    }
+    PoolEvent::Advised(step, answer.ok())
+}
+
+fn count(parts: &NodeParts, order: &str, outcome: &str, sent_at: Instant) {
+    let elapsed = parts.clock.now().saturating_duration_since(sent_at);
+    parts.metrics.count_order(order, outcome, elapsed);
+}
--- /dev/null
+++ b/src/duty/pool_load.rs
@@ -0,0 +1,79 @@
+//! What the next holder of a pool reads before it decides.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::de::DeserializeOwned;
+use slog::warn;
+
+use crate::dispatch::job_record::JobProgress;
+use crate::dispatch::pool_plan::{PoolPlan, PoolReport};
+use crate::duty::job_keys;
+use crate::duty::node_parts::{NodeParts, STORE_TIMEOUT};
+use crate::duty::prefix_follower;
+use crate::error::Result;
+use crate::model::id::{JobId, PoolId};
+use crate::platform::store::StoreItem;
+
+/// Records of the former holder.
+#[derive(Debug, Default)]
+pub struct PoolRecords {
+    /// Progress of jobs.
+    pub progress: BTreeMap<JobId, JobProgress>,
+    /// The last report.
+    pub report: PoolReport,
+    /// The plan.
+    pub plan: PoolPlan,
+}
+
+/// Reads the records, until the store answers.
+pub async fn load(parts: &NodeParts, pool: &PoolId) -> PoolRecords {
+    let mut faults = 0;
+    loop {
+        match read(parts, pool).await {
+            Ok(records) => return records,
+            Err(error) => {
+                if faults == 0 {
+                    warn!(parts.log, "records not read"; "pool" => %pool, "error" => %error);
+                }
+                faults += 1;
+                tokio::time::sleep(prefix_follower::pause(faults)).await;
+            }
+        }
+    }
+}
+
+async fn read(parts: &NodeParts, pool: &PoolId) -> Result<PoolRecords> {
+    let (items, _) = parts
+        .store
+        .range(&job_keys::progress_prefix(pool), STORE_TIMEOUT)
+        .await?;
+    let mut records = PoolRecords::default();
+    for item in &items {
+        let job = JobId::new(job_keys::last_part(&item.key))?;
+        if let Some(progress) = read_record(parts, Some(item)) {
+            records.progress.insert(job, progress);
+        }
+    }
+    let report = parts
+        .store
+        .get(&job_keys::report_key(pool), STORE_TIMEOUT)
+        .await?;
+    records.report = read_record(parts, report.as_ref()).unwrap_or_default();
+    let plan = parts.store.get(&job_keys::plan_key(pool), STORE_TIMEOUT).await?;
+    records.plan = read_record(parts, plan.as_ref()).unwrap_or_default();
+    Ok(records)
+}
+
+/// Decodes a record; one that cannot be read is logged and left out.
+pub fn read_record<T: DeserializeOwned>(parts: &NodeParts, item: Option<&StoreItem>) -> Option<T> {
+    let item = item?;
+    match job_keys::decode(&item.key, &item.value) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            let key: Arc<str> = Arc::clone(&item.key);
+            warn!(parts.log, "record ignored"; "key" => &*key, "error" => %error);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/duty/prefix_follower.rs
@@ -0,0 +1,126 @@
+//! Follows all keys with a prefix in the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use slog::{Logger, info, warn};
+use tokio::task::JoinHandle;
+
+use crate::model::id::StoreRevision;
+use crate::platform::store::{StoreEvent, StoreGateway, StoreItem, WatchAnswer};
+
+/// Time for which a watch waits for a change. A connection that went silent is found after it.
+pub const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Time for reading one page.
+const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Shortest and longest pause after a fault; jitter spreads the return of many followers.
+const RETRY_PAUSES: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(400));
+
+/// News of a prefix.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PrefixNews {
+    /// All items as read just now; what is not among them does not exist.
+    Complete(Vec<StoreItem>),
+    /// Changes since the last news.
+    Changes(Vec<StoreEvent>),
+}
+
+impl PrefixNews {
+    /// The items that were read or written.
+    pub fn into_items(self) -> Vec<StoreItem> {
+        match self {
+            Self::Complete(items) => items,
+            Self::Changes(events) => events.into_iter().filter_map(written).collect(),
+        }
+    }
+}
+
+fn written(event: StoreEvent) -> Option<StoreItem> {
+    match event {
+        StoreEvent::Written(item) => Some(item),
+        StoreEvent::Removed(_) => None,
+    }
+}
+
+/// Follows a prefix in a task of its own until `take` returns false.
+pub fn spawn(
+    store: &StoreGateway,
+    prefix: Arc<str>,
+    gap: Duration,
+    log: &Logger,
+    take: impl FnMut(PrefixNews) -> bool + Send + 'static,
+) -> JoinHandle<()> {
+    let (store, log) = (store.clone(), log.clone());
+    tokio::spawn(async move { follow(store, &prefix, gap, &log, take).await })
+}
+
+/// Follows a prefix until `take` returns false. Changes that come within `gap` are taken together.
+pub async fn follow(
+    store: StoreGateway,
+    prefix: &str,
+    gap: Duration,
+    log: &Logger,
+    mut take: impl FnMut(PrefixNews) -> bool,
+) {
+    let mut position: Option<StoreRevision> = None;
+    let mut faults = 0_u32;
+    loop {
+        let outcome = step(&store, prefix, &mut position).await;
+        match outcome {
+            Ok(news) => {
+                if faults > 0 {
+                    info!(log, "store regained"; "prefix" => prefix, "faults" => faults);
+                }
+                faults = 0;
+                let has_news = news.is_some();
+                if news.is_some_and(|news| !take(news)) {
+                    return;
+                }
+                if has_news {
+                    tokio::time::sleep(gap).await;
+                }
+            }
+            Err(error) => {
+                if faults == 0 {
+                    warn!(log, "store lost"; "prefix" => prefix, "error" => %error);
+                }
+                faults += 1;
+                tokio::time::sleep(pause(faults)).await;
+            }
+        }
+    }
+}
+
+/// Pause after the given number of faults in a row.
+pub fn pause(faults: u32) -> Duration {
+    let longest = RETRY_PAUSES.0 * 2_u32.saturating_pow(faults.min(8));
+    longest
+        .min(RETRY_PAUSES.1)
+        .mul_f64(rand::rng().random_range(0.5..1.0))
+}
+
+/// Reads or watches once.
+async fn step(
+    store: &StoreGateway,
+    prefix: &str,
+    position: &mut Option<StoreRevision>,
+) -> crate::error::Result<Option<PrefixNews>> {
+    let Some(after) = *position else {
+        let (items, as_of) = store.range(prefix, READ_TIMEOUT).await?;
+        *position = Some(as_of);
+        return Ok(Some(PrefixNews::Complete(items)));
+    };
+    match store.watch(prefix, after, WATCH_WAIT).await? {
+        WatchAnswer::Compacted => {
+            *position = None;
+            Ok(None)
+        }
+        WatchAnswer::Events(events, as_of) => {
+            *position = Some(as_of.max(after));
+            Ok((!events.is_empty()).then_some(PrefixNews::Changes(events)))
+        }
+    }
+}
--- /dev/null
+++ b/src/duty/tenure_writer.rs
@@ -0,0 +1,170 @@
+//! Writes of a duty's holder. Each write expects the term's record as the last one left it and renews it, so that
+//! writes take effect in order and never after the holder was replaced.
+
+use std::sync::Arc;
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use slog::{Logger, warn};
+use tokio::sync::mpsc;
+
+use crate::duty::job_keys;
+use crate::duty::node_parts::STORE_TIMEOUT;
+use crate::duty::prefix_follower;
+use crate::error::{ErrorKind, Result};
+use crate::model::id::{DutyTerm, LeaseId, SessionId, StoreRevision, WriteNonce};
+use crate::platform::store::{StoreGateway, StoreItem, StoreWrite, WriteOutcome};
+
+/// The stored record of a duty's term.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TermRecord {
+    /// Term.
+    pub term: DutyTerm,
+    /// Session of the holder.
+    pub session: SessionId,
+    /// Identifies the last write.
+    pub nonce: WriteNonce,
+}
+
+/// A duty as claimed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DutyTenure {
+    /// Name of the duty.
+    pub duty: Arc<str>,
+    /// Term.
+    pub term: DutyTerm,
+    /// Revision of the term's record.
+    pub revision: StoreRevision,
+    /// Lease under which it was claimed.
+    pub lease: LeaseId,
+}
+
+/// Outcome of a holder's write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TenureOutcome {
+    /// The write took effect.
+    Written,
+    /// Another session holds the duty; nothing was written.
+    Deposed,
+}
+
+/// What a duty's writer is asked for.
+#[derive(Debug)]
+pub enum WriterJob {
+    /// A write.
+    Write(StoreWrite),
+    /// To hold the duty under a new lease.
+    Resume(LeaseId),
+}
+
+/// What a duty's writer has done.
+#[derive(Debug)]
+pub enum WriterEvent {
+    /// The outcome of a write.
+    Written(Result<TenureOutcome>),
+    /// The outcome of a new lease.
+    Resumed(LeaseId, Result<TenureOutcome>),
+}
+
+/// Does one job after the other, so that writes take effect in order, until `send` returns false.
+pub async fn run_writer(
+    mut writer: TenureWriter,
+    mut jobs: mpsc::UnboundedReceiver<WriterJob>,
+    send: impl Fn(WriterEvent) -> bool,
+) {
+    while let Some(job) = jobs.recv().await {
+        let event = match job {
+            WriterJob::Write(write) => WriterEvent::Written(writer.write(write).await),
+            WriterJob::Resume(lease) => WriterEvent::Resumed(lease, writer.resume(lease).await),
+        };
+        if !send(event) {
+            return;
+        }
+    }
+}
+
+/// Writer of one term.
+#[derive(Debug)]
+pub struct TenureWriter {
+    store: StoreGateway,
+    session: SessionId,
+    tenure: DutyTenure,
+    log: Logger,
+}
+
+impl TenureWriter {
+    /// Creates the writer of a claimed duty.
+    pub fn new(store: StoreGateway, session: SessionId, tenure: DutyTenure, log: Logger) -> Self {
+        Self {
+            store,
+            session,
+            tenure,
+            log,
+        }
+    }
+
+    /// Writes until it is certain that the write took effect or that the duty is lost.
+    ///
+    /// # Errors
+    /// `internal` or `bad_message` if the store does not accept the write as it is.
+    pub async fn write(&mut self, mut write: StoreWrite) -> Result<TenureOutcome> {
+        let key = job_keys::term_key(&self.tenure.duty);
+        let nonce = WriteNonce::new(rand::rng().random());
+        let record = TermRecord {
+            term: self.tenure.term,
+            session: self.session.clone(),
+            nonce,
+        };
+        write.put(Arc::clone(&key), job_keys::encode(&record)?, None);
+        let mut faults = 0;
+        loop {
+            write.expected = vec![(Arc::clone(&key), self.tenure.revision)];
+            match self.store.commit(&write, STORE_TIMEOUT).await {
+                Ok(WriteOutcome::Done(revision)) => {
+                    self.tenure.revision = revision;
+                    return Ok(TenureOutcome::Written);
+                }
+                Ok(WriteOutcome::Conflict(items)) => {
+                    let Some((found, revision)) = self.own_term(&key, &items) else {
+                        return Ok(TenureOutcome::Deposed);
+                    };
+                    self.tenure.revision = revision;
+                    if found.nonce == nonce {
+                        return Ok(TenureOutcome::Written);
+                    }
+                }
+                // The lease of a put has ended: what hangs on it would be gone already.
+                Ok(WriteOutcome::LeaseEnded) => write.puts.retain(|put| put.lease.is_none()),
+                Err(error) if error.kind() == ErrorKind::BadMessage => return Err(error),
+                Err(error) => {
+                    if faults == 0 {
+                        warn!(self.log, "write delayed"; "duty" => &*self.tenure.duty, "error" => %error);
+                    }
+                    faults += 1;
+                    tokio::time::sleep(prefix_follower::pause(faults)).await;
+                }
+            }
+        }
+    }
+
+    /// The term's record among the items of a conflict, if it is the own one.
+    fn own_term(&self, key: &str, items: &[StoreItem]) -> Option<(TermRecord, StoreRevision)> {
+        let item = items.iter().find(|item| &*item.key == key)?;
+        let record: TermRecord = job_keys::decode(key, &item.value).ok()?;
+        let is_own = record.session == self.session && record.term == self.tenure.term;
+        is_own.then_some((record, item.revision))
+    }
+
+    /// Holds the duty under a new lease, if no other session has taken it since the old lease ended.
+    ///
+    /// # Errors
+    /// As of [`Self::write`].
+    pub async fn resume(&mut self, lease: LeaseId) -> Result<TenureOutcome> {
+        let mut write = StoreWrite::default();
+        let key = job_keys::duty_key(&self.tenure.duty);
+        write.put(key, self.session.as_str().as_bytes().to_vec(), Some(lease));
+        let outcome = self.write(write).await?;
+        self.tenure.lease = lease;
+        Ok(outcome)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,12 +4,15 @@
 pub mod cli;
 pub mod clock;
 pub mod connection;
+pub mod dispatch;
+pub mod duty;
 pub mod error;
 pub mod journal;
 pub mod model;
 pub mod operator;
 pub mod platform;
 pub mod policy;
+pub mod port;
 pub mod process;
 pub mod record;
 pub mod request;
--- a/src/model/id.rs
+++ b/src/model/id.rs
@@ -95,6 +95,10 @@
     QueueId;
     /// A move plan.
     PlanId;
+    /// One life of a worker process on an instance.
+    WorkerId;
+    /// An organisation: owner of keys, share and upper limit.
+    OrganisationId;
     /// A queued job, unique over the fleet.
     JobId;
     /// One caller's request.
@@ -148,4 +152,10 @@
     StoreRevision;
     /// Random number that identifies one attempt to write.
     WriteNonce;
+    /// Number of one start of a task; rises with each start.
+    RunNumber;
+    /// Version of a pool's plan.
+    PlanVersion;
+    /// Version of the operators' configuration.
+    ConfigVersion;
 }
--- /dev/null
+++ b/src/platform/advice.rs
@@ -0,0 +1,70 @@
+//! The service that knows which workers may run a step.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::dispatch::order::AdviceAnswer;
+use crate::dispatch::task_id::StepId;
+use crate::error::{Error, ErrorKind, Result};
+use crate::model::id::WorkerId;
+use crate::platform::http::{HttpCall, HttpCaller};
+
+/// Time for an answer: the service handles one call at a time for each instance.
+const ADVICE_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+#[derive(Debug, Serialize)]
+struct WireQuestion<'a> {
+    step: String,
+    workers: Vec<&'a str>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireAdvice {
+    good: Vec<(Arc<str>, Arc<str>)>,
+    #[serde(default = "default_validity")]
+    valid_ms: u64,
+}
+
+/// Validity where the answer names none.
+fn default_validity() -> u64 {
+    1_000
+}
+
+/// Asks which of the workers may run a step.
+///
+/// # Errors
+/// `worker_refused` if the service refused the call or did not answer, `bad_message` if its answer is malformed.
+pub async fn ask(
+    caller: &HttpCaller,
+    address: SocketAddr,
+    step: &StepId,
+    workers: &[WorkerId],
+) -> Result<AdviceAnswer> {
+    let body = WireQuestion {
+        step: step.to_string(),
+        workers: workers.iter().map(WorkerId::as_str).collect(),
+    };
+    let call = HttpCall::new(address, Method::POST, "/advise", ADVICE_TIMEOUT).with_json(&body)?;
+    let answer = caller
+        .call(call)
+        .await
+        .map_err(|fault| Error::new(ErrorKind::WorkerRefused, format!("advice: {fault}")))?;
+    if answer.status != StatusCode::OK {
+        let message = format!("advice was refused with status {}", answer.status);
+        return Err(Error::new(ErrorKind::WorkerRefused, message));
+    }
+    let wire: WireAdvice = answer.json()?;
+    let tickets = wire
+        .good
+        .into_iter()
+        .map(|(worker, ticket)| Ok((WorkerId::new(worker)?, ticket)));
+    Ok(AdviceAnswer {
+        tickets: tickets.collect::<Result<_>>()?,
+        valid: Duration::from_millis(wire.valid_ms),
+    })
+}
