--- /dev/null
+++ b/src/platform/config.rs
@@ -0,0 +1,155 @@
+//! The operators' configuration in the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::dispatch::job_record::{AdviceRule, QueueRule};
+use crate::dispatch::site_config::{OrganisationConfig, PoolConfig, QueueConfig, SiteConfig};
+use crate::error::{Error, ErrorKind, Result};
+use crate::model::id::{ConfigVersion, OrganisationId, PoolId, QueueId};
+use crate::platform::discovery::WireAmounts;
+
+/// Largest body where the configuration sets none.
+const DEFAULT_BODY_BYTES: u64 = 262_144;
+
+/// Attempts where a queue sets none.
+const DEFAULT_ATTEMPTS: u32 = 3;
+
+#[derive(Debug, Deserialize)]
+struct WireConfig {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<WireRoute>,
+    #[serde(default)]
+    services: Vec<WireService>,
+    #[serde(default)]
+    limits: WireLimits,
+    #[serde(default)]
+    tenants: Vec<WireTenant>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireRoute {
+    name: Arc<str>,
+    host: Arc<str>,
+    prefix: Arc<str>,
+    service: Arc<str>,
+    #[serde(default)]
+    timeout_ms: u64,
+    #[serde(default)]
+    target_latency_ms: u64,
+    #[serde(default)]
+    priority: u32,
+    #[serde(default)]
+    max_attempts: Option<u32>,
+    #[serde(default)]
+    slack_factor: Option<f64>,
+    /// Whether calls need no key.
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    advice: Option<WireAdviceRule>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireAdviceRule {
+    #[serde(default)]
+    decide_ms: f64,
+    #[serde(default)]
+    each_ms: f64,
+    #[serde(default)]
+    valid_ms: f64,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireService {
+    name: Arc<str>,
+    /// Whether its machines are off.
+    #[serde(default)]
+    spare: bool,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireLimits {
+    #[serde(default)]
+    max_body_bytes: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireTenant {
+    name: Arc<str>,
+    #[serde(default)]
+    api_keys: Vec<Arc<str>>,
+    /// Share when all is full, and jobs a second that are its due.
+    #[serde(default)]
+    weight: f64,
+    /// The most it may have running; a zero amount sets no limit.
+    #[serde(default)]
+    cap: WireAmounts,
+}
+
+/// Decodes a configuration.
+///
+/// # Errors
+/// `bad_record` that names the fault.
+pub fn decode_config(value: &[u8]) -> Result<SiteConfig> {
+    let wire: WireConfig = serde_json::from_slice(value)
+        .map_err(|error| Error::new(ErrorKind::BadRecord, format!("configuration: {error}")))?;
+    let mut config = SiteConfig {
+        version: ConfigVersion::new(wire.version),
+        max_body: wire.limits.max_body_bytes.unwrap_or(DEFAULT_BODY_BYTES),
+        ..SiteConfig::default()
+    };
+    for route in wire.routes {
+        config.queues.push(decode_route(route)?);
+    }
+    config.sort_queues();
+    for service in wire.services {
+        let pool = PoolConfig {
+            is_spare: service.spare,
+        };
+        config.pools.insert(PoolId::new(service.name)?, pool);
+    }
+    for tenant in wire.tenants {
+        let id = OrganisationId::new(tenant.name)?;
+        for key in tenant.api_keys {
+            config.keys.insert(key, id.clone());
+        }
+        let organisation = OrganisationConfig {
+            weight: tenant.weight,
+            limit: tenant.cap.decode(),
+        };
+        config.organisations.insert(id, organisation);
+    }
+    Ok(config)
+}
+
+fn decode_route(route: WireRoute) -> Result<QueueConfig> {
+    let millis = |value: f64| Duration::from_secs_f64(value.max(0.0) / 1_000.0);
+    let advice = route.advice.map(|advice| AdviceRule {
+        decide: millis(advice.decide_ms),
+        each: millis(advice.each_ms),
+        valid: millis(advice.valid_ms),
+    });
+    Ok(QueueConfig {
+        id: QueueId::new(route.name)?,
+        host: route.host,
+        prefix: route.prefix,
+        pool: PoolId::new(route.service)?,
+        is_open: route.public,
+        timeout: Duration::from_millis(route.timeout_ms),
+        rule: QueueRule {
+            priority: route.priority,
+            max_attempts: route.max_attempts.unwrap_or(DEFAULT_ATTEMPTS),
+            slack: route.slack_factor.unwrap_or(1.0),
+            target: Duration::from_millis(route.target_latency_ms),
+            advice,
+        },
+    })
+}
--- /dev/null
+++ b/src/platform/http.rs
@@ -0,0 +1,217 @@
+//! Calls over HTTP with a time-out each. One client for each host, so that a host whose connection went silent gets
+//! new connections only.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::{Error, ErrorKind, Result};
+
+/// Longest time for opening a connection. A lost opening packet is sent again after seconds, so that a new attempt
+/// is faster.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time after which an idle connection is closed.
+const IDLE_TIME: Duration = Duration::from_secs(20);
+
+/// Idle connections kept for each host.
+const IDLE_CONNECTIONS: usize = 6;
+
+/// Largest answer: a page of the store's items.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+type HostClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Client for all calls to the platform.
+#[derive(Debug, Clone, Default)]
+pub struct HttpCaller {
+    hosts: Arc<Mutex<BTreeMap<SocketAddr, HostClient>>>,
+}
+
+/// One call.
+#[derive(Debug, Clone)]
+pub struct HttpCall {
+    /// Where.
+    pub address: SocketAddr,
+    /// Method.
+    pub method: Method,
+    /// Path with its query.
+    pub path: String,
+    /// Headers.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// Body, empty if there is none.
+    pub body: Bytes,
+    /// Time for the whole call.
+    pub timeout: Duration,
+}
+
+/// An answer.
+#[derive(Debug, Clone)]
+pub struct HttpAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Why a call gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
+pub enum CallFault {
+    /// No byte of the call left.
+    #[display("not sent: {_0}")]
+    NotSent(String),
+    /// The call may have been carried out, or may be later.
+    #[display("no answer: {_0}")]
+    NoAnswer(String),
+}
+
+impl HttpCall {
+    /// Creates a call without headers and body.
+    pub fn new(address: SocketAddr, method: Method, path: impl Into<String>, timeout: Duration) -> Self {
+        Self {
+            address,
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            timeout,
+        }
+    }
+
+    /// Sets a JSON body.
+    ///
+    /// # Errors
+    /// `internal` if the body cannot be encoded.
+    pub fn with_json(mut self, body: &impl Serialize) -> Result<Self> {
+        let json = serde_json::to_vec(body)
+            .map_err(|error| Error::new(ErrorKind::Internal, format!("body of a call: {error}")))?;
+        self.body = json.into();
+        Ok(self)
+    }
+
+    /// Adds a header; a value that HTTP does not allow is an internal fault of the caller's.
+    ///
+    /// # Errors
+    /// `internal` if the value is not allowed.
+    pub fn with_header(mut self, name: &'static str, value: &str) -> Result<Self> {
+        let value = HeaderValue::from_str(value)
+            .map_err(|error| Error::new(ErrorKind::Internal, format!("header {name}: {error}")))?;
+        self.headers.push((HeaderName::from_static(name), value));
+        Ok(self)
+    }
+}
+
+impl HttpAnswer {
+    /// Decodes the body.
+    ///
+    /// # Errors
+    /// `bad_message` if it is malformed.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T> {
+        serde_json::from_slice(&self.body).map_err(|error| {
+            let message = format!("answer with status {}: {error}", self.status);
+            Error::new(ErrorKind::BadMessage, message)
+        })
+    }
+}
+
+impl HttpCaller {
+    /// Creates a client.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn client(&self, address: SocketAddr) -> HostClient {
+        let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        hosts.entry(address).or_insert_with(new_client).clone()
+    }
+
+    /// Closes the idle connections to a host.
+    fn forget(&self, address: SocketAddr) {
+        let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        hosts.remove(&address);
+    }
+
+    /// Makes a call.
+    ///
+    /// # Errors
+    /// The fault, with whether it proves that nothing was sent.
+    pub async fn call(&self, call: HttpCall) -> std::result::Result<HttpAnswer, CallFault> {
+        let address = call.address;
+        let timeout = call.timeout;
+        let client = self.client(address);
+        match tokio::time::timeout(timeout, send(client, call)).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(fault)) => Err(fault),
+            Err(_) => {
+                // Other idle connections may have gone silent with this one.
+                self.forget(address);
+                Err(CallFault::NoAnswer(format!(
+                    "time-out after {} ms",
+                    timeout.as_millis()
+                )))
+            }
+        }
+    }
+}
+
+fn new_client() -> HostClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_TIME)
+        .pool_max_idle_per_host(IDLE_CONNECTIONS)
+        .build(connector)
+}
+
+async fn send(client: HostClient, call: HttpCall) -> std::result::Result<HttpAnswer, CallFault> {
+    let uri = format!("http://{}{}", call.address, call.path);
+    let mut request = Request::builder().method(call.method).uri(uri);
+    for (name, value) in call.headers {
+        request = request.header(name, value);
+    }
+    if !call.body.is_empty() {
+        request = request.header(header::CONTENT_TYPE, "application/json");
+    }
+    let request = request
+        .body(Full::new(call.body))
+        .map_err(|error| CallFault::NotSent(error.to_string()))?;
+    let answer = client.request(request).await.map_err(|error| {
+        let detail = describe(&error);
+        if error.is_connect() {
+            CallFault::NotSent(detail)
+        } else {
+            CallFault::NoAnswer(detail)
+        }
+    })?;
+    let status = answer.status();
+    let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
+    let body = body.map_err(|error| CallFault::NoAnswer(format!("answer was cut: {error}")))?;
+    Ok(HttpAnswer {
+        status,
+        body: body.to_bytes(),
+    })
+}
+
+/// An error with its causes in one line.
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(inner) = cause {
+        text.push_str(": ");
+        text.push_str(&inner.to_string());
+        cause = inner.source();
+    }
+    text
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,6 +1,15 @@
-//! Interfaces to the outside systems, and the stand-ins used by tests and the trial.
+//! Adapter to the production platform: its wire formats, names and paths.
+//!
+//! The platform calls a worker "runner", an instance "machine", an availability zone "zone", an organisation
+//! "tenant", a queue "route" and a pool "service". Everything is decoded here into the project's types.
 
-pub mod backend;
-pub mod list;
+pub mod advice;
+pub mod caller;
+pub mod config;
+pub mod discovery;
+pub mod http;
+pub mod instance;
+pub mod settings;
 pub mod store;
+pub mod wave;
 pub mod worker;
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,180 @@
+//! The settings file that the platform writes for each process.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::dispatch::scheduler_rules::{LONGEST_LEASE, SchedulerRules};
+use crate::error::{Error, ErrorKind, Result};
+use crate::model::id::ZoneId;
+
+/// Environment variable with the path of the settings file.
+pub const SETTINGS_VARIABLE: &str = "FIGLOFT_SETTINGS";
+
+/// Share of the longest allowed lease that is asked for where it is below the usual one.
+const LEASE_SHARE: f64 = 0.95;
+
+/// Settings of one process.
+#[derive(Debug, Clone, PartialEq)]
+pub struct NodeSettings {
+    /// Name of the instance.
+    pub node: Arc<str>,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Own address without a port.
+    pub address: IpAddr,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for readiness checks.
+    pub readiness: SocketAddr,
+    /// The store.
+    pub store: SocketAddr,
+    /// The machine API, if there is one.
+    pub instances: Option<SocketAddr>,
+    /// The advice service, if there is one.
+    pub advice: Option<SocketAddr>,
+    /// Shortest lease of the store.
+    pub least_store_lease: Duration,
+    /// Processor share of the instance.
+    pub cpu_share: f64,
+    /// Time between SIGTERM and SIGKILL.
+    pub grace: Duration,
+    /// Time for which the state of a job that is over has to be known.
+    pub retention: Duration,
+    /// Bounds for the schedulers.
+    pub rules: SchedulerRules,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct SettingsFile {
+    node: Arc<str>,
+    zone: Arc<str>,
+    bind_ip: IpAddr,
+    listen_addrs: ListenAddresses,
+    #[serde(default)]
+    limits: InstanceLimits,
+    #[serde(default)]
+    bounds: RuleBounds,
+    advice: Option<SocketAddr>,
+    platform: StoreSection,
+    cloud_api: Option<MachineSection>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ListenAddresses {
+    front: SocketAddr,
+    ready: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+struct InstanceLimits {
+    cpu_share: f64,
+}
+
+impl Default for InstanceLimits {
+    fn default() -> Self {
+        Self { cpu_share: 0.25 }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct StoreSection {
+    address: SocketAddr,
+    #[serde(default = "default_least_lease")]
+    ttl_min_ms: u64,
+}
+
+fn default_least_lease() -> u64 {
+    1_000
+}
+
+#[derive(Debug, Deserialize)]
+struct MachineSection {
+    address: SocketAddr,
+}
+
+/// Bounds that matter here; some are spelled with an underscore on the wire.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+struct RuleBounds {
+    grace_s: f64,
+    hold_max_ms: u64,
+    stop_ms: u64,
+    notice_ms: u64,
+    far_x: f64,
+    restore_ms: u64,
+    gang_ms: u64,
+    #[serde(rename = "early_ms")]
+    early_ms: u64,
+    #[serde(rename = "status_s")]
+    status_s: f64,
+}
+
+impl Default for RuleBounds {
+    fn default() -> Self {
+        Self {
+            grace_s: 6.0,
+            hold_max_ms: 6_000,
+            stop_ms: 900,
+            notice_ms: 4_500,
+            far_x: 1.5,
+            restore_ms: 600,
+            gang_ms: 3_000,
+            early_ms: 250,
+            status_s: 120.0,
+        }
+    }
+}
+
+impl NodeSettings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    /// `bad_record` that names the file and the fault.
+    pub fn read(path: &Path) -> Result<Self> {
+        let fault = |text: String| Error::new(ErrorKind::BadRecord, format!("{}: {text}", path.display()));
+        let text = std::fs::read(path).map_err(|error| fault(error.to_string()))?;
+        Self::parse(&text).map_err(|error| fault(error.message().to_owned()))
+    }
+
+    /// Decodes a settings file.
+    ///
+    /// # Errors
+    /// `bad_record` that names the fault.
+    pub fn parse(text: &[u8]) -> Result<Self> {
+        let file: SettingsFile = serde_json::from_slice(text)
+            .map_err(|error| Error::new(ErrorKind::BadRecord, error.to_string()))?;
+        let bounds = &file.bounds;
+        let longest = Duration::from_millis(bounds.hold_max_ms).mul_f64(LEASE_SHARE);
+        let rules = SchedulerRules {
+            lease: LONGEST_LEASE.min(longest),
+            stop_time: Duration::from_millis(bounds.stop_ms),
+            notice_time: Duration::from_millis(bounds.notice_ms),
+            far_factor: bounds.far_x,
+            restore_time: Duration::from_millis(bounds.restore_ms),
+            early_time: Duration::from_millis(bounds.early_ms),
+            gang_time: Duration::from_millis(bounds.gang_ms),
+        };
+        Ok(Self {
+            node: file.node,
+            zone: ZoneId::new(file.zone)?,
+            address: file.bind_ip,
+            callers: file.listen_addrs.front,
+            readiness: file.listen_addrs.ready,
+            store: file.platform.address,
+            instances: file.cloud_api.map(|api| api.address),
+            advice: file.advice,
+            least_store_lease: Duration::from_millis(file.platform.ttl_min_ms),
+            cpu_share: file.limits.cpu_share,
+            grace: Duration::from_secs_f64(bounds.grace_s),
+            retention: Duration::from_secs_f64(bounds.status_s),
+            rules,
+        })
+    }
+}
--- /dev/null
+++ b/src/platform/wave.rs
@@ -0,0 +1,61 @@
+//! Waves of upkeep in the store.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::dispatch::fleet_planner::WaveNumber;
+use crate::dispatch::wave_plan::WaveRequest;
+use crate::error::{Error, ErrorKind, Result};
+use crate::model::id::InstanceId;
+
+/// Prefix of the waves that operators request.
+pub const WAVE_PREFIX: &str = "op/wave/";
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireWave {
+    wave: WaveNumber,
+    machines: Vec<Arc<str>>,
+    duration_s: f64,
+    /// Most machines down at once.
+    cap: usize,
+}
+
+#[derive(Debug, Serialize)]
+struct WireStatus {
+    wave: WaveNumber,
+    state: &'static str,
+}
+
+/// Decodes a wave.
+///
+/// # Errors
+/// `bad_record` that names the fault.
+pub fn decode_wave(key: &str, value: &[u8]) -> Result<(WaveNumber, WaveRequest)> {
+    let wire: WireWave = serde_json::from_slice(value)
+        .map_err(|error| Error::new(ErrorKind::BadRecord, format!("{key}: {error}")))?;
+    let instances: Result<BTreeSet<InstanceId>> = wire.machines.into_iter().map(InstanceId::new).collect();
+    let request = WaveRequest {
+        instances: instances?,
+        duration: Duration::from_secs_f64(wire.duration_s.max(0.0)),
+        most_down: wire.cap.max(1),
+    };
+    Ok((wire.wave, request))
+}
+
+/// Key and value that announce the state of a wave.
+///
+/// # Errors
+/// `internal` if the value cannot be encoded.
+pub fn encode_status(wave: WaveNumber, is_complete: bool) -> Result<(String, Vec<u8>)> {
+    let status = WireStatus {
+        wave,
+        state: if is_complete { "completed" } else { "running" },
+    };
+    let value = serde_json::to_vec(&status)
+        .map_err(|error| Error::new(ErrorKind::Internal, format!("state of a wave: {error}")))?;
+    Ok((format!("status/wave/{wave}"), value))
+}
--- a/src/policy/coordinator_plan.rs
+++ b/src/policy/coordinator_plan.rs
@@ -11,7 +11,6 @@
 use crate::journal::member::MemberPhase;
 use crate::model::id::{InstanceId, PoolId, Revision, SessionId, TeamId, ZoneId};
 use crate::model::unix_time::UnixMillis;
-use crate::platform::worker::task::WorkerStatus;
 use crate::policy::allowance::{AllowanceEvent, AllowanceSettings, AllowanceSplit, TeamUse};
 use crate::policy::drain_watch::{DrainEvent, DrainWatch};
 use crate::policy::lending::{HoldReason, LendingPolicy, LendingSettings};
@@ -20,6 +19,7 @@
 use crate::policy::observation::{FleetObservation, PoolDemand};
 use crate::policy::time_rule::TimeRule;
 use crate::policy::wait_reason::PlanWait;
+use crate::port::worker::task::WorkerStatus;
 
 /// Cores of one slot in pools without a service, in thousandths.
 const SLOT_MILLI_CORES: u64 = 4000;
--- a/src/platform/backend/stand_in.rs
+++ b/src/port/backend/stand_in.rs
@@ -27,7 +27,7 @@
 use tokio::time::Sleep;
 
 use crate::model::unix_time::UnixMillis;
-use crate::platform::worker::http_form::WorkerHttpServer;
+use crate::port::worker::http_form::WorkerHttpServer;
 use crate::request::header_rule;
 
 /// Time between the head and the cut of a cut answer.
--- a/src/platform/list/client.rs
+++ b/src/port/list/client.rs
@@ -10,7 +10,7 @@
 use hyper_util::rt::TokioExecutor;
 
 use crate::error::{Error, ErrorKind, Result};
-use crate::platform::list::lagging::{LaggingList, ListedInstance};
+use crate::port::list::lagging::{LaggingList, ListedInstance};
 
 /// Largest accepted list in bytes: 100,000 instances at 160 bytes.
 const MAX_BODY: usize = 16 * 1024 * 1024;
--- a/src/platform/store/client.rs
+++ b/src/port/store/client.rs
@@ -7,12 +7,12 @@
 
 use crate::model::amount::RatePerSecond;
 use crate::model::id::{LeaseId, StoreRevision};
-use crate::platform::store::call::{
+use crate::port::store::call::{
     MAX_WATCH_WAIT, PutExpect, StoreError, StoreListing, StoreResult, StoreValue,
 };
-use crate::platform::store::call_budget::CallBudget;
-use crate::platform::store::http_client::HttpStore;
-use crate::platform::store::memory_store::MemoryStore;
+use crate::port::store::call_budget::CallBudget;
+use crate::port::store::http_client::HttpStore;
+use crate::port::store::memory_store::MemoryStore;
 
 /// Time-out of a call. The store answers in milliseconds; a view stays fresh for 2.5 s and needs two tries.
 pub const DEFAULT_CALL_TIMEOUT: Duration = Duration::from_secs(1);
--- a/src/platform/store/fault.rs
+++ b/src/port/store/fault.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::model::amount::RatePerSecond;
-use crate::platform::store::call::{CallKind, StoreError, StoreResult};
+use crate::port::store::call::{CallKind, StoreError, StoreResult};
 
 /// One kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/platform/store/http_client.rs
+++ b/src/port/store/http_client.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 use crate::model::id::{LeaseId, StoreRevision};
-use crate::platform::store::call::{
+use crate::port::store::call::{
     MAX_LISTING_BYTES, MAX_VALUE_BYTES, PutExpect, StoreError, StoreListing, StoreResult, StoreValue,
     check_key,
 };
--- a/src/platform/store/memory_engine.rs
+++ b/src/port/store/memory_engine.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 
 use crate::model::id::{LeaseId, StoreRevision};
-use crate::platform::store::call::{
+use crate::port::store::call::{
     MAX_LISTING_BYTES, MAX_VALUE_BYTES, PutExpect, StoreError, StoreListing, StoreResult, StoreValue,
 };
 
--- a/src/platform/store/memory_store.rs
+++ b/src/port/store/memory_store.rs
@@ -10,11 +10,11 @@
 
 use crate::clock::SharedClock;
 use crate::model::id::{LeaseId, StoreRevision};
-use crate::platform::store::call::{
+use crate::port::store::call::{
     CallKind, MAX_WATCH_WAIT, PutExpect, StoreError, StoreListing, StoreResult, StoreValue, check_key,
 };
-use crate::platform::store::fault::{FaultEffect, FaultSet, FaultSpan, StoreFault};
-use crate::platform::store::memory_engine::MemoryEngine;
+use crate::port::store::fault::{FaultEffect, FaultSet, FaultSpan, StoreFault};
+use crate::port::store::memory_engine::MemoryEngine;
 
 /// State shared by all ports of one store.
 #[derive(Debug)]
--- a/src/platform/store/server.rs
+++ b/src/port/store/server.rs
@@ -15,9 +15,9 @@
 use tokio::sync::watch;
 
 use crate::model::id::{LeaseId, StoreRevision};
-use crate::platform::store::call::{MAX_VALUE_BYTES, PutExpect, StoreError, StoreListing, StoreResult};
-use crate::platform::store::http_client::{LEASE_HEADER, REASON_HEADER, REASON_LEASE_ENDED, REVISION_HEADER};
-use crate::platform::store::memory_store::MemoryStore;
+use crate::port::store::call::{MAX_VALUE_BYTES, PutExpect, StoreError, StoreListing, StoreResult};
+use crate::port::store::http_client::{LEASE_HEADER, REASON_HEADER, REASON_LEASE_ENDED, REVISION_HEADER};
+use crate::port::store::memory_store::MemoryStore;
 
 /// Default and largest number of values in a listing.
 const MAX_LIST_LIMIT: usize = 10_000;
--- a/src/platform/worker/call.rs
+++ b/src/port/worker/call.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::model::id::{Generation, JobId, Revision};
-use crate::platform::worker::task::{TaskRecord, TaskSpec, UsageReport, WorkerStatus};
+use crate::port::worker::task::{TaskRecord, TaskSpec, UsageReport, WorkerStatus};
 
 /// A call to one worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/platform/worker/client.rs
+++ b/src/port/worker/client.rs
@@ -6,10 +6,10 @@
 use crate::error::{Error, ErrorKind, Result};
 use crate::journal::member::InstancePlace;
 use crate::model::id::{Generation, InstanceId, JobId, Revision};
-use crate::platform::worker::call::{WorkerAnswer, WorkerCall};
-use crate::platform::worker::fleet::WorkerFleet;
-use crate::platform::worker::http_form::WorkerHttpClient;
-use crate::platform::worker::task::{TaskRecord, TaskSpec, UsageReport, WorkerStatus};
+use crate::port::worker::call::{WorkerAnswer, WorkerCall};
+use crate::port::worker::fleet::WorkerFleet;
+use crate::port::worker::http_form::WorkerHttpClient;
+use crate::port::worker::task::{TaskRecord, TaskSpec, UsageReport, WorkerStatus};
 
 /// Address of one worker.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/platform/worker/fleet.rs
+++ b/src/port/worker/fleet.rs
@@ -9,10 +9,10 @@
 use crate::journal::member::InstancePlace;
 use crate::model::id::{InstanceId, JobId};
 use crate::model::unix_time::UnixMillis;
-use crate::platform::worker::call::{WorkerAnswer, WorkerCall};
-use crate::platform::worker::fault::{TaskTruth, WorkerFault};
-use crate::platform::worker::stand_in::StandInWorker;
-use crate::platform::worker::task::{TaskRecord, TaskSpec};
+use crate::port::worker::call::{WorkerAnswer, WorkerCall};
+use crate::port::worker::fault::{TaskTruth, WorkerFault};
+use crate::port::worker::stand_in::StandInWorker;
+use crate::port::worker::task::{TaskRecord, TaskSpec};
 
 /// Lag of usage reports unless set otherwise.
 const DEFAULT_USAGE_LAG: Duration = Duration::from_secs(5);
--- a/src/platform/worker/http_form.rs
+++ b/src/port/worker/http_form.rs
@@ -17,10 +17,10 @@
 
 use crate::error::{Error, ErrorBody, ErrorKind, Result};
 use crate::model::id::InstanceId;
-use crate::platform::list::lagging::LaggingList;
-use crate::platform::worker::call::{WorkerAnswer, WorkerCall};
-use crate::platform::worker::client::WorkerTarget;
-use crate::platform::worker::fleet::WorkerFleet;
+use crate::port::list::lagging::LaggingList;
+use crate::port::worker::call::{WorkerAnswer, WorkerCall};
+use crate::port::worker::client::WorkerTarget;
+use crate::port::worker::fleet::WorkerFleet;
 
 /// Largest accepted body of a call or an answer, in bytes.
 const MAX_BODY: usize = 4 * 1024 * 1024;
--- a/src/platform/worker/stand_in.rs
+++ b/src/port/worker/stand_in.rs
@@ -8,8 +8,8 @@
 use crate::model::id::{Generation, InstanceId, JobId, Revision};
 use crate::model::resource::ResourceSet;
 use crate::model::unix_time::UnixMillis;
-use crate::platform::worker::fault::{TaskTruth, WorkerFault};
-use crate::platform::worker::task::{
+use crate::port::worker::fault::{TaskTruth, WorkerFault};
+use crate::port::worker::task::{
     TaskEnd, TaskOutcome, TaskRecord, TaskSpec, TaskUsage, UsageReport, WorkerStatus,
 };
 
--- a/src/process/command.rs
+++ b/src/process/command.rs
@@ -8,11 +8,12 @@
 
 use crate::cli::daemon_args::DaemonArgs;
 use crate::clock::SystemClock;
-use crate::platform::store::memory_store::MemoryStore;
-use crate::platform::store::server;
+use crate::duty::platform_node;
+use crate::port::store::memory_store::MemoryStore;
+use crate::port::store::server;
 use crate::process::daemon;
 use crate::process::log;
-use crate::process::settings::DaemonSettings;
+use crate::process::settings::{DaemonSettings, LogLevel};
 use crate::process::settings_file;
 use crate::trial;
 
@@ -28,6 +29,9 @@
     if args.trial.trial {
         return trial::command::run(args.trial.trial_user, args.trial.trial_exit);
     }
+    if args.platform {
+        return run_on_platform(args.metrics_port);
+    }
     let settings = match args.settings.as_deref().map(settings_file::read_file) {
         None => DaemonSettings::default(),
         Some(Ok(settings)) => settings,
@@ -66,6 +70,23 @@
     }
 }
 
+/// Runs on the production platform. One thread is enough: an instance has less than one core.
+fn run_on_platform(metrics_port: Option<u16>) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&error),
+    };
+    let (logger, guard) = log::start_log(LogLevel::Info);
+    let ended = runtime.block_on(platform_node::run(metrics_port, &logger));
+    runtime.shutdown_timeout(daemon::RUNTIME_END);
+    drop(guard);
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
+
 /// Serves an in-memory store until the process ends.
 async fn serve_store(address: std::net::SocketAddr) -> std::io::Result<()> {
     let listener = TcpListener::bind(address).await?;
--- a/src/process/coordinator.rs
+++ b/src/process/coordinator.rs
@@ -16,13 +16,13 @@
 use crate::journal::fleet_state::FleetState;
 use crate::model::id::{DutyTerm, InstanceId, JobId, Revision, SessionId};
 use crate::model::unix_time::UnixMillis;
-use crate::platform::list::client::ListClient;
-use crate::platform::worker::client::{WorkerClient, WorkerTarget};
-use crate::platform::worker::task::WorkerStatus;
 use crate::policy::coordinator_plan::{
     CoordinatorEvent, CoordinatorPlan, CoordinatorSettings, CoordinatorStep,
 };
 use crate::policy::move_effect::SideEffect;
+use crate::port::list::client::ListClient;
+use crate::port::worker::client::{WorkerClient, WorkerTarget};
+use crate::port::worker::task::WorkerStatus;
 use crate::version::accepted::AcceptedVersion;
 use crate::version::journal_writer::JournalWriter;
 
--- a/src/process/job_adoption.rs
+++ b/src/process/job_adoption.rs
@@ -9,11 +9,11 @@
 
 use crate::error::{Error, ErrorKind, Result};
 use crate::model::id::{JobId, SessionId, WriteNonce};
-use crate::platform::store::call::{PutExpect, StoreError, StoreValue};
-use crate::platform::store::client::StoreClient;
 use crate::policy::job_event::{
     self, BATCH_SCHEMA, JobBatch, JobEvent, LiveJob, LogOwner, batch_key, owner_key,
 };
+use crate::port::store::call::{PutExpect, StoreError, StoreValue};
+use crate::port::store::client::StoreClient;
 
 /// Keys read by one list call.
 const LIST_LIMIT: usize = 1_000;
--- a/src/process/job_members.rs
+++ b/src/process/job_members.rs
@@ -6,9 +6,9 @@
 use crate::journal::fleet_state::FleetState;
 use crate::journal::member::{MemberPhase, PoolMember};
 use crate::model::id::{InstanceId, JobId, PoolId};
-use crate::platform::worker::client::WorkerTarget;
 use crate::policy::blame::WorkerStanding;
 use crate::policy::board_worker::WorkerPlace;
+use crate::port::worker::client::WorkerTarget;
 use crate::process::job_desk::{JobDesk, StepTime};
 
 impl JobDesk {
--- a/src/process/job_task.rs
+++ b/src/process/job_task.rs
@@ -7,11 +7,11 @@
 use crate::journal::entry::EntryChange;
 use crate::model::id::{InstanceId, JobId, QueueId, TeamId};
 use crate::model::resource::ResourceSet;
-use crate::platform::worker::call::WorkerCall;
-use crate::platform::worker::client::WorkerTarget;
 use crate::policy::blame::WorkerVerdict;
 use crate::policy::job_event::JobEnd;
 use crate::policy::job_queue::QueuedJob;
+use crate::port::worker::call::WorkerCall;
+use crate::port::worker::client::WorkerTarget;
 use crate::process::team_counter::RunPermit;
 
 /// Margin for clock rates that differ between this process and a worker, in thousandths.
--- a/src/process/log.rs
+++ b/src/process/log.rs
@@ -8,9 +8,9 @@
 /// Lines that wait for the output; further ones are dropped and counted, so that a slow output delays nothing.
 const WAITING_LINES: usize = 4096;
 
-/// Creates a logger that writes JSON lines to standard error, and the guard that writes out the rest at its end.
+/// Creates a logger that writes JSON lines to standard output, and the guard that writes out the rest at its end.
 pub fn start_log(level: LogLevel) -> (Logger, slog_async::AsyncGuard) {
-    let json = slog_json::Json::new(std::io::stderr())
+    let json = slog_json::Json::new(std::io::stdout())
         .set_flush(true)
         .add_key_value(o!(
             "time_ms" => FnValue(|_| UnixMillis::from(std::time::SystemTime::now()).get()),
--- a/src/trial/daemons.rs
+++ b/src/trial/daemons.rs
@@ -9,7 +9,7 @@
 
 use crate::error::Result;
 use crate::model::id::ZoneId;
-use crate::platform::store::client::StoreClient;
+use crate::port::store::client::StoreClient;
 use crate::process::daemon::{Daemon, DaemonPlatform};
 use crate::process::settings::DaemonSettings;
 use crate::trial::stand_ins::TrialStandIns;
--- a/src/trial/observer.rs
+++ b/src/trial/observer.rs
@@ -9,7 +9,7 @@
 use crate::clock::SharedClock;
 use crate::model::id::InstanceId;
 use crate::model::unix_time::UnixMillis;
-use crate::platform::worker::call::{WorkerAnswer, WorkerCall};
+use crate::port::worker::call::{WorkerAnswer, WorkerCall};
 use crate::trial::ledger::InstanceOutage;
 use crate::trial::stand_ins::TrialStandIns;
 
--- a/src/trial/stand_ins.rs
+++ b/src/trial/stand_ins.rs
@@ -7,11 +7,11 @@
 use crate::clock::SharedClock;
 use crate::error::{Error, ErrorKind, Result};
 use crate::model::id::{InstanceId, PoolId};
-use crate::platform::backend::stand_in::{BackendFault, BackendStandIn};
-use crate::platform::store::memory_store::MemoryStore;
-use crate::platform::worker::fleet::WorkerFleet;
-use crate::platform::worker::http_form::WorkerHttpServer;
-use crate::platform::worker::task::TaskOutcome;
+use crate::port::backend::stand_in::{BackendFault, BackendStandIn};
+use crate::port::store::memory_store::MemoryStore;
+use crate::port::worker::fleet::WorkerFleet;
+use crate::port::worker::http_form::WorkerHttpServer;
+use crate::port::worker::task::TaskOutcome;
 use crate::trial::ledger::WorkRun;
 use crate::trial::sample::SampleInstance;
 
--- a/src/version/audit_trail.rs
+++ b/src/version/audit_trail.rs
@@ -4,7 +4,7 @@
 use crate::journal::codec;
 use crate::journal::entry::JournalEntry;
 use crate::model::id::Revision;
-use crate::platform::store::client::StoreClient;
+use crate::port::store::client::StoreClient;
 use crate::version::journal_reader;
 use crate::version::snapshot_store::{self, ArchiveChunk, SnapshotHead};
 
--- a/src/version/journal_writer.rs
+++ b/src/version/journal_writer.rs
@@ -15,7 +15,7 @@
 use crate::journal::fleet_state::FleetState;
 use crate::model::id::{Revision, SessionId, WriteNonce};
 use crate::model::unix_time::UnixMillis;
-use crate::platform::store::call::{PutExpect, StoreError};
+use crate::port::store::call::{PutExpect, StoreError};
 use crate::version::entry_log::EntrySource;
 use crate::version::journal_reader::{self, JournalReader};
 use crate::version::retry_delay::RetryDelay;
--- a/src/version/session_registry.rs
+++ b/src/version/session_registry.rs
@@ -10,8 +10,8 @@
 use crate::error::{Error, ErrorKind, Result};
 use crate::model::id::{InstanceId, SessionId, StoreRevision, ZoneId};
 use crate::model::unix_time::UnixMillis;
-use crate::platform::store::call::{PutExpect, StoreError, StoreValue};
-use crate::platform::store::client::StoreClient;
+use crate::port::store::call::{PutExpect, StoreError, StoreValue};
+use crate::port::store::client::StoreClient;
 use crate::version::store_head::StoreHead;
 
 /// Prefix of session records in the store.
--- a/src/version/snapshot_store.rs
+++ b/src/version/snapshot_store.rs
@@ -11,8 +11,8 @@
 use crate::journal::codec;
 use crate::journal::fleet_state::FleetState;
 use crate::model::id::{Revision, StoreRevision};
-use crate::platform::store::call::{PutExpect, StoreError};
-use crate::platform::store::client::StoreClient;
+use crate::port::store::call::{PutExpect, StoreError};
+use crate::port::store::client::StoreClient;
 
 /// Key of the pointer.
 pub const HEAD_KEY: &str = "snapshot/head";
--- a/tests/fault_matrix/clock.rs
+++ b/tests/fault_matrix/clock.rs
@@ -27,4 +27,8 @@
         // Far enough from 1970 that ages can be subtracted.
         SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000) + self.start.elapsed()
     }
+
+    fn since_boot(&self) -> Duration {
+        self.start.elapsed()
+    }
 }
--- a/tests/fault_matrix/strike.rs
+++ b/tests/fault_matrix/strike.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use figloft::model::amount::RatePerSecond;
-use figloft::platform::store::fault::{FaultSpan, StoreFault};
+use figloft::port::store::fault::{FaultSpan, StoreFault};
 
 use crate::backends::ServerFault;
 use crate::net::LinkFault;
--- a/tests/job_runner/faults.rs
+++ b/tests/job_runner/faults.rs
@@ -7,9 +7,9 @@
 use figloft::error::WorkOutcome;
 use figloft::model::id::JobId;
 use figloft::model::priority::WorkPriority;
-use figloft::platform::store::fault::{FaultSpan, StoreFault};
-use figloft::platform::worker::fault::WorkerFault;
-use figloft::platform::worker::task::TaskOutcome;
+use figloft::port::store::fault::{FaultSpan, StoreFault};
+use figloft::port::worker::fault::WorkerFault;
+use figloft::port::worker::task::TaskOutcome;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -117,7 +117,7 @@
 }
 
 /// A job that may not be repeated has one run, or several that each resume a checkpoint of the one before.
-fn is_one_run(runs: &[figloft::platform::worker::task::TaskRecord]) -> bool {
+fn is_one_run(runs: &[figloft::port::worker::task::TaskRecord]) -> bool {
     let checkpointed = runs.iter().filter(|record| {
         let end = record.end.as_ref().map(|end| &end.outcome);
         matches!(end, Some(TaskOutcome::Checkpointed { .. }))
--- a/tests/request_path.rs
+++ b/tests/request_path.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 
 use figloft::model::amount::SlotCount;
-use figloft::platform::backend::stand_in::BackendFault;
+use figloft::port::backend::stand_in::BackendFault;
 use support::{Entry, RawCaller, eventually, key_header};
 
 /// Guards against bodies that change on the way, and against figloft's headers or the key's secret leaking.
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -7,11 +7,11 @@
 use figloft::clock::{ManualClock, SharedClock};
 use figloft::model::amount::RatePerSecond;
 use figloft::model::id::StoreRevision;
-use figloft::platform::store::call::{CallKind, MAX_VALUE_BYTES, PutExpect, StoreError};
-use figloft::platform::store::client::StoreClient;
-use figloft::platform::store::fault::{FaultSpan, StoreFault};
-use figloft::platform::store::memory_store::MemoryStore;
-use figloft::platform::store::server;
+use figloft::port::store::call::{CallKind, MAX_VALUE_BYTES, PutExpect, StoreError};
+use figloft::port::store::client::StoreClient;
+use figloft::port::store::fault::{FaultSpan, StoreFault};
+use figloft::port::store::memory_store::MemoryStore;
+use figloft::port::store::server;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
--- a/tests/trial_fleet.rs
+++ b/tests/trial_fleet.rs
@@ -5,7 +5,7 @@
 
 use figloft::clock::{SharedClock, SystemClock};
 use figloft::journal::member::MemberPhase;
-use figloft::platform::store::client::StoreClient;
+use figloft::port::store::client::StoreClient;
 use figloft::trial::sample::TrialUser;
 use figloft::trial::setup;
 use figloft::trial::stand_ins::TrialStandIns;
--- a/tests/worker_stand_in.rs
+++ b/tests/worker_stand_in.rs
@@ -11,14 +11,14 @@
 use figloft::model::id::{Generation, InstanceId, JobId, Revision};
 use figloft::model::priority::WorkPriority;
 use figloft::model::resource::ResourceSet;
-use figloft::platform::list::client::ListClient;
-use figloft::platform::list::lagging::{LaggingList, ListedInstance, ListedState};
-use figloft::platform::worker::call::{WorkerAnswer, WorkerCall};
-use figloft::platform::worker::client::{WorkerClient, WorkerTarget};
-use figloft::platform::worker::fault::WorkerFault;
-use figloft::platform::worker::fleet::WorkerFleet;
-use figloft::platform::worker::http_form::{WorkerHttpClient, WorkerHttpServer};
-use figloft::platform::worker::task::{TaskOutcome, TaskSpec};
+use figloft::port::list::client::ListClient;
+use figloft::port::list::lagging::{LaggingList, ListedInstance, ListedState};
+use figloft::port::worker::call::{WorkerAnswer, WorkerCall};
+use figloft::port::worker::client::{WorkerClient, WorkerTarget};
+use figloft::port::worker::fault::WorkerFault;
+use figloft::port::worker::fleet::WorkerFleet;
+use figloft::port::worker::http_form::{WorkerHttpClient, WorkerHttpServer};
+use figloft::port::worker::task::{TaskOutcome, TaskSpec};
 
 struct Bench {
     clock: Arc<ManualClock>,
