--- a/src/duty/pool_duty.rs
+++ b/src/duty/pool_duty.rs
@@ -400,6 +400,10 @@
     }
 
     fn act(&mut self) {
+        if self.old_progress.is_some() {
+            // Before the jobs are known, every run that a worker lists would look like a stray.
+            return;
+        }
         let now = self.parts.clock.now();
         let standing = *self.parts.lease.borrow();
         let valid = standing.valid_lease(&self.parts.clock);
@@ -503,9 +507,6 @@
         let Some(lease) = lease.filter(|_| !self.is_counting && now >= self.next_count) else {
             return;
         };
-        if self.old_progress.is_some() {
-            return;
-        }
         let waiting = self.scheduler.waiting();
         let is_same = self
             .waiting
