--- a/src/dispatch/job_record.rs
+++ b/src/dispatch/job_record.rs
@@ -9,7 +9,7 @@
 
 use crate::dispatch::job_spec::JobSpec;
 use crate::dispatch::millis;
-use crate::model::id::{JobId, OrganisationId, PoolId, QueueId};
+use crate::model::id::{JobId, OrganisationId, PoolId, QueueId, RunNumber};
 use crate::model::unix_time::UnixMillis;
 
 /// State of a job as shown to callers.
@@ -112,9 +112,10 @@
     /// Tasks that are done.
     #[serde(skip_serializing_if = "BTreeSet::is_empty")]
     pub done: BTreeSet<u32>,
-    /// Failed runs of each task.
+    /// Failed runs of each task, those of a gang under its first task. A worker may list an end again to the next
+    /// holder, so that runs are kept and not only their number.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
-    pub failures: BTreeMap<u32, u32>,
+    pub failures: BTreeMap<u32, BTreeSet<RunNumber>>,
     /// Checkpoint of each task.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub saved: BTreeMap<u32, Arc<str>>,
--- a/src/dispatch/job_state.rs
+++ b/src/dispatch/job_state.rs
@@ -26,8 +26,8 @@
 pub struct TaskState {
     /// Whether a run has ended as done.
     pub is_done: bool,
-    /// Failed runs.
-    pub failures: u32,
+    /// Failed runs; those of a gang stand with its first task.
+    pub failures: BTreeSet<RunNumber>,
     /// Runs that go on or may go on.
     pub copies: Vec<TaskCopy>,
     /// Newest checkpoint.
@@ -54,8 +54,6 @@
     pub tasks: Vec<TaskState>,
     /// Tasks that are not done.
     pub open: usize,
-    /// Run in which a gang failed last; its members' failures count once.
-    pub failed_run: Option<RunNumber>,
 }
 
 impl StepState {
@@ -65,16 +63,12 @@
             for (index, task) in tasks.iter_mut().enumerate() {
                 let index = index as u32;
                 task.is_done = progress.done.contains(&index);
-                task.failures = progress.failures.get(&index).copied().unwrap_or(0);
+                task.failures = progress.failures.get(&index).cloned().unwrap_or_default();
                 task.saved = progress.saved.get(&index).cloned().unwrap_or_default();
             }
         }
         let open = tasks.iter().filter(|task| !task.is_done).count();
-        Self {
-            tasks,
-            open,
-            failed_run: None,
-        }
+        Self { tasks, open }
     }
 
     fn progress(&self) -> StepProgress {
@@ -85,8 +79,8 @@
                 progress.done.insert(index);
                 continue;
             }
-            if task.failures > 0 {
-                progress.failures.insert(index, task.failures);
+            if !task.failures.is_empty() {
+                progress.failures.insert(index, task.failures.clone());
             }
             if !task.saved.is_empty() {
                 progress.saved.insert(index, Arc::clone(&task.saved));
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! `fleet_planner` decides what concerns several pools.
 
 pub mod allowance_split;
+pub mod ended_jobs;
 pub mod fill_pace;
 pub mod fleet_planner;
 pub mod job_record;
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::dispatch::ended_jobs::EndedJobs;
 use crate::dispatch::job_record::{JobProgress, JobRecord, JobState};
 use crate::dispatch::job_state::{JobRun, TaskState};
 use crate::dispatch::order::{AdviceAnswer, LookFault, LookOrder, Order, StartOutcome, StopOutcome, TaskRun};
@@ -94,6 +95,8 @@
     changed: BTreeMap<u64, JobId>,
     flushing: BTreeMap<u64, JobId>,
     stale_cancels: Vec<JobId>,
+    /// Jobs that ended in this term; a read of the inbox that overtakes their deletion may still list them.
+    ended: EndedJobs,
     /// Runs beside another run of their task on the same worker, with the time of the last stop.
     strays: BTreeMap<(WorkerId, TaskRun), Option<Instant>>,
     notes: Vec<DecisionNote>,
@@ -120,6 +123,7 @@
             changed: BTreeMap::new(),
             flushing: BTreeMap::new(),
             stale_cancels: Vec::new(),
+            ended: EndedJobs::default(),
             strays: BTreeMap::new(),
             notes: Vec::new(),
             is_fenced: false,
@@ -172,7 +176,7 @@
         record: JobRecord,
         old: Option<&JobProgress>,
     ) {
-        if self.jobs.contains_key(&record.id) {
+        if self.jobs.contains_key(&record.id) || self.ended.contains(&record.id) {
             return;
         }
         let id = record.id.clone();
@@ -587,7 +591,8 @@
                 continue;
             }
             let is_calm = worker.is_seen && worker.look.faults == 0 && !worker.runs.is_empty();
-            let deadline_ms = if may_extend && !worker.runs.is_empty() {
+            // Looks at a silent worker extend nothing: otherwise the end of its lease would never be certain.
+            let deadline_ms = if may_extend && is_calm {
                 worker.lease.grant(now, lease)
             } else {
                 None
--- a/src/dispatch/pool_scheduler/progress_flush.rs
+++ b/src/dispatch/pool_scheduler/progress_flush.rs
@@ -77,6 +77,7 @@
                 .is_some_and(|job| job.state.is_final() && job.changed.is_none());
             if is_over {
                 self.jobs.remove(&id);
+                self.ended.insert(id);
             }
         }
     }
--- a/src/dispatch/pool_scheduler/report_fold.rs
+++ b/src/dispatch/pool_scheduler/report_fold.rs
@@ -40,8 +40,8 @@
         worker.blame.take_answer();
         let is_first = !worker.is_seen;
         worker.is_seen = true;
-        if is_first && !report.running.is_empty() {
-            // The lease is extended at once: the former holder's may end soon.
+        if (is_first || is_regained) && !report.running.is_empty() {
+            // The lease is extended at once: the last one may end soon.
             worker.look.next_at = None;
         }
         self.settling.see(worker_id);
@@ -136,14 +136,13 @@
             return 0;
         };
         let is_over = job.state.is_final();
-        let max_attempts = job.record.rule.max_attempts.max(1);
+        let max_attempts = job.record.rule.max_attempts.max(1) as usize;
         let Some(spec) = job.record.spec.steps.get(row.task.step.step as usize).cloned() else {
             return 0;
         };
         let Some(step) = job.step_mut(&row.task.step) else {
             return 0;
         };
-        let is_first_failure = step.failed_run != Some(row.run) || !spec.is_gang;
         let Some(task) = step.tasks.get_mut(row.task.index as usize) else {
             return 0;
         };
@@ -162,12 +161,10 @@
                 return self.touch(&id);
             }
             RunEnd::Failed => {
-                if is_first_failure {
-                    task.failures += 1;
-                }
                 task.avoid.insert(worker_id.clone());
-                let failures = task.failures;
-                step.failed_run = Some(row.run);
+                let counted = if spec.is_gang { 0 } else { row.task.index as usize };
+                step.tasks[counted].failures.insert(row.run);
+                let failures = step.tasks[counted].failures.len();
                 let is_avoided = self
                     .workers
                     .get_mut(worker_id)
