--- a/src/dispatch/pool_plan.rs
+++ b/src/dispatch/pool_plan.rs
@@ -29,7 +29,7 @@
     pub runs: u32,
     /// Lasting runs among them.
     pub lasting: u32,
-    /// Whether it is being vacated by the plan in force.
+    /// Whether it is being vacated by the plan in force and has listed what it runs.
     pub is_closing: bool,
 }
 
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -342,6 +342,7 @@
                 if placed.phase == RunPhase::Starting {
                     placed.phase = RunPhase::Running;
                 }
+                self.mark_begun(&run.task.step.job);
                 return;
             }
             StartOutcome::Unknown => {
@@ -657,7 +658,8 @@
             let usage = WorkerUse {
                 runs: worker.runs.len() as u32,
                 lasting: lasting.clone().count() as u32,
-                is_closing: self.plan.closing.contains(id),
+                // What an unseen worker runs is not known, so that it cannot be said to be empty.
+                is_closing: self.plan.closing.contains(id) && worker.is_seen,
             };
             report.used = report.used.plus(&worker.used);
             let reserved = lasting.fold(ResourceSet::default(), |sum, run| sum.plus(&run.reserved));
--- a/src/dispatch/pool_scheduler/report_fold.rs
+++ b/src/dispatch/pool_scheduler/report_fold.rs
@@ -10,7 +10,7 @@
 use crate::dispatch::task_id::TaskId;
 use crate::dispatch::worker_report::{EndedRow, RunEnd, RunningRow, WorkerReport};
 use crate::dispatch::worker_state::{EndLog, PlacedRun, RunPhase};
-use crate::model::id::WorkerId;
+use crate::model::id::{JobId, WorkerId};
 use crate::model::resource::ResourceSet;
 use crate::model::unix_time::UnixMillis;
 
@@ -233,6 +233,7 @@
             if placed.phase == RunPhase::Starting {
                 placed.phase = RunPhase::Running;
             }
+            self.mark_begun(&row.task.step.job);
             return;
         }
         self.adopt(now, worker_id, row);
@@ -308,14 +309,19 @@
                 placed_at: now,
             });
         }
-        let id = &run.task.step.job;
-        if let Some(job) = self.jobs.get_mut(id)
-            && job.state == JobState::Pending
-        {
+        self.mark_begun(&run.task.step.job);
+    }
+
+    /// Notes that a worker has confirmed a start of the job. An order without an answer is no start: the job
+    /// still waits.
+    pub(super) fn mark_begun(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.state == JobState::Pending {
             job.state = JobState::Running;
             job.is_state_new = true;
-            let id = id.clone();
-            self.touch(&id);
+            self.touch(id);
         }
     }
 
--- a/src/dispatch/pool_scheduler/start_pass.rs
+++ b/src/dispatch/pool_scheduler/start_pass.rs
@@ -265,10 +265,6 @@
         };
         let text = Arc::clone(&job.record.spec.text);
         let is_first = job.state == JobState::Pending;
-        if is_first {
-            job.state = JobState::Running;
-            job.is_state_new = true;
-        }
         let Some(state) = job
             .step_mut(&task.step)
             .and_then(|step| step.tasks.get_mut(task.index as usize))
@@ -318,7 +314,6 @@
                 Some(worker_id.clone()),
                 format!("task {task}"),
             );
-            self.touch(&id);
         }
         orders.push(Order::Start(StartOrder {
             target,
