--- a/src/dispatch/fleet_planner.rs
+++ b/src/dispatch/fleet_planner.rs
@@ -1,5 +1,6 @@
 //! Decisions that concern several pools: allowances, waves and moves between pools.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
@@ -79,8 +80,8 @@
         request: WaveRequest,
         progress: WaveProgress,
     ) {
-        if !self.waves.contains_key(&number) {
-            self.waves.insert(number, WavePlan::new(now, request, progress));
+        if let Entry::Vacant(entry) = self.waves.entry(number) {
+            entry.insert(WavePlan::new(now, request, progress));
             self.unstored.insert(number);
         }
     }
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -32,7 +32,7 @@
 pub use progress_flush::{FlushBatch, JobWrite};
 
 /// Longest time for which a worker may hold back its answer to a look until a run ends.
-pub const LOOK_WAIT: Duration = Duration::from_millis(1_000);
+pub const LOOK_WAIT: Duration = Duration::from_secs(1);
 
 /// Pause between an answered look and the next; ends that come close together are listed in one answer.
 pub const LOOK_GAP: Duration = Duration::from_millis(60);
@@ -342,7 +342,7 @@
                 if placed.phase == RunPhase::Starting {
                     placed.phase = RunPhase::Running;
                 }
-                self.mark_begun(&run.task.step.job);
+                self.mark_begun(&run.task.step.job, worker_id);
                 return;
             }
             StartOutcome::Unknown => {
--- a/src/dispatch/pool_scheduler/report_fold.rs
+++ b/src/dispatch/pool_scheduler/report_fold.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use crate::dispatch::job_record::JobState;
-use crate::dispatch::job_state::TaskCopy;
+use crate::dispatch::job_spec::StepSpec;
+use crate::dispatch::job_state::{JobRun, TaskCopy};
 use crate::dispatch::order::TaskRun;
 use crate::dispatch::pool_scheduler::{LOOK_GAP, MISSING_LOOKS, PoolScheduler, stop_copies, task_run};
 use crate::dispatch::task_id::TaskId;
@@ -55,7 +56,7 @@
         }
         let mut ended = report.ended;
         ended.sort_by_key(|row| row.sequence);
-        for row in ended {
+        for row in &ended {
             self.take_end(now, worker_id, row);
         }
         for row in &report.running {
@@ -102,7 +103,7 @@
         }
     }
 
-    fn take_end(&mut self, now: Instant, worker_id: &WorkerId, row: EndedRow) {
+    fn take_end(&mut self, now: Instant, worker_id: &WorkerId, row: &EndedRow) {
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
         };
@@ -123,7 +124,7 @@
             let placed = placed.clone();
             self.release(&placed);
         }
-        let change = self.apply_end(now, worker_id, &row);
+        let change = self.apply_end(now, worker_id, row);
         if let Some(worker) = self.workers.get_mut(worker_id) {
             worker.ends.push(row.sequence, change);
         }
@@ -211,7 +212,7 @@
                 stop_copies(&mut self.workers, &task, copies.iter().map(|copy| &copy.worker));
             }
         }
-        let is_done = self.jobs.get(id).is_some_and(|job| job.is_done());
+        let is_done = self.jobs.get(id).is_some_and(JobRun::is_done);
         if is_done {
             self.finish(id, JobState::Completed, "all tasks are done");
         }
@@ -233,7 +234,7 @@
             if placed.phase == RunPhase::Starting {
                 placed.phase = RunPhase::Running;
             }
-            self.mark_begun(&row.task.step.job);
+            self.mark_begun(&row.task.step.job, worker_id);
             return;
         }
         self.adopt(now, worker_id, row);
@@ -261,7 +262,7 @@
         let placed = PlacedRun {
             run: row.run,
             phase: RunPhase::Running,
-            reserved: spec.map_or_else(ResourceSet::default, |spec| spec.reserved()),
+            reserved: spec.map_or_else(ResourceSet::default, StepSpec::reserved),
             demand: spec.map_or_else(ResourceSet::default, |spec| spec.demand),
             organisation: organisation.clone(),
             placed_at: now,
@@ -309,12 +310,12 @@
                 placed_at: now,
             });
         }
-        self.mark_begun(&run.task.step.job);
+        self.mark_begun(&run.task.step.job, worker_id);
     }
 
     /// Notes that a worker has confirmed a start of the job. An order without an answer is no start: the job
     /// still waits.
-    pub(super) fn mark_begun(&mut self, id: &JobId) {
+    pub(super) fn mark_begun(&mut self, id: &JobId, worker_id: &WorkerId) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -322,6 +323,7 @@
             job.state = JobState::Running;
             job.is_state_new = true;
             self.touch(id);
+            self.note("first start", Some(id.clone()), Some(worker_id.clone()), "");
         }
     }
 
--- a/src/dispatch/pool_scheduler/start_pass.rs
+++ b/src/dispatch/pool_scheduler/start_pass.rs
@@ -37,16 +37,35 @@
 /// Added to the run time after which a task gets a second copy.
 const COPY_DELAY: Duration = Duration::from_millis(400);
 
+/// Demands for which no worker had room in this pass. Room only shrinks within a pass, so that larger demands need
+/// no search: with hundreds of waiting jobs a full pool costs one comparison for each.
+#[derive(Debug, Default)]
+struct FullDemands {
+    demands: Vec<ResourceSet>,
+}
+
+impl FullDemands {
+    fn covers(&self, demand: &ResourceSet) -> bool {
+        self.demands.iter().any(|full| demand.covers(full))
+    }
+
+    fn insert(&mut self, demand: ResourceSet) {
+        self.demands.retain(|full| !full.covers(&demand));
+        self.demands.push(demand);
+    }
+}
+
 impl PoolScheduler {
     pub(super) fn order_starts(&mut self, now: Instant, orders: &mut Vec<Order>) {
         let mut ready = self.ready_steps(now);
         ready.sort_unstable();
         let first = orders.len();
+        let mut full = FullDemands::default();
         for key in &ready {
             if orders.len() - first >= MOST_STARTS {
                 break;
             }
-            self.start_step(now, key.step(), orders);
+            self.start_step(now, key.step(), &mut full, orders);
         }
         if orders.len() - first < MOST_STARTS {
             self.start_copies(now, orders);
@@ -76,11 +95,15 @@
         ready
     }
 
-    fn start_step(&mut self, now: Instant, step: &StepId, orders: &mut Vec<Order>) {
+    fn start_step(&mut self, now: Instant, step: &StepId, full: &mut FullDemands, orders: &mut Vec<Order>) {
         let Some(job) = self.jobs.get(&step.job) else {
             return;
         };
-        let spec = job.record.spec.steps[step.step as usize].clone();
+        let spec = &job.record.spec.steps[step.step as usize];
+        if full.covers(&spec.reserved()) {
+            return;
+        }
+        let spec = spec.clone();
         let organisation = job.record.organisation.clone();
         let Some(state) = job.step(step) else {
             return;
@@ -107,6 +130,10 @@
                 return;
             }
             let Some(worker) = self.choose_worker(now, &task, &spec, has_advice) else {
+                let is_free_choice = spec.label.is_none() && spec.most_per_worker.is_none() && !has_advice;
+                if is_free_choice {
+                    full.insert(spec.reserved());
+                }
                 return;
             };
             let run = self.next_run(&task);
@@ -264,7 +291,6 @@
             return;
         };
         let text = Arc::clone(&job.record.spec.text);
-        let is_first = job.state == JobState::Pending;
         let Some(state) = job
             .step_mut(&task.step)
             .and_then(|step| step.tasks.get_mut(task.index as usize))
@@ -306,15 +332,6 @@
             let usage = self.usage.entry(organisation.clone()).or_default();
             *usage = usage.plus(&spec.demand);
         }
-        if is_first {
-            let id = task.step.job.clone();
-            self.note(
-                "first start",
-                Some(id.clone()),
-                Some(worker_id.clone()),
-                format!("task {task}"),
-            );
-        }
         orders.push(Order::Start(StartOrder {
             target,
             run: TaskRun {
--- a/src/duty/duty_board.rs
+++ b/src/duty/duty_board.rs
@@ -28,6 +28,10 @@
 /// Prefix of the names of the pools' duties.
 const POOL_DUTY_PREFIX: &str = "pool-";
 
+/// Delay of a claim on an instance of the usual processor share; it grows as the share falls, so that duties go to
+/// the instances that can carry them.
+const SHARE_DELAY: Duration = Duration::from_millis(50);
+
 /// Delay of a claim for each duty that is held already.
 const DELAY_PER_DUTY: Duration = Duration::from_millis(150);
 
@@ -228,8 +232,8 @@
 }
 
 fn claim_delay(load: usize, rank: usize, cpu_share: f64) -> Duration {
-    let fixed = DELAY_PER_DUTY * load as u32 + DELAY_PER_RANK * rank as u32;
-    let scale = (USUAL_SHARE / cpu_share.max(0.01)).clamp(0.3, 3.0);
+    let fixed = SHARE_DELAY + DELAY_PER_DUTY * load as u32 + DELAY_PER_RANK * rank as u32;
+    let scale = (USUAL_SHARE / cpu_share.max(0.01)).powi(2).clamp(0.1, 6.0);
     let jitter = rand::rng().random_range(0..DELAY_JITTER_MS);
     fixed.mul_f64(scale) + Duration::from_millis(jitter)
 }
--- a/src/duty/pool_duty.rs
+++ b/src/duty/pool_duty.rs
@@ -42,6 +42,15 @@
 /// Least time between two writes of the waiting counts, which may be 2 s old.
 const WAITING_GAP: Duration = Duration::from_millis(700);
 
+/// Least time between two decisions; events that come close together are decided on together.
+const DECISION_GAP: Duration = Duration::from_millis(3);
+
+/// Longest time between two decisions.
+const LONGEST_DECISION_GAP: Duration = Duration::from_millis(40);
+
+/// Pause after a decision as a multiple of its own time, so that decisions leave processor time for orders.
+const DECISION_PAUSE_FACTOR: u32 = 3;
+
 /// Time in which changes of the list of workers are taken together.
 const WORKER_GAP: Duration = Duration::from_millis(60);
 
@@ -81,6 +90,7 @@
     next_count: Instant,
     /// Progress of jobs of former terms; taken by the first complete read of the inbox.
     old_progress: Option<BTreeMap<JobId, JobProgress>>,
+    next_decision: Instant,
     ended: Option<&'static str>,
 }
 
@@ -189,6 +199,7 @@
             is_counting: false,
             next_count: now,
             old_progress: Some(records.progress),
+            next_decision: now,
             ended: None,
         }
     }
@@ -202,14 +213,15 @@
             let now = self.parts.clock.now();
             let wakeup = self.next_wakeup(now);
             tokio::select! {
+                () = tokio::time::sleep_until(wakeup.into()) => {}
                 event = receiver.recv() => {
                     let Some(event) = event else {
                         return Ok("no sender is left");
                     };
                     self.take(event)?;
                 }
-                () = tokio::time::sleep_until(wakeup.into()) => {}
             }
+            tokio::time::sleep_until(self.next_decision.into()).await;
             while let Ok(event) = receiver.try_recv() {
                 self.take(event)?;
             }
@@ -224,7 +236,11 @@
             if self.parts.is_stopping() {
                 return self.finish(receiver).await;
             }
+            let started = self.parts.clock.now();
             self.act();
+            let ended = self.parts.clock.now();
+            let pause = ended.saturating_duration_since(started) * DECISION_PAUSE_FACTOR;
+            self.next_decision = ended + pause.clamp(DECISION_GAP, LONGEST_DECISION_GAP);
         }
     }
 
--- a/src/duty/prefix_follower.rs
+++ b/src/duty/prefix_follower.rs
@@ -13,8 +13,8 @@
 /// Time for which a watch waits for a change. A connection that went silent is found after it.
 pub const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Time for reading one page.
-const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for reading one page of up to a megabyte, which takes a small instance its time to decode.
+const READ_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Shortest and longest pause after a fault; jitter spreads the return of many followers.
 const RETRY_PAUSES: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(400));
