--- a/src/dispatch/start_order.rs
+++ b/src/dispatch/start_order.rs
@@ -51,6 +51,10 @@
 /// A job up to this multiple of its objective is late; after it the job is of no use.
 const LATE_FACTOR: u32 = 3;
 
+/// Factor on the chain of estimates, which are rough, and added time for orders and reports on the way. A job that
+/// would only just be in time is mostly late, and takes the room of one that is not.
+const CHAIN_MARGIN: (f64, Duration) = (1.15, Duration::from_millis(150));
+
 /// Place of a step in the order.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StartKey {
@@ -65,7 +69,7 @@
     /// Rates a step.
     pub fn new(now: Instant, facts: &StepFacts, step: StepId) -> Self {
         let age = now.saturating_duration_since(facts.accepted_at);
-        let end = age + facts.chain;
+        let end = age + facts.chain.mul_f64(CHAIN_MARGIN.0) + CHAIN_MARGIN.1;
         let class = if facts.is_filler {
             StartClass::Filler
         } else if facts.is_lasting {
