--- a/src/dispatch/job_spec.rs
+++ b/src/dispatch/job_spec.rs
@@ -162,6 +162,15 @@
         chains
     }
 
+    /// Estimated work of all tasks, in core-milliseconds.
+    pub fn work(&self) -> u64 {
+        let works = self.steps.iter().map(|step| {
+            let millis = step.estimate.as_millis() as u64;
+            step.demand.cores.get() * millis * u64::from(step.tasks) / 1_000
+        });
+        works.sum()
+    }
+
     /// Whether the job has tasks that run until it is cancelled.
     pub fn is_lasting(&self) -> bool {
         self.steps.iter().any(|step| step.is_lasting)
--- a/src/dispatch/job_state.rs
+++ b/src/dispatch/job_state.rs
@@ -115,6 +115,8 @@
     pub chains: Vec<Duration>,
     /// Time from acceptance to the objective.
     pub objective: Duration,
+    /// Estimated work of all tasks, in core-milliseconds.
+    pub work: u64,
     /// Occurrences that have begun.
     pub occurrences: BTreeMap<u32, JobOccurrence>,
     /// State.
@@ -150,6 +152,7 @@
             }
         }
         Self {
+            work: record.spec.work(),
             record,
             chains,
             objective,
--- a/src/dispatch/pool_scheduler/start_pass.rs
+++ b/src/dispatch/pool_scheduler/start_pass.rs
@@ -450,6 +450,7 @@
         is_surplus: job.is_surplus,
         accepted_at,
         objective: job.objective,
+        work: job.work,
         chain: job.chains[step],
     }
 }
--- a/src/dispatch/start_order.rs
+++ b/src/dispatch/start_order.rs
@@ -44,6 +44,8 @@
     pub accepted_at: Instant,
     /// Time from acceptance to the objective.
     pub objective: Duration,
+    /// Estimated work of the whole job in core-milliseconds.
+    pub work: u64,
     /// Longest chain of estimates from this step to the end of the job.
     pub chain: Duration,
 }
@@ -60,8 +62,9 @@
 pub struct StartKey {
     class: StartClass,
     priority: u32,
-    /// Time until the latest start, in milliseconds; only for the order within a class.
-    slack_ms: i64,
+    /// Order within a class: the job's whole work for jobs that have not begun, else the time until the latest
+    /// start.
+    weight: i64,
     step: StepId,
 }
 
@@ -88,7 +91,11 @@
         Self {
             class,
             priority: facts.priority,
-            slack_ms: facts.objective.as_millis() as i64 - end.as_millis() as i64,
+            weight: if class == StartClass::InTime {
+                facts.work as i64
+            } else {
+                facts.objective.as_millis() as i64 - end.as_millis() as i64
+            },
             step,
         }
     }
