--- a/src/dispatch/fleet_planner.rs
+++ b/src/dispatch/fleet_planner.rs
@@ -6,6 +6,7 @@
 
 use crate::dispatch::allowance_split::{self, PoolClaim};
 use crate::dispatch::pool_plan::{PoolPlan, PoolReport, WorkerUse};
+use crate::dispatch::pool_size::{PoolSizer, SizeFacts};
 use crate::dispatch::site_config::SiteConfig;
 use crate::dispatch::wave_plan::{
     InstanceEntry, InstanceOutcome, InstanceState, WavePlan, WaveProgress, WaveRequest,
@@ -40,6 +41,7 @@
     plans: BTreeMap<PoolId, PoolPlan>,
     waves: BTreeMap<WaveNumber, WavePlan>,
     unstored: BTreeSet<WaveNumber>,
+    sizer: PoolSizer,
 }
 
 impl FleetPlanner {
@@ -101,9 +103,20 @@
         }
     }
 
+    /// Takes the outcome of a move.
+    pub fn move_answered(
+        &mut self,
+        now: Instant,
+        instance: &InstanceId,
+        to: &PoolId,
+        outcome: InstanceOutcome,
+    ) {
+        self.sizer.answered(now, instance, to, outcome);
+    }
+
     /// Whether the platform's list has to be read again soon.
     pub fn needs_list(&self) -> bool {
-        !self.is_listed || self.waves.values().any(WavePlan::is_open)
+        !self.is_listed || self.sizer.is_busy() || self.waves.values().any(WavePlan::is_open)
     }
 
     /// Decides what to do now.
@@ -111,6 +124,7 @@
         let mut orders = Vec::new();
         if self.is_listed {
             self.run_waves(now, &mut orders);
+            self.size_pools(now, &mut orders);
         }
         self.publish_plans(&mut orders);
         orders
@@ -135,6 +149,29 @@
         }
     }
 
+    fn size_pools(&mut self, now: Instant, orders: &mut Vec<FleetOrder>) {
+        let uses = self.worker_uses();
+        let pools: Vec<PoolId> = self.config.working_pools().cloned().collect();
+        let spare = self.config.pools.iter().find(|(_, pool)| pool.is_spare);
+        let reserved = self.waves.values().flat_map(WavePlan::closing).cloned().collect();
+        let facts = SizeFacts {
+            pools: &pools,
+            spare: spare.map(|(pool, _)| pool),
+            reports: &self.reports,
+            instances: &self.instances,
+            reserved: &reserved,
+        };
+        let config = &self.config;
+        let moves = self
+            .sizer
+            .decide(now, facts, |entry| is_vacated(entry, config, &uses));
+        orders.extend(
+            moves
+                .into_iter()
+                .map(|order| FleetOrder::Move(order.instance, order.to)),
+        );
+    }
+
     fn worker_uses(&self) -> BTreeMap<WorkerId, WorkerUse> {
         let uses = self.reports.values().flat_map(|report| &report.workers);
         uses.map(|(id, usage)| (id.clone(), usage.clone())).collect()
@@ -164,7 +201,8 @@
     }
 
     fn closing_workers(&self, pool: &PoolId) -> BTreeSet<WorkerId> {
-        let instances = self.waves.values().flat_map(WavePlan::closing);
+        let due = self.waves.values().flat_map(WavePlan::closing);
+        let instances = due.chain(self.sizer.closing());
         let entries = instances.filter_map(|id| self.instances.get(id));
         let of_pool = entries.filter(|entry| entry.pool == *pool);
         of_pool.filter_map(|entry| entry.worker.clone()).collect()
--- a/src/dispatch/pool_plan.rs
+++ b/src/dispatch/pool_plan.rs
@@ -31,6 +31,8 @@
     pub lasting: u32,
     /// Whether it is being vacated by the plan in force and has listed what it runs.
     pub is_closing: bool,
+    /// Whether it takes work: listed, answering, neither draining nor being vacated.
+    pub is_usable: bool,
 }
 
 /// What a pool's holder tells the fleet's holder and the next holder of the pool.
@@ -47,7 +49,9 @@
     pub wanted: BTreeMap<OrganisationId, ResourceSet>,
     /// Resources in use.
     pub used: ResourceSet,
-    /// Resources of work that is ready to start.
+    /// Resources of the workers that take work.
+    pub capacity: ResourceSet,
+    /// Resources of work that is ready to start and can be in time.
     pub ready: ResourceSet,
     /// Resources of lasting tasks, running or ready.
     pub lasting: ResourceSet,
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -20,6 +20,7 @@
 use crate::dispatch::scheduler_rules::SchedulerRules;
 use crate::dispatch::settling::SettlingState;
 use crate::dispatch::site_config::{OrganisationConfig, SiteConfig};
+use crate::dispatch::start_order::{StartClass, StartKey};
 use crate::dispatch::surplus_rule::SurplusRule;
 use crate::dispatch::task_id::{StepId, TaskId};
 use crate::dispatch::worker_entry::WorkerEntry;
@@ -655,11 +656,18 @@
                 continue;
             }
             let lasting = worker.runs.values().filter(|run| run.is_lasting);
+            let is_closing = self.plan.closing.contains(id);
+            let is_answering = worker.is_listed && worker.is_seen && worker.look.faults == 0;
+            let is_usable = is_answering && !worker.entry.is_draining && !is_closing;
+            if is_usable {
+                report.capacity = report.capacity.plus(&worker.entry.capacity);
+            }
             let usage = WorkerUse {
+                is_usable,
                 runs: worker.runs.len() as u32,
                 lasting: lasting.clone().count() as u32,
                 // What an unseen worker runs is not known, so that it cannot be said to be empty.
-                is_closing: self.plan.closing.contains(id) && worker.is_seen,
+                is_closing: is_closing && worker.is_seen,
             };
             report.used = report.used.plus(&worker.used);
             let reserved = lasting.fold(ResourceSet::default(), |sum, run| sum.plus(&run.reserved));
@@ -687,7 +695,11 @@
                         continue;
                     }
                     let reserved = multiply(&spec.reserved(), waiting);
-                    report.ready = report.ready.plus(&reserved);
+                    let id = StepId::new(job.record.id.clone(), 0, number as u32);
+                    let facts = start_pass::step_facts(job, number, occurrence.due_at);
+                    if StartKey::new(now, &facts, id).class() < StartClass::Late {
+                        report.ready = report.ready.plus(&reserved);
+                    }
                     if spec.is_lasting {
                         report.lasting = report.lasting.plus(&reserved);
                     }
--- a/src/dispatch/pool_scheduler/start_pass.rs
+++ b/src/dispatch/pool_scheduler/start_pass.rs
@@ -440,7 +440,7 @@
     }
 }
 
-fn step_facts(job: &JobRun, step: usize, accepted_at: Instant) -> StepFacts {
+pub(super) fn step_facts(job: &JobRun, step: usize, accepted_at: Instant) -> StepFacts {
     let spec = &job.record.spec.steps[step];
     StepFacts {
         priority: job.record.rule.priority,
--- a/src/dispatch/pool_size.rs
+++ b/src/dispatch/pool_size.rs
@@ -1,1 +1,299 @@
-//! Sizes of pools.
+//! Sizes of pools: which instances to release and where released and spare ones go.
+//!
+//! Answers queues that take turns: for some seconds one queue asks for several times its mean and the others for
+//! little. Instances follow the turn; those that no pool needs rest in the spare pool, where they cost nothing. A
+//! pool grows at once and shrinks only after its demand has been low for a while, since a move costs about as much
+//! as an instance for one second and takes longer than that.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use crate::dispatch::pool_plan::PoolReport;
+use crate::dispatch::wave_plan::{InstanceEntry, InstanceOutcome, InstanceState};
+use crate::model::id::{InstanceId, PoolId};
+use crate::model::resource::ResourceSet;
+
+/// Share of a pool's capacity that work can fill; the rest is lost between tasks of different sizes.
+const FILL_SHARE: f64 = 0.85;
+
+/// Time for which a pool's demand has to be low before instances are released.
+const LOW_TIME: Duration = Duration::from_millis(1_500);
+
+/// Least number of workers of a pool, so that the first job after a quiet time finds room.
+const LEAST_WORKERS: u32 = 2;
+
+/// Pause before an instance whose move was refused is tried again.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time after which a moved instance that has not reported counts as lost to its pool.
+const ARRIVAL_TIME: Duration = Duration::from_secs(5);
+
+/// An instance on its way to a pool.
+#[derive(Debug, Clone)]
+struct PoolArrival {
+    to: PoolId,
+    ordered_at: Instant,
+}
+
+/// Needs of one pool.
+#[derive(Debug, Clone, Default)]
+struct PoolNeed {
+    /// Workers that the demand asks for.
+    target: u32,
+    /// Workers that take work, and instances on their way.
+    available: u32,
+}
+
+/// A move.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InstanceMove {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Where it goes.
+    pub to: PoolId,
+}
+
+/// What the sizes depend on.
+#[derive(Debug, Clone, Copy)]
+pub struct SizeFacts<'a> {
+    /// Pools that run tasks.
+    pub pools: &'a [PoolId],
+    /// The pool whose instances are off, if there is one.
+    pub spare: Option<&'a PoolId>,
+    /// Reports of the pools.
+    pub reports: &'a BTreeMap<PoolId, PoolReport>,
+    /// The platform's list.
+    pub instances: &'a BTreeMap<InstanceId, InstanceEntry>,
+    /// Instances that others vacate.
+    pub reserved: &'a BTreeSet<InstanceId>,
+}
+
+/// Sizes of the pools.
+#[derive(Debug, Clone, Default)]
+pub struct PoolSizer {
+    closing: BTreeSet<InstanceId>,
+    arrivals: BTreeMap<InstanceId, PoolArrival>,
+    low_since: BTreeMap<PoolId, Instant>,
+    retry_at: BTreeMap<InstanceId, Instant>,
+    in_flight: BTreeSet<InstanceId>,
+}
+
+impl PoolSizer {
+    /// Instances that are being vacated.
+    pub fn closing(&self) -> &BTreeSet<InstanceId> {
+        &self.closing
+    }
+
+    /// Whether instances are on their way or being vacated.
+    pub fn is_busy(&self) -> bool {
+        !self.closing.is_empty() || !self.arrivals.is_empty() || !self.in_flight.is_empty()
+    }
+
+    /// Decides which instances move now. `is_empty` tells whether an instance has been vacated.
+    pub fn decide(
+        &mut self,
+        now: Instant,
+        facts: SizeFacts<'_>,
+        is_empty: impl Fn(&InstanceEntry) -> bool,
+    ) -> Vec<InstanceMove> {
+        self.settle_arrivals(now, facts);
+        let mut needs = self.needs(facts);
+        self.close_surplus(now, facts, &needs);
+        self.move_free(now, facts, &mut needs, is_empty)
+    }
+
+    /// Forgets arrivals whose worker has reported, and closing instances that are no longer in a working pool.
+    fn settle_arrivals(&mut self, now: Instant, facts: SizeFacts<'_>) {
+        self.arrivals.retain(|id, arrival| {
+            let entry = facts.instances.get(id);
+            let worker = entry.filter(|entry| entry.pool == arrival.to);
+            let worker = worker.and_then(|entry| entry.worker.as_ref());
+            let has_reported = worker.is_some_and(|worker| {
+                let report = facts.reports.get(&arrival.to);
+                report.is_some_and(|report| report.workers.contains_key(worker))
+            });
+            let is_old = now.saturating_duration_since(arrival.ordered_at) > ARRIVAL_TIME;
+            !has_reported && !is_old
+        });
+        let working: BTreeSet<&PoolId> = facts.pools.iter().collect();
+        self.closing.retain(|id| {
+            let entry = facts.instances.get(id);
+            entry.is_some_and(|entry| working.contains(&entry.pool)) && !facts.reserved.contains(id)
+        });
+    }
+
+    fn needs(&self, facts: SizeFacts<'_>) -> BTreeMap<PoolId, PoolNeed> {
+        let needs = facts.pools.iter().filter_map(|pool| {
+            let report = facts.reports.get(pool)?;
+            let arriving = self
+                .arrivals
+                .values()
+                .filter(|arrival| arrival.to == *pool)
+                .count() as u32;
+            let need = PoolNeed {
+                target: target_workers(report),
+                available: usable_workers(report) + arriving,
+            };
+            Some((pool.clone(), need))
+        });
+        needs.collect()
+    }
+
+    /// Closes the emptiest workers of pools whose demand has been low, and reopens them where it rose again.
+    fn close_surplus(&mut self, now: Instant, facts: SizeFacts<'_>, needs: &BTreeMap<PoolId, PoolNeed>) {
+        if facts.spare.is_none() {
+            return;
+        }
+        for (pool, need) in needs {
+            if need.available < need.target {
+                self.low_since.remove(pool);
+                self.reopen(pool, need.target - need.available, facts);
+                continue;
+            }
+            if need.available == need.target {
+                self.low_since.remove(pool);
+                continue;
+            }
+            let since = *self.low_since.entry(pool.clone()).or_insert(now);
+            if now.saturating_duration_since(since) >= LOW_TIME {
+                self.close(pool, need.available - need.target, facts);
+            }
+        }
+    }
+
+    fn reopen(&mut self, pool: &PoolId, count: u32, facts: SizeFacts<'_>) {
+        let of_pool = |id: &&InstanceId| facts.instances.get(*id).is_some_and(|entry| entry.pool == *pool);
+        let chosen: Vec<InstanceId> = self
+            .closing
+            .iter()
+            .filter(of_pool)
+            .filter(|id| !self.in_flight.contains(*id))
+            .take(count as usize)
+            .cloned()
+            .collect();
+        for id in chosen {
+            self.closing.remove(&id);
+        }
+    }
+
+    fn close(&mut self, pool: &PoolId, count: u32, facts: SizeFacts<'_>) {
+        let Some(report) = facts.reports.get(pool) else {
+            return;
+        };
+        let mut candidates: Vec<(u32, &InstanceId)> = Vec::new();
+        for (id, entry) in facts.instances {
+            let is_taken = facts.reserved.contains(id) || self.closing.contains(id);
+            if entry.pool != *pool || entry.state != InstanceState::Up || is_taken {
+                continue;
+            }
+            let usage = entry
+                .worker
+                .as_ref()
+                .and_then(|worker| report.workers.get(worker));
+            if let Some(usage) = usage.filter(|usage| usage.is_usable && usage.lasting == 0) {
+                candidates.push((usage.runs, id));
+            }
+        }
+        candidates.sort();
+        let chosen = candidates.into_iter().take(count as usize);
+        self.closing.extend(chosen.map(|(_, id)| id.clone()));
+    }
+
+    /// Moves free instances to the pools that need them, the neediest first, and the rest to the spare pool.
+    fn move_free(
+        &mut self,
+        now: Instant,
+        facts: SizeFacts<'_>,
+        needs: &mut BTreeMap<PoolId, PoolNeed>,
+        is_empty: impl Fn(&InstanceEntry) -> bool,
+    ) -> Vec<InstanceMove> {
+        let mut moves = Vec::new();
+        for (id, entry) in facts.instances {
+            let is_spare = facts.spare == Some(&entry.pool);
+            let is_free = is_spare || (self.closing.contains(id) && is_empty(entry));
+            let is_paused = self.retry_at.get(id).is_some_and(|at| now < *at);
+            let is_taken = self.in_flight.contains(id)
+                || self.arrivals.contains_key(id)
+                || facts.reserved.contains(id)
+                || is_paused;
+            if !is_free || is_taken || entry.state != InstanceState::Up {
+                continue;
+            }
+            let neediest = needs
+                .iter_mut()
+                .filter(|(_, need)| need.available < need.target)
+                .max_by_key(|(_, need)| need.target - need.available);
+            let to = match neediest {
+                Some((pool, need)) => {
+                    need.available += 1;
+                    pool.clone()
+                }
+                None => match facts.spare.filter(|_| !is_spare) {
+                    Some(spare) => spare.clone(),
+                    None => continue,
+                },
+            };
+            moves.push(InstanceMove {
+                instance: id.clone(),
+                to,
+            });
+        }
+        for order in &moves {
+            self.in_flight.insert(order.instance.clone());
+        }
+        moves
+    }
+
+    /// Takes the outcome of a move.
+    pub fn answered(&mut self, now: Instant, instance: &InstanceId, to: &PoolId, outcome: InstanceOutcome) {
+        self.in_flight.remove(instance);
+        match outcome {
+            InstanceOutcome::Done => {
+                self.closing.remove(instance);
+                let arrival = PoolArrival {
+                    to: to.clone(),
+                    ordered_at: now,
+                };
+                self.arrivals.insert(instance.clone(), arrival);
+            }
+            InstanceOutcome::NotApplicable => {
+                self.closing.remove(instance);
+                self.retry_at.insert(instance.clone(), now + RETRY_PAUSE * 30);
+            }
+            InstanceOutcome::Busy
+            | InstanceOutcome::Refused
+            | InstanceOutcome::Fenced
+            | InstanceOutcome::Unknown => {
+                self.retry_at.insert(instance.clone(), now + RETRY_PAUSE);
+            }
+        }
+    }
+}
+
+fn usable_workers(report: &PoolReport) -> u32 {
+    report.workers.values().filter(|usage| usage.is_usable).count() as u32
+}
+
+/// Workers that a pool's demand asks for.
+fn target_workers(report: &PoolReport) -> u32 {
+    let usable = usable_workers(report);
+    let least = report.spread.max(LEAST_WORKERS);
+    if usable == 0 {
+        return least;
+    }
+    let each = |amount: fn(&ResourceSet) -> u64| amount(&report.capacity) as f64 / f64::from(usable);
+    let demand = report.used.plus(&report.ready);
+    let ratio = |amount: fn(&ResourceSet) -> u64| {
+        let each = each(amount);
+        if each > 0.0 {
+            amount(&demand) as f64 / each
+        } else {
+            0.0
+        }
+    };
+    let cores = ratio(|set| set.cores.get());
+    let memory = ratio(|set| set.memory.get());
+    let accelerators = ratio(|set| u64::from(set.accelerators.get()));
+    let workers = cores.max(memory).max(accelerators) / FILL_SHARE;
+    least.max(workers.ceil() as u32)
+}
--- a/src/duty/fleet_duty.rs
+++ b/src/duty/fleet_duty.rs
@@ -39,7 +39,7 @@
     Waves(PrefixNews),
     Listed(Instant, Result<BTreeMap<InstanceId, InstanceEntry>>),
     Upkeep(InstanceId, WaveNumber, InstanceOutcome),
-    Moved(InstanceId, InstanceOutcome),
+    Moved(InstanceId, PoolId, InstanceOutcome),
     Writer(WriterEvent),
 }
 
@@ -236,8 +236,9 @@
                 self.planner.upkeep_answered(now, &instance, number, outcome);
                 self.check_fenced(outcome);
             }
-            FleetEvent::Moved(instance, outcome) => {
-                info!(self.log, "move ordered"; "instance" => %instance, "outcome" => %outcome);
+            FleetEvent::Moved(instance, pool, outcome) => {
+                info!(self.log, "move ordered"; "instance" => %instance, "to" => %pool, "outcome" => %outcome);
+                self.planner.move_answered(now, &instance, &pool, outcome);
                 self.check_fenced(outcome);
             }
             FleetEvent::Writer(WriterEvent::Written(outcome)) => {
@@ -345,7 +346,7 @@
         tokio::spawn(async move {
             let outcome = gateway.move_instance(&instance, &pool).await;
             // The shell is gone only when the duty has ended.
-            let _ = sender.send(FleetEvent::Moved(instance, outcome));
+            let _ = sender.send(FleetEvent::Moved(instance, pool, outcome));
         });
     }
 
