--- a/src/dispatch/start_place.rs
+++ b/src/dispatch/start_place.rs
@@ -15,6 +15,12 @@
 /// Starts in flight at one worker; more would open further connections and wait at a worker that does not answer.
 pub const MOST_STARTING: u32 = 6;
 
+/// Tasks that serve on one worker before another worker is used for them.
+const MOST_SERVING: u64 = 4;
+
+/// Rank of a worker without lasting tasks, above any number of tasks on one worker.
+const UNUSED_RANK: u64 = 1_000;
+
 /// What the choice depends on.
 #[derive(Debug, Clone, Copy)]
 pub struct PlaceRequest<'a> {
@@ -77,14 +83,25 @@
         .is_some_and(|rack| worker.entry.rack().is_none_or(|own| &**own != rack));
     let free = worker.free().cores.get();
     let (crowd, room) = if request.spec.is_lasting {
-        let beside = if request.spec.is_filler {
-            worker.serving()
-        } else {
-            worker.runs.values().filter(|run| run.is_lasting).count()
-        };
-        (beside as u64, u64::MAX - free)
+        (lasting_crowd(worker, request.spec), u64::MAX - free)
     } else {
         (0, free)
     };
     (is_bad, is_far, crowd, room)
 }
+
+/// Prefers workers that have some lasting tasks already, so that the others can become empty and leave the pool, up to
+/// a number beyond which the tasks would disturb each other.
+fn lasting_crowd(worker: &WorkerState, spec: &StepSpec) -> u64 {
+    let lasting = worker.runs.values().filter(|run| run.is_lasting);
+    let (fillers, serving) = lasting.fold((0_u64, 0_u64), |(fillers, serving), run| {
+        if run.is_filler { (fillers + 1, serving) } else { (fillers, serving + 1) }
+    });
+    if fillers + serving == 0 {
+        return UNUSED_RANK;
+    }
+    if spec.is_filler {
+        return fillers + serving;
+    }
+    if serving < MOST_SERVING { serving } else { UNUSED_RANK + serving }
+}
