--- a/src/dispatch/pool_plan.rs
+++ b/src/dispatch/pool_plan.rs
@@ -7,6 +7,9 @@
 use crate::model::id::{OrganisationId, PlanVersion, WorkerId};
 use crate::model::resource::ResourceSet;
 
+/// Part of a worker's processor capacity by which demand has to change to be reported at once.
+const URGENT_PART: u64 = 4;
+
 /// What the fleet's holder asks of a pool.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -58,3 +61,34 @@
     /// Largest number of workers that a step needs because of its spread.
     pub spread: u32,
 }
+
+impl PoolReport {
+    /// Workers that take work.
+    pub fn usable_workers(&self) -> u32 {
+        self.workers.values().filter(|usage| usage.is_usable).count() as u32
+    }
+
+    /// Whether the fleet's holder should hear of the change from `old` at once: a plan or a worker changed its
+    /// state, or demand changed by a good part of what one worker carries.
+    pub fn is_urgent_after(&self, old: &Self) -> bool {
+        let has_new_state = self.plan != old.plan
+            || self.workers.len() != old.workers.len()
+            || self.workers.iter().any(|(id, usage)| {
+                let known = old.workers.get(id);
+                known.is_none_or(|known| usage.has_new_state(known))
+            });
+        let one = self.capacity.cores.get() / u64::from(self.usable_workers().max(1));
+        let ready = self.ready.cores.get().abs_diff(old.ready.cores.get());
+        let used = self.used.cores.get().abs_diff(old.used.cores.get());
+        has_new_state || ready > one / URGENT_PART || used > one
+    }
+}
+
+impl WorkerUse {
+    fn has_new_state(&self, old: &Self) -> bool {
+        let is_vacated = |usage: &Self| usage.is_closing && usage.runs == 0;
+        self.is_closing != old.is_closing
+            || self.is_usable != old.is_usable
+            || is_vacated(self) != is_vacated(old)
+    }
+}
--- a/src/dispatch/pool_size.rs
+++ b/src/dispatch/pool_size.rs
@@ -132,7 +132,7 @@
                 .count() as u32;
             let need = PoolNeed {
                 target: target_workers(report),
-                available: usable_workers(report) + arriving,
+                available: report.usable_workers() + arriving,
             };
             Some((pool.clone(), need))
         });
@@ -270,13 +270,9 @@
     }
 }
 
-fn usable_workers(report: &PoolReport) -> u32 {
-    report.workers.values().filter(|usage| usage.is_usable).count() as u32
-}
-
 /// Workers that a pool's demand asks for.
 fn target_workers(report: &PoolReport) -> u32 {
-    let usable = usable_workers(report);
+    let usable = report.usable_workers();
     let least = report.spread.max(LEAST_WORKERS);
     if usable == 0 {
         return least;
--- a/src/dispatch/start_place.rs
+++ b/src/dispatch/start_place.rs
@@ -95,7 +95,11 @@
 fn lasting_crowd(worker: &WorkerState, spec: &StepSpec) -> u64 {
     let lasting = worker.runs.values().filter(|run| run.is_lasting);
     let (fillers, serving) = lasting.fold((0_u64, 0_u64), |(fillers, serving), run| {
-        if run.is_filler { (fillers + 1, serving) } else { (fillers, serving + 1) }
+        if run.is_filler {
+            (fillers + 1, serving)
+        } else {
+            (fillers, serving + 1)
+        }
     });
     if fillers + serving == 0 {
         return UNUSED_RANK;
@@ -103,5 +107,9 @@
     if spec.is_filler {
         return fillers + serving;
     }
-    if serving < MOST_SERVING { serving } else { UNUSED_RANK + serving }
+    if serving < MOST_SERVING {
+        serving
+    } else {
+        UNUSED_RANK + serving
+    }
 }
--- a/src/dispatch/wave_plan.rs
+++ b/src/dispatch/wave_plan.rs
@@ -138,6 +138,15 @@
             let is_back = entry.is_none_or(|entry| entry.state == InstanceState::Up);
             !(is_back && read_at > *ordered_at)
         });
+        // A former holder may have ordered an upkeep without storing it.
+        for id in &self.request.instances {
+            let is_in_upkeep = instances
+                .get(id)
+                .is_some_and(|entry| entry.state == InstanceState::Upkeep);
+            if is_in_upkeep {
+                self.down.entry(id.clone()).or_insert(read_at);
+            }
+        }
         let missing = |id: &&InstanceId| !instances.contains_key(*id);
         let gone: Vec<InstanceId> = self.request.instances.iter().filter(missing).cloned().collect();
         for id in gone {
--- a/src/duty/fleet_duty.rs
+++ b/src/duty/fleet_duty.rs
@@ -29,7 +29,7 @@
 const LIST_GAP: Duration = Duration::from_millis(400);
 
 /// Time between decisions without news.
-const PLAN_TICK: Duration = Duration::from_millis(100);
+const PLAN_TICK: Duration = Duration::from_millis(200);
 
 /// Plans and waves in one write.
 const WRITE_ORDERS: usize = 10;
--- a/src/duty/pool_duty.rs
+++ b/src/duty/pool_duty.rs
@@ -36,8 +36,11 @@
 /// Least time between two writes; ends that come close together are stored together.
 const FLUSH_GAP: Duration = Duration::from_millis(40);
 
-/// Least time between two reports.
-const REPORT_GAP: Duration = Duration::from_millis(250);
+/// Least time between two reports of urgent changes.
+const URGENT_REPORT_GAP: Duration = Duration::from_millis(80);
+
+/// Least time between two reports of other changes.
+const REPORT_GAP: Duration = Duration::from_secs(1);
 
 /// Least time between two writes of the waiting counts, which may be 2 s old.
 const WAITING_GAP: Duration = Duration::from_millis(700);
@@ -52,7 +55,7 @@
 const DECISION_PAUSE_FACTOR: u32 = 3;
 
 /// Time in which changes of the list of workers are taken together.
-const WORKER_GAP: Duration = Duration::from_millis(60);
+const WORKER_GAP: Duration = Duration::from_millis(200);
 
 /// Time for which a former holder may go on after its lease ended without noticing it.
 const FORMER_HOLDER_MARGIN: Duration = Duration::from_millis(500);
@@ -84,7 +87,7 @@
     is_writing: bool,
     next_flush: Instant,
     reported: Option<PoolReport>,
-    next_report: Instant,
+    reported_at: Instant,
     waiting: Option<(LeaseId, BTreeMap<QueueId, u32>)>,
     is_counting: bool,
     next_count: Instant,
@@ -194,7 +197,7 @@
             is_writing: false,
             next_flush: now,
             reported: None,
-            next_report: now,
+            reported_at: now,
             waiting: None,
             is_counting: false,
             next_count: now,
@@ -468,7 +471,7 @@
             Ok(write) => {
                 if report.is_some() {
                     self.reported = report;
-                    self.next_report = now + REPORT_GAP;
+                    self.reported_at = now;
                 }
                 self.is_writing = true;
                 self.next_flush = now + FLUSH_GAP;
@@ -482,11 +485,16 @@
     }
 
     fn due_report(&self, now: Instant) -> Option<PoolReport> {
-        if now < self.next_report {
+        let age = now.saturating_duration_since(self.reported_at);
+        let Some(old) = &self.reported else {
+            return Some(self.scheduler.report(now));
+        };
+        if age < URGENT_REPORT_GAP {
             return None;
         }
         let report = self.scheduler.report(now);
-        (self.reported.as_ref() != Some(&report)).then_some(report)
+        let is_due = report.is_urgent_after(old) || (age >= REPORT_GAP && report != *old);
+        is_due.then_some(report)
     }
 
     fn encode_batch(&self, batch: &FlushBatch, report: Option<&PoolReport>) -> Result<StoreWrite> {
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -16,6 +16,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::error::{Error, ErrorKind, Result};
+use crate::platform::reset_connector::ResetConnector;
 
 /// Longest time for opening a connection. A lost opening packet is sent again after seconds, so that a new attempt
 /// is faster.
@@ -30,7 +31,7 @@
 /// Largest answer: a page of the store's items.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
-type HostClient = Client<HttpConnector, Full<Bytes>>;
+type HostClient = Client<ResetConnector, Full<Bytes>>;
 
 /// Client for all calls to the platform.
 #[derive(Debug, Clone, Default)]
@@ -172,7 +173,7 @@
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIME)
         .pool_max_idle_per_host(IDLE_CONNECTIONS)
-        .build(connector)
+        .build(ResetConnector::new(connector))
 }
 
 async fn send(client: HostClient, call: HttpCall) -> std::result::Result<HttpAnswer, CallFault> {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -9,6 +9,7 @@
 pub mod discovery;
 pub mod http;
 pub mod instance;
+pub mod reset_connector;
 pub mod settings;
 pub mod store;
 pub mod wave;
