Size pools by the work that is submitted, and keep them until their first job

Cause: what runs and waits lags behind the rise of a turn, and pools had shrunk before the first jobs came.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 pub mod ended_jobs;
 pub mod fill_pace;
 pub mod fleet_planner;
+pub mod inflow_forecast;
 pub mod job_record;
 pub mod job_spec;
 pub mod job_state;
--- a/src/dispatch/pool_plan.rs
+++ b/src/dispatch/pool_plan.rs
@@ -56,6 +56,8 @@
     pub capacity: ResourceSet,
     /// Resources of work that is ready to start and can be in time.
     pub ready: ResourceSet,
+    /// Resources that current submissions will keep busy.
+    pub inflow: ResourceSet,
     /// Resources of lasting tasks, running or ready.
     pub lasting: ResourceSet,
     /// Largest number of workers that a step needs because of its spread.
@@ -79,8 +81,9 @@
             });
         let one = self.capacity.cores.get() / u64::from(self.usable_workers().max(1));
         let ready = self.ready.cores.get().abs_diff(old.ready.cores.get());
+        let inflow = self.inflow.cores.get().abs_diff(old.inflow.cores.get());
         let used = self.used.cores.get().abs_diff(old.used.cores.get());
-        has_new_state || ready > one / URGENT_PART || used > one
+        has_new_state || ready > one / URGENT_PART || used > one || inflow > one
     }
 }
 
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use crate::dispatch::ended_jobs::EndedJobs;
+use crate::dispatch::inflow_forecast::InflowForecast;
 use crate::dispatch::job_record::{JobProgress, JobRecord, JobState};
 use crate::dispatch::job_state::{JobRun, TaskState};
 use crate::dispatch::order::{AdviceAnswer, LookFault, LookOrder, Order, StartOutcome, StopOutcome, TaskRun};
@@ -91,6 +92,7 @@
     usage: BTreeMap<OrganisationId, ResourceSet>,
     settling: SettlingState,
     surplus: SurplusRule,
+    inflow: InflowForecast,
     advice: BTreeMap<StepId, StepAdvice>,
     change: u64,
     changed: BTreeMap<u64, JobId>,
@@ -119,6 +121,7 @@
             usage: BTreeMap::new(),
             settling,
             surplus: SurplusRule::default(),
+            inflow: InflowForecast::default(),
             advice: BTreeMap::new(),
             change: 0,
             changed: BTreeMap::new(),
@@ -192,6 +195,9 @@
                 .map_or(0.0, |config| config.weight);
             job.is_surplus = self.surplus.is_surplus(now, organisation, weight);
         }
+        if !job.is_old && !job.is_surplus {
+            self.inflow.submit(now, &job.record.spec);
+        }
         let is_done = job.is_done();
         self.jobs.insert(id.clone(), job);
         if is_done {
@@ -648,6 +654,7 @@
         let mut report = PoolReport {
             plan: self.plan.version,
             usage: self.usage.clone(),
+            inflow: self.inflow.busy(now),
             ..PoolReport::default()
         };
         report.usage.retain(|_, usage| *usage != ResourceSet::default());
--- a/src/dispatch/pool_size.rs
+++ b/src/dispatch/pool_size.rs
@@ -74,6 +74,8 @@
     closing: BTreeSet<InstanceId>,
     arrivals: BTreeMap<InstanceId, PoolArrival>,
     low_since: BTreeMap<PoolId, Instant>,
+    /// Pools that have had work; the others keep their instances for their first jobs.
+    worked: BTreeSet<PoolId>,
     retry_at: BTreeMap<InstanceId, Instant>,
     in_flight: BTreeSet<InstanceId>,
 }
@@ -145,12 +147,16 @@
             return;
         }
         for (pool, need) in needs {
+            let report = facts.reports.get(pool);
+            if report.is_some_and(|report| report.used != report.lasting) {
+                self.worked.insert(pool.clone());
+            }
             if need.available < need.target {
                 self.low_since.remove(pool);
                 self.reopen(pool, need.target - need.available, facts);
                 continue;
             }
-            if need.available == need.target {
+            if need.available == need.target || !self.worked.contains(pool) {
                 self.low_since.remove(pool);
                 continue;
             }
@@ -278,14 +284,12 @@
         return least;
     }
     let each = |amount: fn(&ResourceSet) -> u64| amount(&report.capacity) as f64 / f64::from(usable);
-    let demand = report.used.plus(&report.ready);
+    let present = report.used.plus(&report.ready);
+    let expected = report.inflow.plus(&report.lasting);
     let ratio = |amount: fn(&ResourceSet) -> u64| {
         let each = each(amount);
-        if each > 0.0 {
-            amount(&demand) as f64 / each
-        } else {
-            0.0
-        }
+        let demand = amount(&present).max(amount(&expected));
+        if each > 0.0 { demand as f64 / each } else { 0.0 }
     };
     let cores = ratio(|set| set.cores.get());
     let memory = ratio(|set| set.memory.get());
