--- a/src/dispatch/job_state.rs
+++ b/src/dispatch/job_state.rs
@@ -115,8 +115,8 @@
     pub chains: Vec<Duration>,
     /// Time from acceptance to the objective.
     pub objective: Duration,
-    /// Estimated work of all tasks, in core-milliseconds.
-    pub work: u64,
+    /// Whether it has more work than is usual on the pool.
+    pub is_large: bool,
     /// Occurrences that have begun.
     pub occurrences: BTreeMap<u32, JobOccurrence>,
     /// State.
@@ -152,7 +152,7 @@
             }
         }
         Self {
-            work: record.spec.work(),
+            is_large: false,
             record,
             chains,
             objective,
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -23,6 +23,7 @@
 pub mod start_place;
 pub mod surplus_rule;
 pub mod task_id;
+pub mod usual_work;
 pub mod wave_plan;
 pub mod worker_blame;
 pub mod worker_entry;
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -24,6 +24,7 @@
 use crate::dispatch::start_order::{StartClass, StartKey};
 use crate::dispatch::surplus_rule::SurplusRule;
 use crate::dispatch::task_id::{StepId, TaskId};
+use crate::dispatch::usual_work::UsualWork;
 use crate::dispatch::worker_entry::WorkerEntry;
 use crate::dispatch::worker_state::{PlacedRun, RunPhase, WorkerState};
 use crate::model::amount::{AcceleratorCount, MemoryMib, MilliCores};
@@ -93,6 +94,7 @@
     settling: SettlingState,
     surplus: SurplusRule,
     inflow: InflowForecast,
+    usual_work: UsualWork,
     advice: BTreeMap<StepId, StepAdvice>,
     change: u64,
     changed: BTreeMap<u64, JobId>,
@@ -122,6 +124,7 @@
             settling,
             surplus: SurplusRule::default(),
             inflow: InflowForecast::default(),
+            usual_work: UsualWork::default(),
             advice: BTreeMap::new(),
             change: 0,
             changed: BTreeMap::new(),
@@ -195,6 +198,7 @@
                 .map_or(0.0, |config| config.weight);
             job.is_surplus = self.surplus.is_surplus(now, organisation, weight);
         }
+        job.is_large = self.usual_work.observe(job.record.spec.work());
         if !job.is_old && !job.is_surplus {
             self.inflow.submit(now, &job.record.spec);
         }
--- a/src/dispatch/pool_scheduler/start_pass.rs
+++ b/src/dispatch/pool_scheduler/start_pass.rs
@@ -450,7 +450,7 @@
         is_surplus: job.is_surplus,
         accepted_at,
         objective: job.objective,
-        work: job.work,
+        is_large: job.is_large,
         chain: job.chains[step],
     }
 }
--- a/src/dispatch/start_order.rs
+++ b/src/dispatch/start_order.rs
@@ -44,8 +44,8 @@
     pub accepted_at: Instant,
     /// Time from acceptance to the objective.
     pub objective: Duration,
-    /// Estimated work of the whole job in core-milliseconds.
-    pub work: u64,
+    /// Whether the job has more work than is usual on the pool.
+    pub is_large: bool,
     /// Longest chain of estimates from this step to the end of the job.
     pub chain: Duration,
 }
@@ -57,14 +57,19 @@
 /// would only just be in time is mostly late, and takes the room of one that is not.
 const CHAIN_MARGIN: (f64, Duration) = (1.15, Duration::from_millis(150));
 
+/// Share of the objective below which the slack of a large job puts it beside the smaller ones, so that large jobs are
+/// not starved.
+const URGENT_SLACK: f64 = 0.12;
+
 /// Place of a step in the order.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StartKey {
     class: StartClass,
     priority: u32,
-    /// Order within a class: the job's whole work for jobs that have not begun, else the time until the latest
-    /// start.
-    weight: i64,
+    /// Whether a large job can wait: more of the smaller ones are in time in the same room.
+    can_wait: bool,
+    /// Time until the latest start, in milliseconds; only for the order within a class.
+    slack_ms: i64,
     step: StepId,
 }
 
@@ -88,14 +93,13 @@
         } else {
             StartClass::InTime
         };
+        let slack_ms = facts.objective.as_millis() as i64 - end.as_millis() as i64;
+        let is_urgent = slack_ms < (facts.objective.mul_f64(URGENT_SLACK)).as_millis() as i64;
         Self {
             class,
             priority: facts.priority,
-            weight: if class == StartClass::InTime {
-                facts.work as i64
-            } else {
-                facts.objective.as_millis() as i64 - end.as_millis() as i64
-            },
+            can_wait: class == StartClass::InTime && facts.is_large && !is_urgent,
+            slack_ms,
             step,
         }
     }
