--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -358,7 +358,11 @@
             }
             StartOutcome::Unknown => {
                 placed.phase = RunPhase::Unknown;
-                placed.must_stop = true;
+                // The next look tells whether it runs; only if it does not, a stop settles it.
+                placed.unknown_since = Some(now);
+                if worker.look.sent_at.is_none() {
+                    worker.look.next_at = Some(now);
+                }
                 let inputs = format!("run {} of task {}", run.run, run.task);
                 self.note(
                     "start without an answer",
--- a/src/dispatch/pool_scheduler/report_fold.rs
+++ b/src/dispatch/pool_scheduler/report_fold.rs
@@ -231,7 +231,7 @@
             if !row.saved.is_empty() {
                 placed.saved = Arc::clone(&row.saved);
             }
-            if placed.phase == RunPhase::Starting {
+            if placed.phase != RunPhase::Running && placed.stop_sent.is_none() {
                 placed.phase = RunPhase::Running;
             }
             self.mark_begun(&row.task.step.job, worker_id);
@@ -276,6 +276,7 @@
             deadline_ms: 0,
             // The pace that a former holder ordered is not known; the next order sets it.
             pace: 0,
+            unknown_since: None,
             must_stop: !is_wanted,
             stop_sent: None,
             stop_taken: None,
@@ -371,6 +372,9 @@
                 gone.push(task_run(task, placed));
                 continue;
             }
+            if placed.unknown_since.is_some_and(|since| since <= sent_at) {
+                placed.must_stop = true;
+            }
             if placed.phase == RunPhase::Running {
                 placed.missing += 1;
                 placed.must_stop |= placed.missing >= MISSING_LOOKS;
--- a/src/dispatch/start_place.rs
+++ b/src/dispatch/start_place.rs
@@ -18,6 +18,9 @@
 /// Tasks that serve on one worker before another worker is used for them.
 const MOST_SERVING: u64 = 4;
 
+/// Weight of a task of the same step on the same worker against one on the same rack.
+const RACK_SCALE: u64 = 1_000;
+
 /// Rank of a worker without lasting tasks, above any number of tasks on one worker.
 const UNUSED_RANK: u64 = 1_000;
 
@@ -39,7 +42,7 @@
 }
 
 /// Order of candidates; the lowest is chosen.
-type PlaceRank = (bool, bool, u64, u64);
+type PlaceRank = (bool, bool, u64, u64, u64);
 
 /// Whether a worker could run the task at all, whatever it runs now.
 pub fn is_fit(worker: &WorkerState, spec: &StepSpec) -> bool {
@@ -72,11 +75,27 @@
     let candidates = workers
         .values()
         .filter(|worker| is_candidate(now, worker, request));
-    let best = candidates.min_by_key(|worker| rank(worker, request))?;
+    let racks = if request.spec.is_lasting {
+        count_racks(workers, request.step)
+    } else {
+        BTreeMap::new()
+    };
+    let best = candidates.min_by_key(|worker| rank(worker, request, &racks))?;
     Some(best.entry.id.clone())
 }
 
-fn rank(worker: &WorkerState, request: &PlaceRequest<'_>) -> PlaceRank {
+/// Tasks of a step on each rack.
+fn count_racks<'a>(workers: &'a BTreeMap<WorkerId, WorkerState>, step: &StepId) -> BTreeMap<&'a str, u64> {
+    let mut racks = BTreeMap::new();
+    for worker in workers.values() {
+        if let Some(rack) = worker.entry.rack() {
+            *racks.entry(&**rack).or_default() += u64::from(worker.count_step(step));
+        }
+    }
+    racks
+}
+
+fn rank(worker: &WorkerState, request: &PlaceRequest<'_>, racks: &BTreeMap<&str, u64>) -> PlaceRank {
     let is_bad = worker.blame.is_slow() || request.avoid.contains(&worker.entry.id);
     let is_far = request
         .rack
@@ -87,7 +106,14 @@
     } else {
         (0, free)
     };
-    (is_bad, is_far, crowd, room)
+    // Tasks of one step that lasts are spread, so that the loss of a worker or a rack takes few of them.
+    let beside = if request.spec.is_lasting {
+        let on_rack = worker.entry.rack().and_then(|rack| racks.get(&**rack));
+        u64::from(worker.count_step(request.step)) * RACK_SCALE + on_rack.copied().unwrap_or(0)
+    } else {
+        0
+    };
+    (is_bad, is_far, beside, crowd, room)
 }
 
 /// Prefers workers that have some lasting tasks already, so that the others can become empty and leave the pool, up to
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -58,6 +58,8 @@
     pub deadline_ms: u64,
     /// Pace that was last ordered, in percent.
     pub pace: u32,
+    /// Time at which its start ran into its time-out.
+    pub unknown_since: Option<Instant>,
     /// Whether it has to be stopped.
     pub must_stop: bool,
     /// Time of the last stop sent.
