--- /dev/null
+++ b/tests/platform_soak/checker.rs
@@ -0,0 +1,67 @@
+//! Verdicts from what callers and workers saw.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use crate::fake_worker::RunRecord;
+
+/// What a caller saw of one job.
+#[derive(Debug, Clone, Default)]
+pub struct JobView {
+    /// Tasks of the job.
+    pub tasks: u32,
+    /// Whether a submission was answered with success.
+    pub is_accepted: bool,
+    /// Whether every submission was refused as not accepted.
+    pub is_refused: bool,
+    /// Time at which it was first shown as completed.
+    pub completed_at: Option<Instant>,
+}
+
+/// Compares the records of all workers with the callers' views.
+pub fn check(records: &[RunRecord], jobs: &BTreeMap<String, JobView>) -> Vec<String> {
+    let mut violations = Vec::new();
+    let mut tasks: BTreeMap<&str, Vec<&RunRecord>> = BTreeMap::new();
+    for record in records {
+        tasks.entry(&record.task).or_default().push(record);
+    }
+    for (task, runs) in &mut tasks {
+        runs.sort_by_key(|run| run.started);
+        for pair in runs.windows(2) {
+            let end = pair[0].ended.map(|(at, _)| at);
+            if end.is_none_or(|end| end > pair[1].started) {
+                violations.push(format!("{task}: two runs at the same time"));
+            }
+            let was_done = pair[0].ended.is_some_and(|(_, how)| how == "done");
+            if was_done && pair[0].is_acknowledged {
+                violations.push(format!("{task}: started again after an acknowledged end"));
+            }
+        }
+    }
+    for (job, view) in jobs {
+        let started = tasks.keys().any(|task| task.starts_with(job.as_str()));
+        if view.is_refused && started {
+            violations.push(format!("{job}: ran though every submission was refused"));
+        }
+        if !view.is_accepted {
+            continue;
+        }
+        let Some(completed_at) = view.completed_at else {
+            violations.push(format!("{job}: accepted and not completed"));
+            continue;
+        };
+        for index in 0..view.tasks {
+            let runs = tasks.get(format!("{job}.0.0.{index}").as_str());
+            let is_done = runs.is_some_and(|runs| {
+                runs.iter().any(|run| {
+                    run.ended
+                        .is_some_and(|(at, how)| how == "done" && at <= completed_at)
+                })
+            });
+            if !is_done {
+                violations.push(format!("{job}: shown as completed before task {index} was done"));
+            }
+        }
+    }
+    violations
+}
--- /dev/null
+++ b/tests/platform_soak/fake_store.rs
@@ -0,0 +1,283 @@
+//! A fake of the platform's store, with lost answers and late writes.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+#[derive(Debug, Clone)]
+struct Item {
+    value: String,
+    revision: u64,
+    lease: u64,
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    leases: BTreeMap<u64, (Instant, Duration)>,
+    events: Vec<(u64, String, Value)>,
+}
+
+/// The store.
+#[derive(Debug, Clone)]
+pub struct FakeStore {
+    state: Arc<Mutex<StoreState>>,
+    /// Of 100 commits, so many are carried out and not answered, half of them late.
+    pub lost_percent: Arc<AtomicU32>,
+    draw: Arc<AtomicU32>,
+}
+
+type Answer = Response<Full<Bytes>>;
+
+fn answer(status: u16, body: &Value) -> Answer {
+    let mut answer = Response::new(Full::new(Bytes::from(body.to_string())));
+    *answer.status_mut() = StatusCode::from_u16(status).expect("status");
+    answer
+}
+
+impl StoreState {
+    fn item(&self, key: &str, item: &Item) -> Value {
+        json!({"key": key, "value": item.value, "revision": item.revision, "lease": item.lease, "as-of": self.revision})
+    }
+
+    fn put(&mut self, key: &str, value: &str, lease: u64) {
+        let item = Item {
+            value: value.to_owned(),
+            revision: self.revision,
+            lease,
+        };
+        let event = self.item(key, &item);
+        self.items.insert(key.to_owned(), item);
+        self.events.push((self.revision, key.to_owned(), event));
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            let event = json!({"key": key, "revision": self.revision, "removed": true});
+            self.events.push((self.revision, key.to_owned(), event));
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let ended: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (end, _))| *end <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for lease in ended {
+            self.end_lease(lease);
+        }
+    }
+
+    fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.revision += 1;
+            self.remove(&key);
+        }
+    }
+
+    fn commit(&mut self, body: &Value) -> (u16, Value) {
+        let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        let conditions = rows("expected");
+        let holds = conditions.iter().all(|row| {
+            let found = self
+                .items
+                .get(row["key"].as_str().expect("key"))
+                .map_or(0, |item| item.revision);
+            found == row["revision"].as_u64().expect("revision")
+        });
+        if !holds {
+            let items = conditions.iter().filter_map(|row| {
+                let key = row["key"].as_str()?;
+                Some(self.item(key, self.items.get(key)?))
+            });
+            return (412, json!({"items": items.collect::<Vec<_>>()}));
+        }
+        let puts = rows("puts");
+        if puts.iter().any(|put| {
+            put["lease"]
+                .as_u64()
+                .is_some_and(|id| !self.leases.contains_key(&id))
+        }) {
+            return (404, json!({}));
+        }
+        self.revision += 1;
+        for put in puts {
+            let text = |name: &str| put[name].as_str().expect("text").to_owned();
+            self.put(&text("key"), &text("value"), put["lease"].as_u64().unwrap_or(0));
+        }
+        for key in rows("delete") {
+            self.remove(key.as_str().expect("key"));
+        }
+        (200, json!({"revision": self.revision}))
+    }
+}
+
+impl FakeStore {
+    /// Starts the store and returns its address.
+    pub async fn start() -> (Self, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("store listener");
+        let address = listener.local_addr().expect("store address");
+        let store = Self {
+            state: Arc::default(),
+            lost_percent: Arc::default(),
+            draw: Arc::default(),
+        };
+        let shared = store.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let store = shared.clone();
+                tokio::spawn(async move {
+                    let service = service_fn(move |request| {
+                        let store = store.clone();
+                        async move { Ok::<_, Infallible>(store.serve(request).await) }
+                    });
+                    let connection = hyper::server::conn::http1::Builder::new();
+                    let _ = connection.serve_connection(TokioIo::new(stream), service).await;
+                });
+            }
+        });
+        (store, address)
+    }
+
+    /// Writes a key as the operator or a worker does.
+    pub fn write(&self, key: &str, value: &Value) {
+        use base64::Engine;
+        let text = base64::engine::general_purpose::STANDARD.encode(value.to_string());
+        let mut state = self.state.lock().expect("state");
+        state.revision += 1;
+        state.put(key, &text, 0);
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Answer {
+        let path = request.uri().path().to_owned();
+        let query: BTreeMap<String, String> = request
+            .uri()
+            .query()
+            .unwrap_or_default()
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .collect();
+        let body = request
+            .into_body()
+            .collect()
+            .await
+            .map(|body| body.to_bytes())
+            .unwrap_or_default();
+        let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        if path == "/kv-watch" {
+            return self.watch(&query).await;
+        }
+        if path == "/kv-txn" {
+            return self.commit(body).await;
+        }
+        let mut state = self.state.lock().expect("state");
+        state.expire();
+        match path.as_str() {
+            "/kv-key" => match state.items.get(&query["key"]) {
+                None => answer(404, &json!({})),
+                Some(item) => answer(200, &state.item(&query["key"], item)),
+            },
+            "/kv-range" => {
+                let prefix = &query["prefix"];
+                let items = state.items.iter().filter(|(key, _)| key.starts_with(prefix));
+                let items: Vec<Value> = items.map(|(key, item)| state.item(key, item)).collect();
+                answer(
+                    200,
+                    &json!({"items": items, "truncated": false, "as-of": state.revision}),
+                )
+            }
+            "/kv-lease" => {
+                let ttl = Duration::from_millis(body["ttl-ms"].as_u64().expect("ttl"));
+                state.revision += 1;
+                let id = state.revision;
+                state.leases.insert(id, (Instant::now() + ttl, ttl));
+                answer(200, &json!({"lease": id, "ttl-ms": ttl.as_millis() as u64}))
+            }
+            other => {
+                let id = other
+                    .rsplit('/')
+                    .next()
+                    .and_then(|id| id.parse().ok())
+                    .unwrap_or(0);
+                if other.starts_with("/kv-lease-end/") {
+                    state.end_lease(id);
+                    return answer(200, &json!({}));
+                }
+                match state.leases.get_mut(&id) {
+                    None => answer(404, &json!({})),
+                    Some((end, ttl)) => {
+                        *end = Instant::now() + *ttl;
+                        answer(200, &json!({}))
+                    }
+                }
+            }
+        }
+    }
+
+    async fn commit(&self, body: Value) -> Answer {
+        let draw = self.draw.fetch_add(37, Ordering::Relaxed) % 100;
+        let lost = self.lost_percent.load(Ordering::Relaxed);
+        if draw < lost && draw % 2 == 0 {
+            // Carried out late, if its condition still holds.
+            let store = self.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(1_500)).await;
+                store.state.lock().expect("state").commit(&body);
+            });
+            return std::future::pending().await;
+        }
+        let (status, body) = {
+            let mut state = self.state.lock().expect("state");
+            state.expire();
+            state.commit(&body)
+        };
+        if draw < lost {
+            return std::future::pending().await;
+        }
+        answer(status, &body)
+    }
+
+    async fn watch(&self, query: &BTreeMap<String, String>) -> Answer {
+        let after: u64 = query["after"].parse().expect("after");
+        let end = Instant::now() + Duration::from_millis(query["wait-ms"].parse().expect("wait"));
+        loop {
+            {
+                let mut state = self.state.lock().expect("state");
+                state.expire();
+                let events = state
+                    .events
+                    .iter()
+                    .filter(|(revision, key, _)| *revision > after && key.starts_with(&query["prefix"]));
+                let events: Vec<&Value> = events.map(|(_, _, event)| event).collect();
+                if !events.is_empty() || Instant::now() >= end {
+                    return answer(200, &json!({"events": events, "as-of": state.revision}));
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
--- /dev/null
+++ b/tests/platform_soak/link_proxy.rs
@@ -0,0 +1,105 @@
+//! A loopback proxy whose link can be harmed from outside.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What happens to bytes on a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkMode {
+    /// They pass.
+    Pass,
+    /// They pass later.
+    Slow,
+    /// They vanish in both directions; the connection stays open.
+    Silent,
+    /// Answers vanish.
+    OneWay,
+    /// Connections are closed.
+    Closed,
+}
+
+impl LinkMode {
+    const ALL: [Self; 5] = [Self::Pass, Self::Slow, Self::Silent, Self::OneWay, Self::Closed];
+
+    fn from_code(code: u8) -> Self {
+        Self::ALL[usize::from(code)]
+    }
+}
+
+/// A proxy in front of one address.
+#[derive(Debug, Clone)]
+pub struct LinkProxy {
+    /// Where it listens.
+    pub address: SocketAddr,
+    mode: Arc<AtomicU8>,
+}
+
+impl LinkProxy {
+    /// Starts a proxy.
+    pub async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("proxy listener");
+        let address = listener.local_addr().expect("proxy address");
+        let mode = Arc::new(AtomicU8::new(0));
+        let shared = Arc::clone(&mode);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(join(stream, target, Arc::clone(&shared)));
+            }
+        });
+        Self { address, mode }
+    }
+
+    /// Sets what happens from now on.
+    pub fn set(&self, mode: LinkMode) {
+        self.mode.store(mode as u8, Ordering::Relaxed);
+    }
+}
+
+async fn join(near: TcpStream, target: SocketAddr, mode: Arc<AtomicU8>) {
+    if LinkMode::from_code(mode.load(Ordering::Relaxed)) == LinkMode::Closed {
+        return;
+    }
+    let Ok(far) = TcpStream::connect(target).await else {
+        return;
+    };
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let there = copy(near_read, far_write, Arc::clone(&mode), false);
+    let back = copy(far_read, near_write, mode, true);
+    tokio::select! {
+        () = there => {}
+        () = back => {}
+    }
+}
+
+async fn copy(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    mode: Arc<AtomicU8>,
+    is_answer: bool,
+) {
+    let mut buffer = vec![0; 16 * 1024];
+    loop {
+        let Ok(count) = from.read(&mut buffer).await else {
+            return;
+        };
+        if count == 0 {
+            return;
+        }
+        match LinkMode::from_code(mode.load(Ordering::Relaxed)) {
+            LinkMode::Closed => return,
+            LinkMode::Silent => std::future::pending::<()>().await,
+            LinkMode::OneWay if is_answer => std::future::pending::<()>().await,
+            LinkMode::Slow => tokio::time::sleep(Duration::from_millis(120)).await,
+            LinkMode::Pass | LinkMode::OneWay => {}
+        }
+        if to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/tests/platform_soak/node_process.rs
@@ -0,0 +1,88 @@
+//! A `figloftd --platform` process.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+
+/// One process and its settings.
+#[derive(Debug)]
+pub struct NodeProcess {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("free port");
+    listener.local_addr().expect("free address")
+}
+
+impl NodeProcess {
+    /// Writes the settings of a process that reaches the store through `store`.
+    pub fn new(folder: &Path, number: usize, store: SocketAddr) -> Self {
+        let callers = free_address();
+        let name = format!("node-{number}");
+        let settings = folder.join(format!("{name}.json"));
+        let text = json!({
+            "node": name, "zone": "zone-a", "bind-ip": "127.0.0.1",
+            "listen-addrs": {"front": callers.to_string(), "ready": free_address().to_string()},
+            "limits": {"cpu-share": 0.25},
+            "bounds": {"hold-max-ms": 6000, "stop-ms": 200, "grace-s": 4},
+            "platform": {"address": store.to_string(), "ttl-min-ms": 1000},
+        });
+        std::fs::write(&settings, text.to_string()).expect("settings");
+        let log = folder.join(format!("{name}.log"));
+        Self {
+            callers,
+            settings,
+            log,
+            child: None,
+        }
+    }
+
+    /// Starts the process, if it does not run.
+    pub fn start(&mut self) {
+        if let Some(child) = &mut self.child
+            && child.try_wait().expect("state of the process").is_none()
+        {
+            return;
+        }
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("log");
+        let child = Command::new(env!("CARGO_BIN_EXE_figloftd"))
+            .arg("--platform")
+            .env("FIGLOFT_SETTINGS", &self.settings)
+            .stdout(Stdio::from(log))
+            .spawn()
+            .expect("process");
+        self.child = Some(child);
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&mut self, signal: Signal) {
+        if let Some(child) = &mut self.child
+            && child.try_wait().expect("state of the process").is_none()
+        {
+            let pid = Pid::from_child(child);
+            kill_process(pid, signal).expect("signal");
+        }
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            // A process that has ended already needs no signal.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
