--- /dev/null
+++ b/tests/pool_decisions/fleet.rs
@@ -0,0 +1,150 @@
+//! Limits, waves and sizes over several pools.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use figloft::dispatch::allowance_split::{self, PoolClaim};
+use figloft::dispatch::pool_plan::{PoolReport, WorkerUse};
+use figloft::dispatch::pool_size::{PoolSizer, SizeFacts};
+use figloft::dispatch::wave_plan::{InstanceEntry, InstanceState, WavePlan, WaveProgress, WaveRequest};
+use figloft::model::amount::{MemoryMib, MilliCores};
+use figloft::model::id::{InstanceId, PoolId, WorkerId};
+use figloft::model::resource::ResourceSet;
+use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
+
+fn pool_id(name: &str) -> PoolId {
+    PoolId::new(name).expect("pool")
+}
+
+fn instance_id(number: usize) -> InstanceId {
+    InstanceId::new(format!("m-{number}")).expect("instance")
+}
+
+fn instance(pool: &str, number: usize, state: InstanceState) -> (InstanceId, InstanceEntry) {
+    let entry = InstanceEntry {
+        pool: pool_id(pool),
+        state,
+        worker: Some(WorkerId::new(format!("i-{number}")).expect("worker")),
+    };
+    (instance_id(number), entry)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+
+    /// Guards the upper limit while pools have not confirmed lower allowances: what all pools may use, by the old
+    /// ceilings or the new allowances, stays within the limit.
+    #[test]
+    fn allowances_never_exceed_the_limit(
+        limit in 1_u64..1_000_000,
+        parts in proptest::collection::vec((0_u64..1_000, any::<u32>(), any::<u32>()), 1..9),
+    ) {
+        let whole: u64 = parts.iter().map(|(part, ..)| part).sum();
+        let claims: BTreeMap<PoolId, PoolClaim> = parts
+            .iter()
+            .enumerate()
+            .map(|(number, (part, used, wanted))| {
+                let ceiling = limit * part / whole.max(1);
+                let used = u64::from(*used) % (ceiling + 1);
+                let claim = PoolClaim { ceiling, used, wanted: u64::from(*wanted) };
+                (pool_id(&format!("pool-{number}")), claim)
+            })
+            .collect();
+        let split = allowance_split::split(limit, &claims);
+        let most: u64 = claims.iter().map(|(pool, claim)| claim.ceiling.max(split[pool])).sum();
+        prop_assert!(most <= limit, "{most} of {limit}");
+    }
+}
+
+/// Guards against an upkeep that a killed holder ordered without storing it: one more than allowed was down.
+#[test]
+fn unstored_upkeep_counts_as_down() {
+    let now = Instant::now();
+    let request = WaveRequest {
+        instances: (0..4).map(instance_id).collect(),
+        duration: Duration::from_secs(20),
+        most_down: 2,
+    };
+    let mut wave = WavePlan::new(now, request, WaveProgress::default());
+    let instances: BTreeMap<_, _> = [
+        instance("pool-a", 0, InstanceState::Upkeep),
+        instance("pool-a", 1, InstanceState::Up),
+        instance("pool-a", 2, InstanceState::Up),
+        instance("pool-a", 3, InstanceState::Up),
+    ]
+    .into();
+    wave.set_instances(now, &instances);
+    wave.choose_closing(&instances, &BTreeMap::new());
+    assert_eq!(wave.take_due(now, &instances, |_| true).len(), 1);
+}
+
+fn report(workers: std::ops::Range<usize>, used: u64, inflow: u64) -> PoolReport {
+    let cores = |cores: u64| ResourceSet::new(MilliCores::new(cores * 1_000), MemoryMib::new(cores * 100));
+    let usage = WorkerUse {
+        is_usable: true,
+        ..WorkerUse::default()
+    };
+    PoolReport {
+        capacity: cores(32 * workers.len() as u64),
+        workers: workers
+            .map(|number| {
+                (
+                    WorkerId::new(format!("i-{number}")).expect("worker"),
+                    usage.clone(),
+                )
+            })
+            .collect(),
+        used: cores(used),
+        inflow: cores(inflow),
+        ..PoolReport::default()
+    }
+}
+
+/// Replays the rise of a turn: submissions ask for five times what runs. The pool gets spare instances at once, while
+/// the queue is still empty; with static pools it would get none.
+#[test]
+fn spare_instances_follow_the_rise_of_a_turn() {
+    let now = Instant::now();
+    let instances: BTreeMap<_, _> = (0..4)
+        .map(|number| instance("pool-a", number, InstanceState::Up))
+        .chain((4..24).map(|number| instance("spare", number, InstanceState::Up)))
+        .collect();
+    let reports = BTreeMap::from([(pool_id("pool-a"), report(0..4, 60, 400))]);
+    let facts = SizeFacts {
+        pools: &[pool_id("pool-a")],
+        spare: Some(&pool_id("spare")),
+        reports: &reports,
+        instances: &instances,
+        reserved: &BTreeSet::new(),
+    };
+    let moves = PoolSizer::default().decide(now, facts, |_| false);
+    assert!(moves.iter().all(|order| order.to == pool_id("pool-a")));
+    assert!(
+        (9..=13).contains(&moves.len()),
+        "{} moves for 400 cores",
+        moves.len()
+    );
+}
+
+/// Guards against pools that shrink in every gap between two jobs: instances are released only after the demand has
+/// been low for a while.
+#[test]
+fn instances_rest_only_after_a_quiet_time() {
+    let now = Instant::now();
+    let instances: BTreeMap<_, _> = (0..8)
+        .map(|number| instance("pool-a", number, InstanceState::Up))
+        .collect();
+    let reports = BTreeMap::from([(pool_id("pool-a"), report(0..8, 20, 20))]);
+    let facts = SizeFacts {
+        pools: &[pool_id("pool-a")],
+        spare: Some(&pool_id("spare")),
+        reports: &reports,
+        instances: &instances,
+        reserved: &BTreeSet::new(),
+    };
+    let mut sizer = PoolSizer::default();
+    sizer.decide(now, facts, |_| false);
+    assert!(sizer.closing().is_empty());
+    sizer.decide(now + Duration::from_secs(2), facts, |_| false);
+    assert_eq!(sizer.closing().len(), 6);
+}
--- /dev/null
+++ b/tests/pool_decisions/scheduler.rs
@@ -0,0 +1,292 @@
+//! Failures that were found in whole runs, replayed on the scheduler alone.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use figloft::dispatch::job_record::{JobProgress, JobState};
+use figloft::dispatch::order::{LookFault, Order, StartOutcome, StopOutcome};
+use figloft::dispatch::pool_plan::PoolPlan;
+use figloft::dispatch::pool_scheduler::PoolScheduler;
+use figloft::dispatch::scheduler_rules::SchedulerRules;
+use figloft::dispatch::settling::SettlingState;
+use figloft::dispatch::site_config::{OrganisationConfig, SiteConfig};
+use figloft::dispatch::worker_report::RunEnd;
+use figloft::model::amount::{MemoryMib, MilliCores};
+use figloft::model::id::{DutyTerm, OrganisationId, PlanVersion};
+use figloft::model::resource::ResourceSet;
+
+use crate::setup::{WALL, entry, job_id, record, report, scheduler, start_all, starts, step, worker_id};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Guards against looks at a silent worker that extend its lease for ever: its task was never started again.
+#[test]
+fn lease_of_silent_worker_ends() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 2, 8);
+    let mut lasting = step(1, 1, 0);
+    lasting.is_lasting = true;
+    scheduler.submit(now, now, record(1, vec![lasting]), None);
+    let first = start_all(&mut scheduler, now).remove(0);
+    let mut time = now;
+    let mut again = Vec::new();
+    while again.is_empty() && time < now + MS * 8_000 {
+        time += MS * 100;
+        for order in scheduler.decide(time, WALL, true) {
+            match order {
+                Order::Look(look) if look.target.worker == first.target.worker => {
+                    scheduler.look_failed(time, &look.target.worker, LookFault::NoAnswer);
+                }
+                Order::Start(start) => again.push(start),
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(again.len(), 1, "the task starts again");
+    assert_ne!(again[0].target.worker, first.target.worker);
+    assert!(again[0].run.run > first.run.run);
+    let longest = SchedulerRules::default().lease.div_f64(0.98);
+    assert!(time >= now + longest, "not before the lease has certainly ended");
+}
+
+/// Guards against a read of the inbox that overtakes the deletion of a job: the job ran a second time.
+#[test]
+fn ended_job_is_not_taken_in_again() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 1, 8);
+    scheduler.submit(now, now, record(1, vec![step(1, 1, 100)]), None);
+    let start = start_all(&mut scheduler, now).remove(0);
+    scheduler.decide(now, WALL, true);
+    report(&mut scheduler, now, 0, &[], &[(1, &start, RunEnd::Done)]);
+    while scheduler.has_changes() {
+        scheduler.take_flush(WALL, 7);
+        scheduler.flush_done();
+    }
+    assert!(scheduler.job(&job_id(1)).is_none());
+    scheduler.submit(now, now, record(1, vec![step(1, 1, 100)]), None);
+    assert_eq!(start_all(&mut scheduler, now), Vec::new());
+}
+
+/// Guards against an end that was stored but not acknowledged: the next holder counted the failure again, and the job
+/// failed before its attempts were used up.
+#[test]
+fn failure_listed_again_counts_once() {
+    let now = Instant::now();
+    let mut first = scheduler(now, 2, 8);
+    first.submit(now, now, record(1, vec![step(1, 1, 100)]), None);
+    let start = start_all(&mut first, now).remove(0);
+    let worker = usize::from(start.target.worker != worker_id(0));
+    report(&mut first, now, worker, &[], &[(1, &start, RunEnd::Failed)]);
+    let batch = first.take_flush(WALL, 7);
+    let progress = batch.jobs[0].progress.clone().expect("progress");
+    let mut second = PoolScheduler::new(
+        crate::setup::pool(),
+        DutyTerm::new(2),
+        SchedulerRules::default(),
+        SettlingState::default(),
+    );
+    second.set_worker(entry(worker, 8));
+    second.submit(now, now, record(1, vec![step(1, 1, 100)]), Some(&progress));
+    second.decide(now, WALL, true);
+    report(&mut second, now, worker, &[], &[(1, &start, RunEnd::Failed)]);
+    let job = second.job(&job_id(1)).expect("job");
+    assert_eq!(job.occurrences[&0].steps[0].tasks[0].failures.len(), 1);
+}
+
+/// Guards against reports of a new holder that show unseen workers as empty: their upkeep began under running tasks.
+#[test]
+fn unseen_worker_is_not_reported_as_vacated() {
+    let now = Instant::now();
+    let mut scheduler = PoolScheduler::new(
+        crate::setup::pool(),
+        DutyTerm::new(2),
+        SchedulerRules::default(),
+        SettlingState::default(),
+    );
+    scheduler.set_worker(entry(0, 8));
+    scheduler.set_plan(PoolPlan {
+        version: PlanVersion::new(1),
+        closing: [worker_id(0)].into(),
+        ..PoolPlan::default()
+    });
+    assert!(!scheduler.report(now).workers[&worker_id(0)].is_closing);
+    scheduler.decide(now, WALL, true);
+    report(&mut scheduler, now, 0, &[], &[]);
+    assert!(scheduler.report(now).workers[&worker_id(0)].is_closing);
+}
+
+/// Guards against waiting counts that leave out a job because an order for it had no answer.
+#[test]
+fn unanswered_start_does_not_begin_a_job() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 1, 8);
+    scheduler.submit(now, now, record(1, vec![step(1, 1, 100)]), None);
+    let start = starts(scheduler.decide(now, WALL, true)).remove(0);
+    scheduler.start_answered(now, &start.target.worker, &start.run, StartOutcome::Unknown);
+    assert_eq!(scheduler.job(&job_id(1)).expect("job").state, JobState::Pending);
+    assert_eq!(scheduler.waiting().values().sum::<u32>(), 1);
+}
+
+/// Guards against a stop of a lasting task whose start was carried out though its answer was lost.
+#[test]
+fn unanswered_start_that_runs_is_kept() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 1, 8);
+    scheduler.submit(now, now, record(1, vec![step(1, 1, 100)]), None);
+    let start = starts(scheduler.decide(now, WALL, true)).remove(0);
+    scheduler.start_answered(now, &start.target.worker, &start.run, StartOutcome::Unknown);
+    scheduler.decide(now + MS, WALL, true);
+    report(&mut scheduler, now + MS * 2, 0, &[&start], &[]);
+    let orders = scheduler.decide(now + MS * 700, WALL, true);
+    assert!(
+        !orders.iter().any(|order| matches!(order, Order::Stop(..))),
+        "{orders:?}"
+    );
+    assert_eq!(scheduler.job(&job_id(1)).expect("job").state, JobState::Running);
+}
+
+/// Guards against a second run beside an order that is carried out late: the task starts again only after the worker
+/// took a stop and a later look does not list the run.
+#[test]
+fn unanswered_start_is_settled_by_a_stop() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 1, 8);
+    scheduler.submit(now, now, record(1, vec![step(1, 1, 100)]), None);
+    let start = starts(scheduler.decide(now, WALL, true)).remove(0);
+    scheduler.start_answered(now, &start.target.worker, &start.run, StartOutcome::Unknown);
+    scheduler.decide(now + MS, WALL, true);
+    report(&mut scheduler, now + MS * 2, 0, &[], &[]);
+    let orders = scheduler.decide(now + MS * 3, WALL, true);
+    assert!(
+        orders
+            .iter()
+            .any(|order| matches!(order, Order::Stop(_, run) if *run == start.run))
+    );
+    assert_eq!(starts(orders), Vec::new(), "the doubt is open");
+    scheduler.stop_answered(now + MS * 4, &start.target.worker, &start.run, StopOutcome::Taken);
+    assert_eq!(
+        starts(scheduler.decide(now + MS * 5, WALL, true)),
+        Vec::new(),
+        "no look since the stop"
+    );
+    scheduler.decide(now + MS * 100, WALL, true);
+    report(&mut scheduler, now + MS * 101, 0, &[], &[]);
+    let again = starts(scheduler.decide(now + MS * 102, WALL, true));
+    assert_eq!(again.len(), 1);
+    assert!(again[0].run.run > start.run.run);
+}
+
+/// Guards against ends that are acknowledged before they are stored: the next holder would start the task again.
+#[test]
+fn end_is_acknowledged_after_it_is_stored() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 1, 8);
+    scheduler.submit(now, now, record(1, vec![step(2, 1, 100)]), None);
+    let started = start_all(&mut scheduler, now);
+    let acknowledged = |orders: Vec<Order>| {
+        let looks = orders.into_iter().filter_map(|order| match order {
+            Order::Look(look) => Some(look.acknowledged),
+            _ => None,
+        });
+        looks.last()
+    };
+    scheduler.decide(now + MS * 100, WALL, true);
+    report(
+        &mut scheduler,
+        now + MS * 101,
+        0,
+        &[&started[1]],
+        &[(1, &started[0], RunEnd::Done)],
+    );
+    assert_eq!(
+        acknowledged(scheduler.decide(now + MS * 200, WALL, true)),
+        Some(0)
+    );
+    report(
+        &mut scheduler,
+        now + MS * 201,
+        0,
+        &[&started[1]],
+        &[(1, &started[0], RunEnd::Done)],
+    );
+    scheduler.take_flush(WALL, 7);
+    scheduler.flush_done();
+    assert_eq!(
+        acknowledged(scheduler.decide(now + MS * 300, WALL, true)),
+        Some(1)
+    );
+}
+
+/// Guards against tasks of older jobs that start before all workers of the former holder have been heard.
+#[test]
+fn older_jobs_wait_for_unseen_workers() {
+    let now = Instant::now();
+    let until = now + MS * 5_000;
+    let settling = SettlingState::new([worker_id(1)].into(), until);
+    let mut scheduler = PoolScheduler::new(
+        crate::setup::pool(),
+        DutyTerm::new(2),
+        SchedulerRules::default(),
+        settling,
+    );
+    scheduler.set_worker(entry(0, 8));
+    scheduler.submit(
+        now,
+        now,
+        record(1, vec![step(1, 1, 100)]),
+        Some(&JobProgress::default()),
+    );
+    scheduler.submit(now, now, record(2, vec![step(1, 1, 100)]), None);
+    scheduler.decide(now, WALL, true);
+    report(&mut scheduler, now, 0, &[], &[]);
+    let jobs = |started: &[figloft::dispatch::order::StartOrder]| -> Vec<_> {
+        started
+            .iter()
+            .map(|start| start.run.task.step.job.clone())
+            .collect()
+    };
+    assert_eq!(jobs(&start_all(&mut scheduler, now)), [job_id(2)]);
+    assert_eq!(jobs(&start_all(&mut scheduler, until)), [job_id(1)]);
+}
+
+/// Guards against starts and longer leases while the lease of the duty may have run out.
+#[test]
+fn nothing_is_extended_without_a_lease() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 1, 8);
+    scheduler.submit(now, now, record(1, vec![step(1, 1, 100)]), None);
+    start_all(&mut scheduler, now);
+    scheduler.submit(now, now, record(2, vec![step(1, 1, 100)]), None);
+    for order in scheduler.decide(now + MS * 100, WALL, false) {
+        match order {
+            Order::Start(start) => panic!("{start:?}"),
+            Order::Look(look) => assert_eq!(look.deadline_ms, None),
+            _ => {}
+        }
+    }
+}
+
+/// Guards the upper limit of an organisation on a pool.
+#[test]
+fn allowance_bounds_what_runs() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 4, 8);
+    let organisation = OrganisationId::new("house-a").expect("organisation");
+    let limit = ResourceSet::new(MilliCores::new(100_000), MemoryMib::new(0));
+    let mut config = SiteConfig::default();
+    config
+        .organisations
+        .insert(organisation.clone(), OrganisationConfig { weight: 0.0, limit });
+    scheduler.set_config(&config);
+    let mut job = record(1, vec![step(10, 1, 100)]);
+    job.organisation = Some(organisation.clone());
+    scheduler.submit(now, now, job, None);
+    assert_eq!(start_all(&mut scheduler, now), Vec::new(), "no allowance yet");
+    let allowance = ResourceSet::new(MilliCores::new(3_500), MemoryMib::new(u64::MAX));
+    scheduler.set_plan(PoolPlan {
+        version: PlanVersion::new(1),
+        allowances: BTreeMap::from([(organisation, allowance)]),
+        ..PoolPlan::default()
+    });
+    assert_eq!(start_all(&mut scheduler, now).len(), 3);
+}
--- /dev/null
+++ b/tests/pool_decisions/setup.rs
@@ -0,0 +1,146 @@
+//! Workers, jobs and reports for the tests.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use figloft::dispatch::job_record::{JobRecord, QueueRule};
+use figloft::dispatch::job_spec::{JobSpec, StepSpec};
+use figloft::dispatch::order::{Order, StartOrder, StartOutcome};
+use figloft::dispatch::pool_scheduler::PoolScheduler;
+use figloft::dispatch::scheduler_rules::SchedulerRules;
+use figloft::dispatch::settling::SettlingState;
+use figloft::dispatch::worker_entry::WorkerEntry;
+use figloft::dispatch::worker_report::{EndedRow, RunEnd, RunningRow, WorkerReport};
+use figloft::model::amount::{MemoryMib, MilliCores};
+use figloft::model::id::{DutyTerm, JobId, PoolId, QueueId, WorkerId, ZoneId};
+use figloft::model::resource::ResourceSet;
+use figloft::model::unix_time::UnixMillis;
+
+pub const WALL: UnixMillis = UnixMillis::new(1_000_000);
+
+pub fn pool() -> PoolId {
+    PoolId::new("pool-a").expect("pool")
+}
+
+pub fn worker_id(number: usize) -> WorkerId {
+    WorkerId::new(format!("i-{number}")).expect("worker")
+}
+
+pub fn job_id(number: usize) -> JobId {
+    JobId::new(format!("{number:016x}")).expect("job")
+}
+
+pub fn entry(number: usize, cores: u64) -> WorkerEntry {
+    WorkerEntry {
+        id: worker_id(number),
+        pool: pool(),
+        address: format!("127.0.0.1:{}", 9_000 + number).parse().expect("address"),
+        zone: ZoneId::new("zone-a").expect("zone"),
+        is_draining: false,
+        capacity: ResourceSet::new(MilliCores::new(cores * 1_000), MemoryMib::new(65_536)),
+        labels: vec!["a".into(), format!("r-{}", number / 4).into()],
+        born: Some(UnixMillis::new(1)),
+    }
+}
+
+pub fn step(tasks: u32, cores: u64, estimate_ms: u64) -> StepSpec {
+    StepSpec {
+        tasks,
+        demand: ResourceSet::new(MilliCores::new(cores * 1_000), MemoryMib::new(100)),
+        estimate: Duration::from_millis(estimate_ms),
+        ..StepSpec::default()
+    }
+}
+
+pub fn record(number: usize, steps: Vec<StepSpec>) -> JobRecord {
+    JobRecord {
+        id: job_id(number),
+        pool: pool(),
+        queue: QueueId::new("r-1").expect("queue"),
+        organisation: None,
+        rule: QueueRule {
+            priority: 0,
+            max_attempts: 4,
+            slack: 1.6,
+            target: Duration::from_millis(600),
+            advice: None,
+        },
+        accepted: WALL,
+        spec: JobSpec {
+            text: "text".into(),
+            steps,
+            schedule: None,
+        },
+    }
+}
+
+/// A scheduler with workers that have been looked at.
+pub fn scheduler(now: Instant, workers: usize, cores: u64) -> PoolScheduler {
+    let mut scheduler = PoolScheduler::new(
+        pool(),
+        DutyTerm::new(1),
+        SchedulerRules::default(),
+        SettlingState::default(),
+    );
+    for number in 0..workers {
+        scheduler.set_worker(entry(number, cores));
+    }
+    scheduler.decide(now, WALL, true);
+    for number in 0..workers {
+        report(&mut scheduler, now, number, &[], &[]);
+    }
+    scheduler
+}
+
+/// Answers the look in flight.
+pub fn report(
+    scheduler: &mut PoolScheduler,
+    now: Instant,
+    worker: usize,
+    running: &[&StartOrder],
+    ended: &[(u64, &StartOrder, RunEnd)],
+) {
+    let report = WorkerReport {
+        clock_ms: 5_000,
+        born: Some(UnixMillis::new(1)),
+        running: running.iter().map(|start| running_row(start)).collect(),
+        ended: ended
+            .iter()
+            .map(|(sequence, start, end)| EndedRow {
+                sequence: *sequence,
+                task: start.run.task.clone(),
+                run: start.run.run,
+                end: *end,
+                saved: Arc::default(),
+            })
+            .collect(),
+    };
+    scheduler.look_answered(now, &worker_id(worker), now, report);
+}
+
+pub fn running_row(start: &StartOrder) -> RunningRow {
+    RunningRow {
+        task: start.run.task.clone(),
+        run: start.run.run,
+        saved: Arc::default(),
+        percent: 100.0,
+        load: 0.0,
+    }
+}
+
+pub fn starts(orders: Vec<Order>) -> Vec<StartOrder> {
+    let starts = orders.into_iter().filter_map(|order| match order {
+        Order::Start(start) => Some(start),
+        _ => None,
+    });
+    starts.collect()
+}
+
+/// Decides, and confirms all starts.
+pub fn start_all(scheduler: &mut PoolScheduler, now: Instant) -> Vec<StartOrder> {
+    let started = starts(scheduler.decide(now, WALL, true));
+    for start in &started {
+        scheduler.start_answered(now, &start.target.worker, &start.run, StartOutcome::Started);
+    }
+    started
+}
