--- a/src/dispatch/pool_size.rs
+++ b/src/dispatch/pool_size.rs
@@ -14,10 +14,10 @@
 use crate::model::resource::ResourceSet;
 
 /// Share of a pool's capacity that work can fill; the rest is lost between tasks of different sizes.
-const FILL_SHARE: f64 = 0.85;
+const FILL_SHARE: f64 = 0.95;
 
 /// Time for which a pool's demand has to be low before instances are released.
-const LOW_TIME: Duration = Duration::from_millis(1_500);
+const LOW_TIME: Duration = Duration::from_millis(1_000);
 
 /// Least number of workers of a pool, so that the first job after a quiet time finds room.
 const LEAST_WORKERS: u32 = 2;
