--- a/src/dispatch/job_spec.rs
+++ b/src/dispatch/job_spec.rs
@@ -51,6 +51,10 @@
 /// A step: tasks that are alike.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other"
+)]
 pub struct StepSpec {
     /// Number of tasks.
     pub tasks: u32,
--- a/src/dispatch/job_state.rs
+++ b/src/dispatch/job_state.rs
@@ -108,6 +108,10 @@
 
 /// A job that is not over, or whose end has not been written.
 #[derive(Debug, Clone)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other"
+)]
 pub struct JobRun {
     /// The job as accepted.
     pub record: JobRecord,
--- a/src/dispatch/order.rs
+++ b/src/dispatch/order.rs
@@ -111,7 +111,7 @@
 }
 
 /// Why a look gave no report.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
 pub enum LookFault {
     /// Another worker answers at the address.
     #[display("other worker")]
@@ -119,9 +119,9 @@
     /// A newer holder has given orders.
     #[display("fenced")]
     Fenced,
-    /// There was no answer.
-    #[display("no answer")]
-    NoAnswer,
+    /// There was no answer that can be used, with its cause.
+    #[display("no answer ({_0})")]
+    NoAnswer(Arc<str>),
 }
 
 /// Workers that may run a step, with their tickets.
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -106,6 +106,8 @@
     strays: BTreeMap<(WorkerId, TaskRun), Option<Instant>>,
     notes: Vec<DecisionNote>,
     is_fenced: bool,
+    /// Earliest time at which tasks are moved: a stop of the former holder may still be under way before it.
+    vacate_from: Option<Instant>,
     next_due: Option<UnixMillis>,
 }
 
@@ -134,6 +136,7 @@
             strays: BTreeMap::new(),
             notes: Vec::new(),
             is_fenced: false,
+            vacate_from: None,
             next_due: None,
         }
     }
@@ -336,9 +339,8 @@
             worker.look.next_at = Some(now + LOOK_GAP);
         }
         match outcome {
-            StartOutcome::Unknown => worker.blame.miss_answer(now),
+            StartOutcome::Unknown | StartOutcome::NotSent => worker.blame.miss_answer(now),
             StartOutcome::Unhealthy => worker.blame.refuse(now),
-            StartOutcome::NotSent => worker.blame.miss_answer(now),
             _ => worker.blame.take_answer(),
         }
         let Some(placed) = worker
@@ -418,8 +420,8 @@
     }
 
     /// Takes a look without a report.
-    pub fn look_failed(&mut self, now: Instant, worker_id: &WorkerId, fault: LookFault) {
-        if fault == LookFault::Fenced {
+    pub fn look_failed(&mut self, now: Instant, worker_id: &WorkerId, fault: &LookFault) {
+        if *fault == LookFault::Fenced {
             self.is_fenced = true;
         }
         let Some(worker) = self.workers.get_mut(worker_id) else {
@@ -428,11 +430,11 @@
         worker.look.sent_at = None;
         worker.look.faults += 1;
         worker.look.next_at = Some(now + LOOK_RETRY * worker.look.faults.min(4));
-        if fault == LookFault::OtherWorker {
+        if *fault == LookFault::OtherWorker {
             worker.is_listed = false;
         }
         if worker.look.faults == 1 {
-            let inputs = format!("{fault}, {} runs on it", worker.runs.len());
+            let inputs = format!("{fault}; {} runs on it", worker.runs.len());
             self.note("worker lost", None, Some(worker_id.clone()), inputs);
         }
     }
@@ -499,7 +501,11 @@
         self.order_stops(now, &mut orders);
         if may_extend {
             self.begin_due(now, wall);
-            self.vacate(now);
+            let settled = now + self.rules.stop_time + LOOK_WAIT + LOOK_GAP;
+            let vacate_from = *self.vacate_from.get_or_insert(settled);
+            if now >= vacate_from {
+                self.vacate(now);
+            }
             self.order_starts(now, &mut orders);
             self.order_paces(&mut orders);
         }
--- a/src/dispatch/pool_scheduler/report_fold.rs
+++ b/src/dispatch/pool_scheduler/report_fold.rs
@@ -55,6 +55,9 @@
             );
         }
         let mut ended = report.ended;
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            worker.ends.note_listed(ended.iter().map(|row| row.sequence));
+        }
         ended.sort_by_key(|row| row.sequence);
         for row in &ended {
             self.take_end(now, worker_id, row);
@@ -87,20 +90,16 @@
         worker.lease.reset();
         worker.is_seen = false;
         worker.look.next_at = None;
-        let mut over = Vec::new();
-        for (task, run) in &mut worker.runs {
-            match run.phase {
-                RunPhase::Running => over.push(task_run(task, run)),
-                RunPhase::Unknown => run.stop_taken = None,
-                RunPhase::Starting => {}
-            }
+        let mut doubtful = 0;
+        for run in worker.runs.values_mut() {
+            // The new life may have confirmed some of the starts: its first report tells.
+            run.is_doubtful = run.phase == RunPhase::Running;
+            doubtful += usize::from(run.is_doubtful);
+            run.stop_sent = None;
+            run.stop_taken = None;
         }
-        let inputs = format!("{} runs ended with its former life", over.len());
+        let inputs = format!("{doubtful} runs may have ended with its former life");
         self.note("worker started again", None, Some(worker_id.clone()), inputs);
-        let now = Instant::now();
-        for run in over {
-            self.drop_run(now, worker_id, &run, true);
-        }
     }
 
     fn take_end(&mut self, now: Instant, worker_id: &WorkerId, row: &EndedRow) {
@@ -276,6 +275,7 @@
             deadline_ms: 0,
             // The pace that a former holder ordered is not known; the next order sets it.
             pace: 0,
+            is_doubtful: false,
             unknown_since: None,
             must_stop: !is_wanted,
             stop_sent: None,
@@ -363,9 +363,16 @@
                 .iter()
                 .any(|row| row.run == placed.run && row.task == *task);
             let is_newer = placed.placed_at >= sent_at;
+            if is_listed {
+                placed.is_doubtful = false;
+            }
             if is_listed || is_newer || placed.phase == RunPhase::Starting {
                 continue;
             }
+            if placed.is_doubtful {
+                gone.push(task_run(task, placed));
+                continue;
+            }
             let is_stopped = placed.stop_taken.is_some_and(|at| at <= sent_at);
             let is_late = placed.phase == RunPhase::Unknown && clock_ms > placed.deadline_ms;
             if is_stopped || is_late {
@@ -381,7 +388,7 @@
             }
         }
         for run in gone {
-            self.drop_run(now, worker_id, &run, false);
+            self.drop_run(now, worker_id, &run, true);
         }
     }
 }
--- a/src/dispatch/pool_scheduler/start_pass.rs
+++ b/src/dispatch/pool_scheduler/start_pass.rs
@@ -322,6 +322,7 @@
                 saved: Arc::clone(&saved),
                 deadline_ms,
                 pace: 100,
+                is_doubtful: false,
                 unknown_since: None,
                 must_stop: false,
                 stop_sent: None,
--- a/src/dispatch/pool_size.rs
+++ b/src/dispatch/pool_size.rs
@@ -17,7 +17,7 @@
 const FILL_SHARE: f64 = 0.95;
 
 /// Time for which a pool's demand has to be low before instances are released.
-const LOW_TIME: Duration = Duration::from_millis(1_000);
+const LOW_TIME: Duration = Duration::from_secs(1);
 
 /// Least number of workers of a pool, so that the first job after a quiet time finds room.
 const LEAST_WORKERS: u32 = 2;
--- a/src/dispatch/start_order.rs
+++ b/src/dispatch/start_order.rs
@@ -29,6 +29,10 @@
 
 /// What the order of a step depends on.
 #[derive(Debug, Clone, Copy, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other"
+)]
 pub struct StepFacts {
     /// Priority of the queue; 0 goes first.
     pub priority: u32,
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -27,6 +27,10 @@
 
 /// A run that is or may be on a worker.
 #[derive(Debug, Clone)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other"
+)]
 pub struct PlacedRun {
     /// The run.
     pub run: RunNumber,
@@ -58,6 +62,8 @@
     pub deadline_ms: u64,
     /// Pace that was last ordered, in percent.
     pub pace: u32,
+    /// Whether the worker has started again since, so that its next report decides.
+    pub is_doubtful: bool,
     /// Time at which its start ran into its time-out.
     pub unknown_since: Option<Instant>,
     /// Whether it has to be stopped.
@@ -77,6 +83,8 @@
     acknowledged: u64,
     /// Number of an end and the change that has to be written first.
     waiting: VecDeque<(u64, u64)>,
+    /// Whether the worker listed an end again that had been acknowledged.
+    is_unheard: bool,
 }
 
 impl EndLog {
@@ -91,20 +99,29 @@
         self.waiting.push_back((sequence, change));
     }
 
-    /// The highest end that may be acknowledged when all changes up to `durable` are written.
+    /// Takes the ends that a report lists: one that had been acknowledged is acknowledged again.
+    pub fn note_listed(&mut self, mut listed: impl Iterator<Item = u64>) {
+        self.is_unheard |= listed.any(|sequence| sequence <= self.acknowledged);
+    }
+
+    /// The highest end to acknowledge now that all changes up to `durable` are written, or 0 if there is nothing
+    /// new. The worker may have started again unnoticed: its new life numbers ends anew, and a number repeated
+    /// without cause would acknowledge ends that nobody has seen.
     pub fn acknowledge(&mut self, durable: u64) -> u64 {
+        let mut is_new = std::mem::take(&mut self.is_unheard);
         while let Some((sequence, change)) = self.waiting.front()
             && *change <= durable
         {
             self.acknowledged = self.acknowledged.max(*sequence);
             self.waiting.pop_front();
+            is_new = true;
         }
-        self.acknowledged
+        if is_new { self.acknowledged } else { 0 }
     }
 
     /// Whether ends wait for an acknowledgement that can be given now.
     pub fn has_ready(&self, durable: u64) -> bool {
-        self.waiting.front().is_some_and(|(_, change)| *change <= durable)
+        self.is_unheard || self.waiting.front().is_some_and(|(_, change)| *change <= durable)
     }
 }
 
@@ -117,8 +134,6 @@
     pub next_at: Option<Instant>,
     /// Looks in a row without an answer.
     pub faults: u32,
-    /// End of the last look that acknowledged something.
-    pub acknowledged: u64,
 }
 
 /// A worker.
--- a/src/duty/duty_metrics.rs
+++ b/src/duty/duty_metrics.rs
@@ -139,7 +139,9 @@
 
     /// Sets the number of jobs of a pool.
     pub fn set_jobs(&self, pool: &str, jobs: usize) {
-        self.jobs.with_label_values(&[pool]).set(jobs as i64);
+        self.jobs
+            .with_label_values(&[pool])
+            .set(i64::try_from(jobs).unwrap_or(i64::MAX));
     }
 
     /// The metrics as text.
--- a/src/duty/fleet_duty.rs
+++ b/src/duty/fleet_duty.rs
@@ -77,7 +77,7 @@
     );
     let events = sender.clone();
     let send = move |event| events.send(FleetEvent::Writer(event)).is_ok();
-    let tasks = vec![
+    let tasks = [
         tokio::spawn(tenure_writer::run_writer(tenure_writer, jobs, send)),
         follow(
             &parts,
--- a/src/duty/node_lease.rs
+++ b/src/duty/node_lease.rs
@@ -11,7 +11,7 @@
 use slog::Logger;
 
 /// Time to live. A lost holder is replaced after it; a holder that cannot renew stops ordering before it.
-const LEASE_TIME: Duration = Duration::from_millis(2_000);
+const LEASE_TIME: Duration = Duration::from_secs(2);
 
 /// Time between renewals.
 const RENEWAL_GAP: Duration = Duration::from_millis(500);
@@ -45,12 +45,12 @@
 pub async fn keep(
     store: StoreGateway,
     clock: SharedClock,
-    least: Duration,
+    shortest: Duration,
     standing: watch::Sender<LeaseStanding>,
     mut released: watch::Receiver<bool>,
     log: Logger,
 ) {
-    let ttl = LEASE_TIME.max(least);
+    let ttl = LEASE_TIME.max(shortest);
     let mut is_lost = false;
     loop {
         if *released.borrow() {
@@ -62,9 +62,9 @@
             _ = released.changed() => {}
         }
     }
-    let lease = standing.borrow().lease;
+    let held = standing.borrow().lease;
     standing.send_replace(LeaseStanding::default());
-    if let Some(lease) = lease {
+    if let Some(lease) = held {
         match store.end_lease(lease, RENEWAL_TIMEOUT).await {
             Ok(()) => info!(log, "lease ended"; "lease" => %lease),
             Err(error) => warn!(log, "lease runs out by itself"; "lease" => %lease, "error" => %error),
--- a/src/duty/node_parts.rs
+++ b/src/duty/node_parts.rs
@@ -17,7 +17,7 @@
 use crate::platform::store::StoreGateway;
 
 /// Time for one call to the store. Its answers take milliseconds, and some tens of times that when it is slow.
-pub const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+pub const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The configuration in force; none before the first was read.
 pub type ConfigReceiver = watch::Receiver<Option<Arc<SiteConfig>>>;
--- a/src/duty/platform_node.rs
+++ b/src/duty/platform_node.rs
@@ -44,10 +44,10 @@
 const DUTY_END: Duration = Duration::from_millis(1_200);
 
 /// Time after the signal in which the balancer still sends new connections: two missed readiness checks.
-const BALANCER_TIME: Duration = Duration::from_millis(3_000);
+const BALANCER_TIME: Duration = Duration::from_secs(3);
 
 /// Part of the grace time that is left unused before the process would be killed.
-const GRACE_MARGIN: Duration = Duration::from_millis(1_000);
+const GRACE_MARGIN: Duration = Duration::from_secs(1);
 
 /// Pause between looks at the calls in flight.
 const FLIGHT_TICK: Duration = Duration::from_millis(50);
@@ -84,11 +84,11 @@
     };
     let servers = start_servers(&parts, metrics_port)?;
     tokio::spawn(config_follower::follow(store.clone(), config_sender, log.clone()));
-    let least = settings.least_store_lease;
+    let shortest = settings.least_store_lease;
     let keeper = tokio::spawn(node_lease::keep(
         store,
         Arc::clone(&clock),
-        least,
+        shortest,
         lease_sender,
         released,
         log.clone(),
--- a/src/duty/pool_duty.rs
+++ b/src/duty/pool_duty.rs
@@ -120,7 +120,7 @@
     );
     let events = sender.clone();
     let send = move |event| events.send(PoolEvent::Writer(event)).is_ok();
-    let tasks = vec![
+    let tasks = [
         tokio::spawn(tenure_writer::run_writer(tenure_writer, jobs, send)),
         follow(
             &parts,
@@ -286,7 +286,7 @@
             PoolEvent::Looked(worker, sent_at, Ok(report)) => {
                 self.scheduler.look_answered(now, &worker, sent_at, report);
             }
-            PoolEvent::Looked(worker, _, Err(fault)) => self.scheduler.look_failed(now, &worker, fault),
+            PoolEvent::Looked(worker, _, Err(fault)) => self.scheduler.look_failed(now, &worker, &fault),
             PoolEvent::Advised(step, answer) => self.scheduler.advice_answered(now, &step, answer),
             PoolEvent::Writer(WriterEvent::Written(outcome)) => {
                 self.is_writing = false;
@@ -503,17 +503,14 @@
             if let Some(head) = &job.head {
                 write.put(job_keys::head_key(&job.job), job_keys::encode(head)?, None);
             }
-            match &job.progress {
-                Some(progress) => {
-                    let key = job_keys::progress_key(&self.pool, &job.job);
-                    write.put(key, job_keys::encode(progress)?, None);
-                }
-                None => {
-                    write.deletes.push(job_keys::inbox_key(&self.pool, &job.job));
-                    write.deletes.push(job_keys::progress_key(&self.pool, &job.job));
-                    if job.is_cancelled {
-                        write.deletes.push(job_keys::cancel_key(&self.pool, &job.job));
-                    }
+            if let Some(progress) = &job.progress {
+                let key = job_keys::progress_key(&self.pool, &job.job);
+                write.put(key, job_keys::encode(progress)?, None);
+            } else {
+                write.deletes.push(job_keys::inbox_key(&self.pool, &job.job));
+                write.deletes.push(job_keys::progress_key(&self.pool, &job.job));
+                if job.is_cancelled {
+                    write.deletes.push(job_keys::cancel_key(&self.pool, &job.job));
                 }
             }
         }
@@ -606,6 +603,7 @@
     let outcome = gateway.look(&order).await;
     let name = match &outcome {
         Ok(_) => "Report".to_owned(),
+        Err(LookFault::NoAnswer(_)) => "NoAnswer".to_owned(),
         Err(fault) => format!("{fault:?}"),
     };
     count(parts, "look", &name, sent_at);
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -44,6 +44,10 @@
 
 #[derive(Debug, Default, Deserialize)]
 #[serde(rename_all = "kebab-case", default)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other"
+)]
 struct WireStep {
     count: u32,
     cpu: u64,
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -56,6 +56,7 @@
 
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "kebab-case")]
+#[expect(clippy::struct_field_names, reason = "the names are those on the wire")]
 struct WireAdviceRule {
     #[serde(default)]
     decide_ms: f64,
--- a/src/platform/reset_connector.rs
+++ b/src/platform/reset_connector.rs
@@ -33,12 +33,12 @@
     type Error = ConnectFault;
     type Future = BoxFuture<'static, Result<Self::Response, Self::Error>>;
 
-    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
-        self.inner.poll_ready(context)
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.inner.poll_ready(cx)
     }
 
-    fn call(&mut self, uri: Uri) -> Self::Future {
-        let connecting = self.inner.call(uri);
+    fn call(&mut self, req: Uri) -> Self::Future {
+        let connecting = self.inner.call(req);
         Box::pin(async move {
             let connection = connecting.await?;
             // Without the option the connection is closed in order, which is no reason to fail the call.
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -203,12 +203,14 @@
         let answer = self
             .send(&order.target, "/hold", &body, order.wait + LOOK_TIMEOUT)
             .await
-            .map_err(|_| LookFault::NoAnswer)?;
+            .map_err(|fault| LookFault::NoAnswer(fault.to_string().into()))?;
         match answer.status {
-            StatusCode::OK => decode_report(&answer).map_err(|_| LookFault::NoAnswer),
+            StatusCode::OK => {
+                decode_report(&answer).map_err(|error| LookFault::NoAnswer(error.message().into()))
+            }
             StatusCode::CONFLICT => Err(LookFault::Fenced),
             StatusCode::MISDIRECTED_REQUEST => Err(LookFault::OtherWorker),
-            _ => Err(LookFault::NoAnswer),
+            status => Err(LookFault::NoAnswer(format!("status {status}").into())),
         }
     }
 }
--- a/tests/platform_soak/fake_store.rs
+++ b/tests/platform_soak/fake_store.rs
@@ -185,7 +185,7 @@
             .into_body()
             .collect()
             .await
-            .map(|body| body.to_bytes())
+            .map(http_body_util::Collected::to_bytes)
             .unwrap_or_default();
         let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
         if path == "/kv-watch" {
@@ -241,7 +241,7 @@
     async fn commit(&self, body: Value) -> Answer {
         let draw = self.draw.fetch_add(37, Ordering::Relaxed) % 100;
         let lost = self.lost_percent.load(Ordering::Relaxed);
-        if draw < lost && draw % 2 == 0 {
+        if draw < lost && draw.is_multiple_of(2) {
             // Carried out late, if its condition still holds.
             let store = self.clone();
             tokio::spawn(async move {
--- a/tests/platform_soak/fake_worker.rs
+++ b/tests/platform_soak/fake_worker.rs
@@ -1,6 +1,6 @@
 //! A fake of a worker: runs tasks under a lease and keeps the record that the checker reads.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -41,7 +41,6 @@
     /// Highest run of each task that was stopped or ended.
     closed: BTreeMap<String, u64>,
     records: Vec<RunRecord>,
-    stopped: BTreeSet<(String, u64)>,
 }
 
 /// The worker.
@@ -122,7 +121,6 @@
             "/run-stop" => {
                 let closed = self.closed.entry(key.0.clone()).or_default();
                 *closed = (*closed).max(key.1);
-                self.stopped.insert(key.clone());
                 self.end(&key, "stopped", Instant::now());
             }
             _ => {
@@ -173,7 +171,6 @@
             next_end: 1,
             closed: BTreeMap::new(),
             records: Vec::new(),
-            stopped: BTreeSet::new(),
         };
         let worker = Self {
             state: Arc::new(Mutex::new(state)),
@@ -235,7 +232,7 @@
             .into_body()
             .collect()
             .await
-            .map(|body| body.to_bytes())
+            .map(http_body_util::Collected::to_bytes)
             .unwrap_or_default();
         let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
         let (status, mut reply) = self.state.lock().expect("state").serve(&path, &body);
--- a/tests/platform_soak/scenario.rs
+++ b/tests/platform_soak/scenario.rs
@@ -240,7 +240,7 @@
         .into_body()
         .collect()
         .await
-        .map(|body| body.to_bytes())
+        .map(http_body_util::Collected::to_bytes)
         .unwrap_or_default();
     (status, serde_json::from_slice(&body).unwrap_or(Value::Null))
 }
--- a/tests/pool_decisions/scheduler.rs
+++ b/tests/pool_decisions/scheduler.rs
@@ -35,7 +35,7 @@
         for order in scheduler.decide(time, WALL, true) {
             match order {
                 Order::Look(look) if look.target.worker == first.target.worker => {
-                    scheduler.look_failed(time, &look.target.worker, LookFault::NoAnswer);
+                    scheduler.look_failed(time, &look.target.worker, &LookFault::NoAnswer("time-out".into()));
                 }
                 Order::Start(start) => again.push(start),
                 _ => {}
@@ -290,3 +290,61 @@
     });
     assert_eq!(start_all(&mut scheduler, now).len(), 3);
 }
+
+/// Guards against runs of a worker's new life that are taken for those of its former life, because the start was
+/// confirmed before the holder knew of the new life: they ran a second time elsewhere (soak, seed 12).
+#[test]
+fn runs_confirmed_by_a_new_life_are_kept() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 1, 8);
+    scheduler.submit(now, now, record(1, vec![step(2, 1, 100)]), None);
+    let started = start_all(&mut scheduler, now);
+    let mut reborn = entry(0, 8);
+    reborn.born = Some(figloft::model::unix_time::UnixMillis::new(2));
+    scheduler.set_worker(reborn);
+    scheduler.decide(now + MS, WALL, true);
+    let report = figloft::dispatch::worker_report::WorkerReport {
+        clock_ms: 10,
+        born: Some(figloft::model::unix_time::UnixMillis::new(2)),
+        running: vec![crate::setup::running_row(&started[0])],
+        ended: Vec::new(),
+    };
+    scheduler.look_answered(now + MS * 2, &worker_id(0), now + MS, report);
+    let again = starts(scheduler.decide(now + MS * 3, WALL, true));
+    assert_eq!(again.len(), 1, "only the run that the new life does not list");
+    assert_eq!(again[0].run.task, started[1].run.task);
+}
+
+/// Guards against a new holder that moves a task while a stop of the former holder is under way on another of its
+/// step (AVAIL, Dialworks trouble-2 seed 11).
+#[test]
+fn new_holder_waits_before_it_moves_tasks() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 3, 8);
+    let mut lasting = step(2, 1, 0);
+    lasting.is_lasting = true;
+    lasting.may_miss = 1;
+    scheduler.submit(now, now, record(1, vec![lasting]), None);
+    let started = start_all(&mut scheduler, now);
+    let number = |start: &figloft::dispatch::order::StartOrder| {
+        (0..3)
+            .find(|number| worker_id(*number) == start.target.worker)
+            .expect("worker")
+    };
+    scheduler.set_plan(PoolPlan {
+        version: PlanVersion::new(1),
+        closing: [started[0].target.worker.clone()].into(),
+        ..PoolPlan::default()
+    });
+    let has_stop = |orders: &[Order]| orders.iter().any(|order| matches!(order, Order::Stop(..)));
+    let look = |scheduler: &mut PoolScheduler, time: Instant| {
+        scheduler.decide(time, WALL, true);
+        for start in &started {
+            report(scheduler, time, number(start), &[start], &[]);
+        }
+        let first = scheduler.decide(time + MS * 100, WALL, true);
+        has_stop(&first) || has_stop(&scheduler.decide(time + MS * 101, WALL, true))
+    };
+    assert!(!look(&mut scheduler, now + MS * 500));
+    assert!(look(&mut scheduler, now + MS * 2_500));
+}
