--- a/tests/platform_soak/scenario.rs
+++ b/tests/platform_soak/scenario.rs
@@ -25,6 +25,8 @@
 
 const NODES: usize = 3;
 const WORKERS: usize = 4;
+/// Time that a crashed worker needs to start again.
+const RESTART_TIME: Duration = Duration::from_millis(200);
 /// Time in which faults happen and jobs are submitted.
 const FAULT_TIME: Duration = Duration::from_secs(10);
 /// Time after the last fault in which every accepted job has to be completed: the longest lease, a take-over and the
@@ -135,7 +137,10 @@
         4 => world.store_links[node].set(mode),
         5 => world.worker_links[worker].set(mode),
         6 => {
+            world.worker_links[worker].crash();
             world.workers[worker].crash();
+            tokio::time::sleep(RESTART_TIME).await;
+            world.worker_links[worker].set(LinkMode::Pass);
             list_worker(world, worker);
         }
         7 => world.store.lost_percent.store(30, Ordering::Relaxed),
