Keep workers of moved instances closed until their pool has forgotten them

Cause: a move that was done removed the instance from the closing set, so that the next plan reopened its worker, whose entry lives on for seconds. Ruled out: caps of organisations (the waits were the same for all) and the limit of the machine API. The fleet's holder logs the sizes of pools with their demand once a second.

--- a/src/dispatch/fleet_planner.rs
+++ b/src/dispatch/fleet_planner.rs
@@ -6,7 +6,7 @@
 
 use crate::dispatch::allowance_split::{self, PoolClaim};
 use crate::dispatch::pool_plan::{PoolPlan, PoolReport, WorkerUse};
-use crate::dispatch::pool_size::{PoolSizer, SizeFacts};
+use crate::dispatch::pool_size::{PoolNeed, PoolSizer, SizeFacts};
 use crate::dispatch::site_config::SiteConfig;
 use crate::dispatch::wave_plan::{
     InstanceEntry, InstanceOutcome, InstanceState, WavePlan, WaveProgress, WaveRequest,
@@ -42,6 +42,9 @@
     waves: BTreeMap<WaveNumber, WavePlan>,
     unstored: BTreeSet<WaveNumber>,
     sizer: PoolSizer,
+    /// Workers whose instance has left them for another pool or for upkeep. Their entries outlive them by some
+    /// seconds, in which they must neither get work nor count as room.
+    departed: BTreeMap<WorkerId, PoolId>,
 }
 
 impl FleetPlanner {
@@ -62,6 +65,8 @@
 
     /// Takes a pool's report.
     pub fn set_report(&mut self, pool: PoolId, report: PoolReport) {
+        self.departed
+            .retain(|worker, of| *of != pool || report.workers.contains_key(worker));
         self.reports.insert(pool, report);
     }
 
@@ -96,6 +101,9 @@
         number: WaveNumber,
         outcome: InstanceOutcome,
     ) {
+        if outcome == InstanceOutcome::Done {
+            self.depart(instance);
+        }
         if let Some(wave) = self.waves.get_mut(&number)
             && wave.answered(now, instance, outcome)
         {
@@ -111,9 +119,35 @@
         to: &PoolId,
         outcome: InstanceOutcome,
     ) {
+        if outcome == InstanceOutcome::Done {
+            self.depart(instance);
+        }
         self.sizer.answered(now, instance, to, outcome);
     }
 
+    fn depart(&mut self, instance: &InstanceId) {
+        let Some(entry) = self.instances.get(instance) else {
+            return;
+        };
+        let Some(worker) = &entry.worker else {
+            return;
+        };
+        let report = self.reports.get(&entry.pool);
+        if report.is_some_and(|report| report.workers.contains_key(worker)) {
+            self.departed.insert(worker.clone(), entry.pool.clone());
+        }
+    }
+
+    /// Sizes of the pools that the last decision was based on.
+    pub fn needs(&self) -> &BTreeMap<PoolId, PoolNeed> {
+        self.sizer.needs()
+    }
+
+    /// The last report of a pool.
+    pub fn report(&self, pool: &PoolId) -> Option<&PoolReport> {
+        self.reports.get(pool)
+    }
+
     /// Whether the platform's list has to be read again soon.
     pub fn needs_list(&self) -> bool {
         !self.is_listed || self.sizer.is_busy() || self.waves.values().any(WavePlan::is_open)
@@ -205,7 +239,9 @@
         let instances = due.chain(self.sizer.closing());
         let entries = instances.filter_map(|id| self.instances.get(id));
         let of_pool = entries.filter(|entry| entry.pool == *pool);
-        of_pool.filter_map(|entry| entry.worker.clone()).collect()
+        let vacated = of_pool.filter_map(|entry| entry.worker.clone());
+        let departed = self.departed.iter().filter(|(_, of)| *of == pool);
+        vacated.chain(departed.map(|(worker, _)| worker.clone())).collect()
     }
 
     /// What a pool may use at most of each limit until it confirms the next plan.
--- a/src/dispatch/pool_size.rs
+++ b/src/dispatch/pool_size.rs
@@ -36,12 +36,12 @@
 }
 
 /// Needs of one pool.
-#[derive(Debug, Clone, Default)]
-struct PoolNeed {
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PoolNeed {
     /// Workers that the demand asks for.
-    target: u32,
+    pub target: u32,
     /// Workers that take work, and instances on their way.
-    available: u32,
+    pub available: u32,
 }
 
 /// A move.
@@ -78,6 +78,7 @@
     worked: BTreeSet<PoolId>,
     retry_at: BTreeMap<InstanceId, Instant>,
     in_flight: BTreeSet<InstanceId>,
+    needs: BTreeMap<PoolId, PoolNeed>,
 }
 
 impl PoolSizer {
@@ -86,6 +87,11 @@
         &self.closing
     }
 
+    /// Needs of the pools at the last decision.
+    pub fn needs(&self) -> &BTreeMap<PoolId, PoolNeed> {
+        &self.needs
+    }
+
     /// Whether instances are on their way or being vacated.
     pub fn is_busy(&self) -> bool {
         !self.closing.is_empty() || !self.arrivals.is_empty() || !self.in_flight.is_empty()
@@ -99,7 +105,8 @@
         is_empty: impl Fn(&InstanceEntry) -> bool,
     ) -> Vec<InstanceMove> {
         self.settle_arrivals(now, facts);
-        let mut needs = self.needs(facts);
+        let mut needs = self.rate_needs(facts);
+        self.needs.clone_from(&needs);
         self.close_surplus(now, facts, &needs);
         self.move_free(now, facts, &mut needs, is_empty)
     }
@@ -124,7 +131,7 @@
         });
     }
 
-    fn needs(&self, facts: SizeFacts<'_>) -> BTreeMap<PoolId, PoolNeed> {
+    fn rate_needs(&self, facts: SizeFacts<'_>) -> BTreeMap<PoolId, PoolNeed> {
         let needs = facts.pools.iter().filter_map(|pool| {
             let report = facts.reports.get(pool)?;
             let arriving = self
--- a/src/duty/fleet_duty.rs
+++ b/src/duty/fleet_duty.rs
@@ -10,6 +10,7 @@
 
 use crate::dispatch::fleet_planner::{FleetOrder, FleetPlanner, WaveNumber};
 use crate::dispatch::pool_plan::PoolPlan;
+use crate::dispatch::pool_size::PoolNeed;
 use crate::dispatch::wave_plan::{InstanceEntry, InstanceOutcome, WaveProgress};
 use crate::duty::job_keys;
 use crate::duty::node_parts::{NodeParts, STORE_TIMEOUT};
@@ -31,6 +32,9 @@
 /// Time between decisions without news.
 const PLAN_TICK: Duration = Duration::from_millis(200);
 
+/// Least time between two log lines on the size of a pool.
+const SIZE_LOG_GAP: Duration = Duration::from_secs(1);
+
 /// Plans and waves in one write.
 const WRITE_ORDERS: usize = 10;
 
@@ -57,6 +61,8 @@
     is_listing: bool,
     next_list: Instant,
     wave_progress: BTreeMap<WaveNumber, WaveProgress>,
+    logged_needs: BTreeMap<PoolId, PoolNeed>,
+    next_size_log: Instant,
     ended: Option<&'static str>,
 }
 
@@ -106,6 +112,8 @@
     });
     let mut shell = FleetShell {
         next_list: parts.clock.now(),
+        logged_needs: BTreeMap::new(),
+        next_size_log: parts.clock.now(),
         parts,
         log,
         planner,
@@ -300,9 +308,30 @@
                 FleetOrder::Move(instance, pool) => self.start_move(instance, pool),
             }
         }
+        self.log_sizes(now);
         self.flush();
     }
 
+    /// Logs the sizes of pools that have changed, with the demand that decided them.
+    fn log_sizes(&mut self, now: Instant) {
+        if now < self.next_size_log {
+            return;
+        }
+        self.next_size_log = now + SIZE_LOG_GAP;
+        for (pool, need) in self.planner.needs() {
+            if self.logged_needs.get(pool) == Some(need) {
+                continue;
+            }
+            let report = self.planner.report(pool).cloned().unwrap_or_default();
+            info!(self.log, "pool sized"; "pool" => %pool, "target" => need.target,
+                "available" => need.available, "used_cores" => %report.used.cores,
+                "ready_cores" => %report.ready.cores, "inflow_cores" => %report.inflow.cores,
+                "lasting_cores" => %report.lasting.cores, "spread" => report.spread,
+                "listed" => report.workers.len());
+        }
+        self.logged_needs.clone_from(self.planner.needs());
+    }
+
     fn send_writer(&mut self, job: WriterJob) {
         if self.writer.send(job).is_err() {
             self.ended = Some("the writer has ended");
--- a/tests/pool_decisions/fleet.rs
+++ b/tests/pool_decisions/fleet.rs
@@ -4,9 +4,13 @@
 use std::time::{Duration, Instant};
 
 use figloft::dispatch::allowance_split::{self, PoolClaim};
-use figloft::dispatch::pool_plan::{PoolReport, WorkerUse};
+use figloft::dispatch::fleet_planner::{FleetOrder, FleetPlanner};
+use figloft::dispatch::pool_plan::{PoolPlan, PoolReport, WorkerUse};
 use figloft::dispatch::pool_size::{PoolSizer, SizeFacts};
-use figloft::dispatch::wave_plan::{InstanceEntry, InstanceState, WavePlan, WaveProgress, WaveRequest};
+use figloft::dispatch::site_config::{PoolConfig, SiteConfig};
+use figloft::dispatch::wave_plan::{
+    InstanceEntry, InstanceOutcome, InstanceState, WavePlan, WaveProgress, WaveRequest,
+};
 use figloft::model::amount::{MemoryMib, MilliCores};
 use figloft::model::id::{InstanceId, PoolId, WorkerId};
 use figloft::model::resource::ResourceSet;
@@ -177,3 +181,87 @@
     assert!(moves.iter().all(|order| order.to == pool_id("pool-a")));
     assert_eq!(moves.len(), 6);
 }
+
+fn site_config(pools: &[&str]) -> SiteConfig {
+    let mut config = SiteConfig::default();
+    for pool in pools {
+        config.pools.insert(pool_id(pool), PoolConfig::default());
+    }
+    let spare = PoolConfig { is_spare: true, ..PoolConfig::default() };
+    config.pools.insert(pool_id("spare"), spare);
+    config
+}
+
+fn published(orders: &[FleetOrder], pool: &str) -> Option<PoolPlan> {
+    orders.iter().rev().find_map(|order| match order {
+        FleetOrder::Publish(of, plan) if *of == pool_id(pool) => Some(plan.clone()),
+        _ => None,
+    })
+}
+
+/// Guards against workers whose instance has left the pool while their entries live on: the plan reopened them, and in
+/// a calm day the pool sent 1,528 starts to workers that were gone and counted 170 of them as room.
+#[test]
+fn workers_of_moved_instances_stay_closed_until_they_are_forgotten() {
+    let now = Instant::now();
+    let mut planner = FleetPlanner::new();
+    planner.set_config(&site_config(&["pool-a"]));
+    let up = (0..4).map(|number| instance("pool-a", number, InstanceState::Up));
+    planner.set_instances(now, up.collect());
+    let mut idle = report(0..4, 0, 0);
+    planner.set_report(pool_id("pool-a"), report(0..4, 100, 100));
+    planner.decide(now);
+    planner.set_report(pool_id("pool-a"), idle.clone());
+    planner.decide(now);
+    let now = now + Duration::from_secs(3);
+    let plan = published(&planner.decide(now), "pool-a").expect("a plan that closes workers");
+    assert!(!plan.closing.is_empty());
+    idle.plan = plan.version;
+    for worker in &plan.closing {
+        let usage = idle.workers.get_mut(worker).expect("worker");
+        usage.is_usable = false;
+        usage.is_closing = true;
+    }
+    planner.set_report(pool_id("pool-a"), idle.clone());
+    let moved: Vec<InstanceId> = planner
+        .decide(now)
+        .into_iter()
+        .filter_map(|order| match order {
+            FleetOrder::Move(instance, _) => Some(instance),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(moved.len(), plan.closing.len());
+    for instance in &moved {
+        planner.move_answered(now, instance, &pool_id("spare"), InstanceOutcome::Done);
+    }
+    let reopened = published(&planner.decide(now), "pool-a");
+    assert!(reopened.is_none_or(|reopened| reopened.closing == plan.closing));
+    // Once the pool's holder has forgotten the workers, the plan does too.
+    idle.workers.retain(|worker, _| !plan.closing.contains(worker));
+    planner.set_report(pool_id("pool-a"), idle);
+    let last = published(&planner.decide(now), "pool-a").expect("a plan without them");
+    assert!(last.closing.is_empty());
+}
+
+/// Guards against moves ordered twice while the first orders are on their way: with a slow machine API each decision
+/// ordered the whole need again.
+#[test]
+fn moves_under_way_count_as_room() {
+    let now = Instant::now();
+    let instances: BTreeMap<_, _> = (0..4)
+        .map(|number| instance("pool-a", number, InstanceState::Up))
+        .chain((4..64).map(|number| instance("spare", number, InstanceState::Up)))
+        .collect();
+    let reports = BTreeMap::from([(pool_id("pool-a"), report(0..4, 60, 400))]);
+    let facts = SizeFacts {
+        pools: &[pool_id("pool-a")],
+        spare: Some(&pool_id("spare")),
+        reports: &reports,
+        instances: &instances,
+        reserved: &BTreeSet::new(),
+    };
+    let mut sizer = PoolSizer::default();
+    assert!(!sizer.decide(now, facts, |_| false).is_empty());
+    assert!(sizer.decide(now, facts, |_| false).is_empty());
+}
