Count a rise of submissions as a trend only beyond its noise

Cause: the forecast added the difference of two averages, which a few large jobs that came close together drove to twice the need (265 and 231 workers for 112). The difference now counts beyond one standard deviation, and within it the slow average holds.

--- a/src/dispatch/inflow_forecast.rs
+++ b/src/dispatch/inflow_forecast.rs
@@ -16,11 +16,16 @@
 /// Time over which the slow average looks back; the difference of both is the trend.
 const SLOW_TIME: Duration = Duration::from_millis(1_800);
 
+/// Standard deviations by which the fast average has to differ from the slow one to count as a trend.
+const TREND_DEVIATIONS: f64 = 1.0;
+
 /// Exponential averages of one amount, in units a second.
 #[derive(Debug, Clone, Copy, Default)]
 struct TrendAverage {
     fast: f64,
     slow: f64,
+    /// Variance of the fast average, for submissions that are independent of each other.
+    variance: f64,
 }
 
 impl TrendAverage {
@@ -28,16 +33,27 @@
         let seconds = elapsed.as_secs_f64();
         self.fast *= (-seconds / FAST_TIME.as_secs_f64()).exp();
         self.slow *= (-seconds / SLOW_TIME.as_secs_f64()).exp();
+        self.variance *= (-2.0 * seconds / FAST_TIME.as_secs_f64()).exp();
     }
 
     fn add(&mut self, amount: f64) {
         self.fast += amount / FAST_TIME.as_secs_f64();
         self.slow += amount / SLOW_TIME.as_secs_f64();
+        self.variance += (amount / FAST_TIME.as_secs_f64()).powi(2);
     }
 
-    /// The fast average, with the trend where it rises.
+    /// The slow average while both differ by no more than chance; otherwise the fast one, with the trend where it
+    /// rises. A few large jobs that come close together are no trend.
     fn forecast(&self) -> f64 {
-        self.fast + (self.fast - self.slow).max(0.0)
+        let noise = self.variance.sqrt() * TREND_DEVIATIONS;
+        let difference = self.fast - self.slow;
+        if difference > noise {
+            self.fast + (difference - noise)
+        } else if difference < -noise {
+            self.fast
+        } else {
+            self.slow
+        }
     }
 }
 
