Size pools for the time at which a moved instance takes work

Cause: what runs now and the full work of the newest submissions were compared with what a pool has; work that is over by then counted, jobs in their second step did not, and jobs read together after an outage looked like a burst (301 workers for 150). The report now tells what the jobs at hand and the next submissions keep busy after the lead time of a move; submissions count by their age. The demand part of the scheduler moved to a file of its own.

--- a/src/dispatch/fleet_planner.rs
+++ b/src/dispatch/fleet_planner.rs
@@ -241,7 +241,9 @@
         let of_pool = entries.filter(|entry| entry.pool == *pool);
         let vacated = of_pool.filter_map(|entry| entry.worker.clone());
         let departed = self.departed.iter().filter(|(_, of)| *of == pool);
-        vacated.chain(departed.map(|(worker, _)| worker.clone())).collect()
+        vacated
+            .chain(departed.map(|(worker, _)| worker.clone()))
+            .collect()
     }
 
     /// What a pool may use at most of each limit until it confirms the next plan.
--- a/src/dispatch/inflow_forecast.rs
+++ b/src/dispatch/inflow_forecast.rs
@@ -1,12 +1,13 @@
-//! Forecast of the resources that a pool's submissions keep busy.
+//! Forecast of the resources that a pool's next submissions will keep busy.
 //!
 //! Answers the rise of a turn: what runs and waits lags behind submissions by the time of a job, and an instance needs
-//! more than a second to join. Work submitted a second is the number of cores that it keeps busy, so that a pool
-//! can grow before its queue does.
+//! more than a second to join. The work of a job within the lead time of a move, times the jobs a second, is what the
+//! jobs of that time will keep busy, so that a pool can grow before its queue does.
 
 use std::time::{Duration, Instant};
 
 use crate::dispatch::job_spec::JobSpec;
+use crate::dispatch::work_forecast;
 use crate::model::amount::{MemoryMib, MilliCores};
 use crate::model::resource::ResourceSet;
 
@@ -36,10 +37,12 @@
         self.variance *= (-2.0 * seconds / FAST_TIME.as_secs_f64()).exp();
     }
 
-    fn add(&mut self, amount: f64) {
-        self.fast += amount / FAST_TIME.as_secs_f64();
-        self.slow += amount / SLOW_TIME.as_secs_f64();
-        self.variance += (amount / FAST_TIME.as_secs_f64()).powi(2);
+    fn add(&mut self, amount: f64, age: Duration) {
+        let age = age.as_secs_f64();
+        let fast = amount / FAST_TIME.as_secs_f64() * (-age / FAST_TIME.as_secs_f64()).exp();
+        self.fast += fast;
+        self.slow += amount / SLOW_TIME.as_secs_f64() * (-age / SLOW_TIME.as_secs_f64()).exp();
+        self.variance += fast.powi(2);
     }
 
     /// The slow average while both differ by no more than chance; otherwise the fast one, with the trend where it
@@ -66,13 +69,12 @@
 }
 
 impl InflowForecast {
-    /// Takes an accepted job.
-    pub fn submit(&mut self, now: Instant, spec: &JobSpec) {
+    /// Takes a job that was accepted some time ago; jobs that come together after an outage did not arrive together.
+    pub fn submit(&mut self, now: Instant, age: Duration, spec: &JobSpec) {
         self.decay(now);
-        for step in spec.steps.iter().filter(|step| !step.is_lasting) {
-            let seconds = step.estimate.as_secs_f64() * f64::from(step.tasks);
-            self.cores.add(step.demand.cores.get() as f64 * seconds);
-            self.memory.add(step.demand.memory.get() as f64 * seconds);
+        for (demand, seconds) in work_forecast::early_work(&spec.steps) {
+            self.cores.add(demand.cores.get() as f64 * seconds, age);
+            self.memory.add(demand.memory.get() as f64 * seconds, age);
         }
     }
 
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -25,6 +25,7 @@
 pub mod task_id;
 pub mod usual_work;
 pub mod wave_plan;
+pub mod work_forecast;
 pub mod worker_blame;
 pub mod worker_entry;
 pub mod worker_lease;
--- a/src/dispatch/pool_plan.rs
+++ b/src/dispatch/pool_plan.rs
@@ -56,8 +56,10 @@
     pub capacity: ResourceSet,
     /// Resources of work that is ready to start and can be in time.
     pub ready: ResourceSet,
-    /// Resources that current submissions will keep busy.
+    /// Resources that the next submissions will keep busy when a moved instance takes work.
     pub inflow: ResourceSet,
+    /// Resources that the jobs at hand will keep busy then.
+    pub remaining: ResourceSet,
     /// Resources of lasting tasks, running or ready.
     pub lasting: ResourceSet,
     /// Largest number of workers that a step needs because of its spread.
@@ -81,9 +83,10 @@
             });
         let one = self.capacity.cores.get() / u64::from(self.usable_workers().max(1));
         let ready = self.ready.cores.get().abs_diff(old.ready.cores.get());
-        let inflow = self.inflow.cores.get().abs_diff(old.inflow.cores.get());
+        let expected = |report: &Self| report.inflow.plus(&report.remaining).cores.get();
+        let expected = expected(self).abs_diff(expected(old));
         let used = self.used.cores.get().abs_diff(old.used.cores.get());
-        has_new_state || ready > one / URGENT_PART || used > one || inflow > one
+        has_new_state || ready > one / URGENT_PART || used > one || expected > one
     }
 }
 
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -3,6 +3,7 @@
 //! `report_fold` takes in what workers answer, `start_pass` chooses starts, `vacate_pass` empties workers, and
 //! `progress_flush` collects what has to be stored.
 
+mod demand_report;
 mod progress_flush;
 mod report_fold;
 mod start_pass;
@@ -17,18 +18,18 @@
 use crate::dispatch::job_record::{JobProgress, JobRecord, JobState};
 use crate::dispatch::job_state::{JobRun, TaskState};
 use crate::dispatch::order::{AdviceAnswer, LookFault, LookOrder, Order, StartOutcome, StopOutcome, TaskRun};
-use crate::dispatch::pool_plan::{PoolPlan, PoolReport, WorkerUse};
+use crate::dispatch::pool_plan::PoolPlan;
 use crate::dispatch::scheduler_rules::SchedulerRules;
 use crate::dispatch::settling::SettlingState;
 use crate::dispatch::site_config::{OrganisationConfig, SiteConfig};
-use crate::dispatch::start_order::{StartClass, StartKey};
+
 use crate::dispatch::surplus_rule::SurplusRule;
 use crate::dispatch::task_id::{StepId, TaskId};
 use crate::dispatch::usual_work::UsualWork;
 use crate::dispatch::worker_entry::WorkerEntry;
 use crate::dispatch::worker_state::{PlacedRun, RunPhase, WorkerState};
-use crate::model::amount::{AcceleratorCount, MemoryMib, MilliCores};
-use crate::model::id::{DutyTerm, JobId, OrganisationId, PoolId, QueueId, WorkerId};
+
+use crate::model::id::{DutyTerm, JobId, OrganisationId, PoolId, WorkerId};
 use crate::model::resource::ResourceSet;
 use crate::model::unix_time::UnixMillis;
 
@@ -203,7 +204,8 @@
         }
         job.is_large = self.usual_work.observe(job.record.spec.work());
         if !job.is_old && !job.is_surplus {
-            self.inflow.submit(now, &job.record.spec);
+            let age = now.saturating_duration_since(accepted_at);
+            self.inflow.submit(now, age, &job.record.spec);
         }
         let is_done = job.is_done();
         self.jobs.insert(id.clone(), job);
@@ -653,94 +655,6 @@
         }
         next
     }
-
-    /// Waiting jobs of each queue.
-    pub fn waiting(&self) -> BTreeMap<QueueId, u32> {
-        let mut waiting = BTreeMap::new();
-        for job in self.jobs.values().filter(|job| job.is_waiting()) {
-            *waiting.entry(job.record.queue.clone()).or_insert(0) += 1;
-        }
-        waiting
-    }
-
-    /// What to tell the fleet's holder and the next holder.
-    pub fn report(&self, now: Instant) -> PoolReport {
-        let mut report = PoolReport {
-            plan: self.plan.version,
-            usage: self.usage.clone(),
-            inflow: self.inflow.busy(now),
-            ..PoolReport::default()
-        };
-        report.usage.retain(|_, usage| *usage != ResourceSet::default());
-        for (id, worker) in &self.workers {
-            if !worker.is_listed && worker.runs.is_empty() {
-                continue;
-            }
-            let lasting = worker.runs.values().filter(|run| run.is_lasting);
-            let is_closing = self.plan.closing.contains(id);
-            let is_answering = worker.is_listed && worker.is_seen && worker.look.faults == 0;
-            let is_usable = is_answering && !worker.entry.is_draining && !is_closing;
-            if is_usable {
-                report.capacity = report.capacity.plus(&worker.entry.capacity);
-            }
-            let usage = WorkerUse {
-                is_usable,
-                runs: worker.runs.len() as u32,
-                lasting: lasting.clone().count() as u32,
-                // What an unseen worker runs is not known, so that it cannot be said to be empty.
-                is_closing: is_closing && worker.is_seen,
-            };
-            report.used = report.used.plus(&worker.used);
-            let reserved = lasting.fold(ResourceSet::default(), |sum, run| sum.plus(&run.reserved));
-            report.lasting = report.lasting.plus(&reserved);
-            report.workers.insert(id.clone(), usage);
-        }
-        self.add_ready(now, &mut report);
-        report
-    }
-
-    fn add_ready(&self, now: Instant, report: &mut PoolReport) {
-        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
-            for occurrence in job.occurrences.values() {
-                for (number, step) in occurrence.steps.iter().enumerate() {
-                    let spec = &job.record.spec.steps[number];
-                    if spec.is_lasting && !spec.is_filler {
-                        let most = spec.most_per_worker.unwrap_or(u32::MAX).max(1);
-                        report.spread = report.spread.max(spec.tasks.div_ceil(most));
-                    }
-                    if step.open == 0 || !job.is_step_ready(occurrence, number) {
-                        continue;
-                    }
-                    let waiting = step.tasks.iter().filter(|task| task.is_waiting(now)).count() as u64;
-                    if waiting == 0 {
-                        continue;
-                    }
-                    let reserved = multiply(&spec.reserved(), waiting);
-                    let id = StepId::new(job.record.id.clone(), 0, number as u32);
-                    let facts = start_pass::step_facts(job, number, occurrence.due_at);
-                    if StartKey::new(now, &facts, id).class() < StartClass::Late {
-                        report.ready = report.ready.plus(&reserved);
-                    }
-                    if spec.is_lasting {
-                        report.lasting = report.lasting.plus(&reserved);
-                    }
-                    if let Some(organisation) = &job.record.organisation {
-                        let wanted = report.wanted.entry(organisation.clone()).or_default();
-                        *wanted = wanted.plus(&multiply(&spec.demand, waiting));
-                    }
-                }
-            }
-        }
-    }
-}
-
-/// Several times a set of resources.
-fn multiply(set: &ResourceSet, times: u64) -> ResourceSet {
-    ResourceSet {
-        cores: MilliCores::new(set.cores.get() * times),
-        memory: MemoryMib::new(set.memory.get() * times),
-        accelerators: AcceleratorCount::new(set.accelerators.get() * times as u32),
-    }
 }
 
 fn task_run(task: &TaskId, run: &PlacedRun) -> TaskRun {
--- /dev/null
+++ b/src/dispatch/pool_scheduler/demand_report.rs
@@ -0,0 +1,112 @@
+//! What the holder of a pool tells others: demand, room and waiting jobs.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use crate::dispatch::job_spec::StepSpec;
+use crate::dispatch::job_state::{JobOccurrence, JobRun};
+use crate::dispatch::pool_plan::{PoolReport, WorkerUse};
+use crate::dispatch::pool_scheduler::{PoolScheduler, start_pass};
+use crate::dispatch::start_order::{StartClass, StartKey};
+use crate::dispatch::task_id::StepId;
+use crate::dispatch::work_forecast;
+use crate::model::id::QueueId;
+use crate::model::resource::ResourceSet;
+
+impl PoolScheduler {
+    /// Waiting jobs of each queue.
+    pub fn waiting(&self) -> BTreeMap<QueueId, u32> {
+        let mut waiting = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| job.is_waiting()) {
+            *waiting.entry(job.record.queue.clone()).or_insert(0) += 1;
+        }
+        waiting
+    }
+
+    /// What to tell the fleet's holder and the next holder.
+    pub fn report(&self, now: Instant) -> PoolReport {
+        let mut report = PoolReport {
+            plan: self.plan.version,
+            usage: self.usage.clone(),
+            inflow: self.inflow.busy(now),
+            ..PoolReport::default()
+        };
+        report.usage.retain(|_, usage| *usage != ResourceSet::default());
+        for (id, worker) in &self.workers {
+            if !worker.is_listed && worker.runs.is_empty() {
+                continue;
+            }
+            let lasting = worker.runs.values().filter(|run| run.is_lasting);
+            let is_closing = self.plan.closing.contains(id);
+            let is_answering = worker.is_listed && worker.is_seen && worker.look.faults == 0;
+            let is_usable = is_answering && !worker.entry.is_draining && !is_closing;
+            if is_usable {
+                report.capacity = report.capacity.plus(&worker.entry.capacity);
+            }
+            let usage = WorkerUse {
+                is_usable,
+                runs: worker.runs.len() as u32,
+                lasting: lasting.clone().count() as u32,
+                // What an unseen worker runs is not known, so that it cannot be said to be empty.
+                is_closing: is_closing && worker.is_seen,
+            };
+            report.used = report.used.plus(&worker.used);
+            let reserved = lasting.fold(ResourceSet::default(), |sum, run| sum.plus(&run.reserved));
+            report.lasting = report.lasting.plus(&reserved);
+            report.workers.insert(id.clone(), usage);
+        }
+        self.add_ready(now, &mut report);
+        report
+    }
+
+    fn add_ready(&self, now: Instant, report: &mut PoolReport) {
+        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+            for occurrence in job.occurrences.values() {
+                let mut is_late = false;
+                for (number, spec) in job.record.spec.steps.iter().enumerate() {
+                    if spec.is_lasting && !spec.is_filler {
+                        let most = spec.most_per_worker.unwrap_or(u32::MAX).max(1);
+                        report.spread = report.spread.max(spec.tasks.div_ceil(most));
+                    }
+                    is_late |= add_waiting(now, report, job, occurrence, number);
+                }
+                let remaining = work_forecast::busy_later(now, job, occurrence, is_late);
+                report.remaining = report.remaining.plus(&remaining);
+            }
+        }
+    }
+}
+
+/// Adds the waiting tasks of a step. Returns whether they wait and will be late, so that they call for no room.
+fn add_waiting(
+    now: Instant,
+    report: &mut PoolReport,
+    job: &JobRun,
+    occurrence: &JobOccurrence,
+    number: usize,
+) -> bool {
+    let spec: &StepSpec = &job.record.spec.steps[number];
+    let step = &occurrence.steps[number];
+    if step.open == 0 || !job.is_step_ready(occurrence, number) {
+        return false;
+    }
+    let waiting = step.tasks.iter().filter(|task| task.is_waiting(now)).count() as u64;
+    if waiting == 0 {
+        return false;
+    }
+    let reserved = spec.reserved().times(waiting);
+    let id = StepId::new(job.record.id.clone(), 0, number as u32);
+    let facts = start_pass::step_facts(job, number, occurrence.due_at);
+    let is_late = StartKey::new(now, &facts, id).class() >= StartClass::Late;
+    if !is_late {
+        report.ready = report.ready.plus(&reserved);
+    }
+    if spec.is_lasting {
+        report.lasting = report.lasting.plus(&reserved);
+    }
+    if let Some(organisation) = &job.record.organisation {
+        let wanted = report.wanted.entry(organisation.clone()).or_default();
+        *wanted = wanted.plus(&spec.demand.times(waiting));
+    }
+    is_late
+}
--- a/src/dispatch/pool_size.rs
+++ b/src/dispatch/pool_size.rs
@@ -138,7 +138,11 @@
     fn rate_needs(&self, facts: SizeFacts<'_>) -> BTreeMap<PoolId, PoolNeed> {
         let needs = facts.pools.iter().filter_map(|pool| {
             let report = facts.reports.get(pool)?;
-            let arriving = self.arrivals.values().filter(|arrival| arrival.to == *pool).count();
+            let arriving = self
+                .arrivals
+                .values()
+                .filter(|arrival| arrival.to == *pool)
+                .count();
             let moving = self.in_flight.values().filter(|to| *to == pool).count();
             let need = PoolNeed {
                 target: target_workers(report),
@@ -327,7 +331,7 @@
     }
     let each = |amount: fn(&ResourceSet) -> u64| amount(&report.capacity) as f64 / f64::from(usable);
     let present = report.used.plus(&report.ready);
-    let expected = report.inflow.plus(&report.lasting);
+    let expected = report.inflow.plus(&report.remaining).plus(&report.lasting);
     let ratio = |amount: fn(&ResourceSet) -> u64| {
         let each = each(amount);
         let demand = amount(&present).max(amount(&expected));
--- /dev/null
+++ b/src/dispatch/work_forecast.rs
@@ -0,0 +1,86 @@
+//! Forecast of what the jobs at hand will keep busy.
+//!
+//! Answers turns of jobs in several steps: work that runs now is over, or in its next step, by the time a moved
+//! instance takes work, so that what runs now tells little about the room needed then.
+
+use std::time::{Duration, Instant};
+
+use crate::dispatch::job_spec::StepSpec;
+use crate::dispatch::job_state::{JobOccurrence, JobRun, StepState};
+use crate::model::resource::ResourceSet;
+
+/// Time from the decision on a pool's size until a moved instance takes work: 1.5 s for the move itself, the rest for
+/// its entry, the first look and the records between the holders.
+pub const MOVE_LEAD: Duration = Duration::from_secs(2);
+
+/// Time at which a step will run, from now.
+#[derive(Debug, Clone, Copy)]
+struct StepSpan {
+    start: Duration,
+    end: Duration,
+}
+
+/// Resources that the tasks of an occurrence will keep busy after the lead time. Steps whose tasks wait for room are
+/// expected to run then, unless they are late already; the steps that follow them are not.
+pub fn busy_later(now: Instant, job: &JobRun, occurrence: &JobOccurrence, is_late: bool) -> ResourceSet {
+    let mut busy = ResourceSet::default();
+    let mut spans: Vec<StepSpan> = Vec::with_capacity(occurrence.steps.len());
+    for (number, state) in occurrence.steps.iter().enumerate() {
+        let spec = &job.record.spec.steps[number];
+        let start = spec.after.iter().map(|before| spans[*before as usize].end).max();
+        let start = start.unwrap_or_default();
+        let span = step_span(now, spec, state, start, is_late);
+        if span.start <= MOVE_LEAD && MOVE_LEAD < span.end && !spec.is_lasting {
+            busy = busy.plus(&spec.reserved().times(state.open as u64));
+        }
+        spans.push(span);
+    }
+    busy
+}
+
+fn step_span(now: Instant, spec: &StepSpec, state: &StepState, start: Duration, is_late: bool) -> StepSpan {
+    if state.open == 0 {
+        return StepSpan { start, end: start };
+    }
+    let mut left = Duration::ZERO;
+    let mut has_waiting = false;
+    for task in state.tasks.iter().filter(|task| !task.is_done) {
+        match task.copies.first() {
+            Some(copy) => {
+                let elapsed = now.saturating_duration_since(copy.placed_at);
+                left = left.max(spec.estimate.saturating_sub(elapsed));
+            }
+            None => has_waiting = !is_late,
+        }
+    }
+    if start > Duration::ZERO {
+        return StepSpan {
+            start,
+            end: start + spec.estimate,
+        };
+    }
+    let end = if has_waiting {
+        MOVE_LEAD + spec.estimate
+    } else {
+        left
+    };
+    StepSpan { start, end }
+}
+
+/// Resources, times seconds, that a job uses within the lead time after its submission if it starts at once.
+pub fn early_work(steps: &[StepSpec]) -> Vec<(ResourceSet, f64)> {
+    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
+    let mut works = Vec::new();
+    for step in steps {
+        let start = step.after.iter().map(|before| ends[*before as usize]).max();
+        let start = start.unwrap_or_default();
+        let end = start + step.estimate;
+        ends.push(end);
+        let overlap = end.min(MOVE_LEAD).saturating_sub(start);
+        if !step.is_lasting && !overlap.is_zero() {
+            let demand = step.demand.times(u64::from(step.tasks));
+            works.push((demand, overlap.as_secs_f64()));
+        }
+    }
+    works
+}
--- a/src/duty/fleet_duty.rs
+++ b/src/duty/fleet_duty.rs
@@ -326,6 +326,7 @@
             info!(self.log, "pool sized"; "pool" => %pool, "target" => need.target,
                 "available" => need.available, "used_cores" => %report.used.cores,
                 "ready_cores" => %report.ready.cores, "inflow_cores" => %report.inflow.cores,
+                "remaining_cores" => %report.remaining.cores,
                 "lasting_cores" => %report.lasting.cores, "spread" => report.spread,
                 "listed" => report.workers.len());
         }
--- a/src/model/resource.rs
+++ b/src/model/resource.rs
@@ -57,4 +57,15 @@
             accelerators: self.accelerators.saturating_sub(other.accelerators),
         }
     }
+
+    /// Several times this set.
+    #[must_use]
+    pub fn times(&self, count: u64) -> Self {
+        let accelerators = u64::from(self.accelerators.get()).saturating_mul(count);
+        Self {
+            cores: MilliCores::new(self.cores.get().saturating_mul(count)),
+            memory: MemoryMib::new(self.memory.get().saturating_mul(count)),
+            accelerators: AcceleratorCount::new(u32::try_from(accelerators).unwrap_or(u32::MAX)),
+        }
+    }
 }
