Begin a wave with the instances that take longest and spread its busy ones

Cause: instances with lasting tasks came last, and a step gives up one task at a time, so that the last upkeeps came 1.8 s apart beyond the wave's time; tasks that moved were often placed on instances that were due as well; busy instances were all vacated at once.

--- a/src/dispatch/fleet_planner.rs
+++ b/src/dispatch/fleet_planner.rs
@@ -167,7 +167,7 @@
     fn run_waves(&mut self, now: Instant, orders: &mut Vec<FleetOrder>) {
         let uses = self.worker_uses();
         for (number, wave) in &mut self.waves {
-            wave.choose_closing(&self.instances, &uses);
+            wave.choose_closing(now, &self.instances, &uses);
             let due = wave.take_due(now, &self.instances, |entry| {
                 is_vacated(entry, &self.config, &uses)
             });
@@ -218,8 +218,9 @@
             let closing = self.closing_workers(pool);
             let granted = allowances.get(pool).cloned().unwrap_or_default();
             let ceilings = self.ceilings(pool, &granted);
+            let due = self.due_workers(pool);
             let old = self.plans.entry(pool.clone()).or_default();
-            let is_same = old.closing == closing && old.allowances == granted;
+            let is_same = old.closing == closing && old.allowances == granted && old.due == due;
             if is_same && old.version.get() > 0 {
                 continue;
             }
@@ -228,12 +229,21 @@
                 allowances: granted,
                 ceilings,
                 closing,
+                due,
             };
             *old = plan.clone();
             orders.push(FleetOrder::Publish(pool.clone(), plan));
         }
     }
 
+    /// Workers that a wave will close later.
+    fn due_workers(&self, pool: &PoolId) -> BTreeSet<WorkerId> {
+        let due = self.waves.values().flat_map(WavePlan::due);
+        let entries = due.filter_map(|id| self.instances.get(id));
+        let of_pool = entries.filter(|entry| entry.pool == *pool);
+        of_pool.filter_map(|entry| entry.worker.clone()).collect()
+    }
+
     fn closing_workers(&self, pool: &PoolId) -> BTreeSet<WorkerId> {
         let due = self.waves.values().flat_map(WavePlan::closing);
         let instances = due.chain(self.sizer.closing());
--- a/src/dispatch/pool_plan.rs
+++ b/src/dispatch/pool_plan.rs
@@ -22,6 +22,8 @@
     pub ceilings: BTreeMap<OrganisationId, ResourceSet>,
     /// Workers to vacate.
     pub closing: BTreeSet<WorkerId>,
+    /// Workers whose upkeep is due later; lasting tasks are placed elsewhere if possible.
+    pub due: BTreeSet<WorkerId>,
 }
 
 /// One worker in a report.
--- a/src/dispatch/pool_scheduler/start_pass.rs
+++ b/src/dispatch/pool_scheduler/start_pass.rs
@@ -239,6 +239,7 @@
                 &state.avoid
             },
             closing: &self.plan.closing,
+            due: &self.plan.due,
             rack: rack.as_deref(),
             allowed,
         };
--- a/src/dispatch/pool_scheduler/vacate_pass.rs
+++ b/src/dispatch/pool_scheduler/vacate_pass.rs
@@ -96,6 +96,7 @@
             spec,
             avoid: &state.avoid,
             closing: &self.plan.closing,
+            due: &self.plan.due,
             rack: None,
             allowed: None,
         };
--- a/src/dispatch/start_place.rs
+++ b/src/dispatch/start_place.rs
@@ -35,6 +35,8 @@
     pub avoid: &'a BTreeSet<WorkerId>,
     /// Workers that are being vacated.
     pub closing: &'a BTreeSet<WorkerId>,
+    /// Workers whose upkeep is due: a lasting task placed there moves again soon.
+    pub due: &'a BTreeSet<WorkerId>,
     /// Rack that is preferred.
     pub rack: Option<&'a str>,
     /// Workers that may run the step, if only some may.
@@ -42,7 +44,7 @@
 }
 
 /// Order of candidates; the lowest is chosen.
-type PlaceRank = (bool, bool, u64, u64, u64);
+type PlaceRank = (bool, bool, bool, u64, u64, u64);
 
 /// Whether a worker could run the task at all, whatever it runs now.
 pub fn is_fit(worker: &WorkerState, spec: &StepSpec) -> bool {
@@ -113,7 +115,8 @@
     } else {
         0
     };
-    (is_bad, is_far, beside, crowd, room)
+    let is_due = request.spec.is_lasting && request.due.contains(&worker.entry.id);
+    (is_bad, is_far, is_due, beside, crowd, room)
 }
 
 /// Prefers workers that have some lasting tasks already, so that the others can become empty and leave the pool, up to
--- a/src/dispatch/wave_plan.rs
+++ b/src/dispatch/wave_plan.rs
@@ -1,7 +1,8 @@
 //! Waves of upkeep: which instances to vacate and when to start their upkeep.
 //!
-//! Answers waves that are due while pools are at their peak: instances are vacated a few ahead of the number that
-//! may be down, idle ones first, so that the wave keeps its time and no running work is cut.
+//! Answers waves that are due while pools are at their peak: idle instances go first, busy ones no faster than the
+//! wave's time asks for. Instances with lasting tasks begin at once, a few for each pool, because a step gives up one
+//! task at a time and these instances take the longest.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -14,6 +15,15 @@
 /// Instances that are vacated beyond the number that may be down at once.
 const VACATE_AHEAD: usize = 1;
 
+/// Instances with lasting tasks that are vacated at once for each pool: one that moves and one that follows.
+const LASTING_AHEAD: usize = 2;
+
+/// Time from the decision to vacate a busy instance to the end of its upkeep, of which the platform asks 2 s.
+const BUSY_TIME: Duration = Duration::from_secs(4);
+
+/// Part of a wave's time in which its busy instances are planned; the rest is for those that were unreachable.
+const PLANNED_PART: f64 = 0.6;
+
 /// Pause before a refused upkeep is asked for again.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -94,6 +104,8 @@
 pub struct WavePlan {
     request: WaveRequest,
     progress: WaveProgress,
+    /// Time by which all upkeep is planned to have begun.
+    planned_end: Instant,
     /// Instances that are or may be down, with the time at which the upkeep was ordered.
     down: BTreeMap<InstanceId, Instant>,
     closing: BTreeSet<InstanceId>,
@@ -106,7 +118,13 @@
     /// still be down.
     pub fn new(now: Instant, request: WaveRequest, progress: WaveProgress) -> Self {
         let down = progress.begun.iter().map(|id| (id.clone(), now)).collect();
+        let mut planned = request.duration.mul_f64(PLANNED_PART);
+        if !progress.begun.is_empty() {
+            // A former holder began it at a time that is not known.
+            planned /= 2;
+        }
         Self {
+            planned_end: now + planned,
             request,
             progress,
             down,
@@ -155,33 +173,71 @@
         }
     }
 
+    /// Instances whose upkeep has not begun.
+    pub fn due(&self) -> impl Iterator<Item = &InstanceId> {
+        self.request.instances.difference(&self.progress.begun)
+    }
+
     /// Chooses instances to vacate.
     pub fn choose_closing(
         &mut self,
+        now: Instant,
         instances: &BTreeMap<InstanceId, InstanceEntry>,
         uses: &BTreeMap<WorkerId, WorkerUse>,
     ) {
         let room = self.request.most_down + VACATE_AHEAD;
-        let busy = self.closing.len() + self.down.len();
-        let mut due: Vec<(u32, u32, &InstanceId)> = Vec::new();
-        for id in &self.request.instances {
-            let is_taken = self.progress.begun.contains(id) || self.closing.contains(id);
-            let Some(entry) = instances.get(id).filter(|_| !is_taken) else {
+        let mut room = room.saturating_sub(self.closing.len() + self.down.len());
+        let mut busy_room = self.busy_room(now);
+        let mut lasting: BTreeMap<&PoolId, usize> = BTreeMap::new();
+        let mut due: Vec<(bool, u32, &InstanceId, &PoolId)> = Vec::new();
+        for id in self.request.instances.difference(&self.progress.begun) {
+            let Some(entry) = instances.get(id) else {
                 continue;
             };
             let usage = entry.worker.as_ref().and_then(|worker| uses.get(worker));
             let usage = usage.cloned().unwrap_or_default();
-            due.push((usage.lasting, usage.runs, id));
+            if !self.closing.contains(id) {
+                due.push((usage.lasting == 0, usage.runs, id, &entry.pool));
+                continue;
+            }
+            if usage.lasting > 0 {
+                *lasting.entry(&entry.pool).or_default() += 1;
+            } else if usage.runs > 0 {
+                busy_room = busy_room.saturating_sub(1);
+            }
         }
         due.sort();
-        let chosen: Vec<InstanceId> = due
-            .into_iter()
-            .take(room.saturating_sub(busy))
-            .map(|(_, _, id)| id.clone())
-            .collect();
+        let mut chosen = Vec::new();
+        for (has_no_lasting, runs, id, pool) in due {
+            if room == 0 {
+                break;
+            }
+            let limit = if !has_no_lasting {
+                let count = lasting.entry(pool).or_default();
+                *count += 1;
+                *count <= LASTING_AHEAD
+            } else if runs > 0 {
+                let has_room = busy_room > 0;
+                busy_room = busy_room.saturating_sub(1);
+                has_room
+            } else {
+                true
+            };
+            if limit {
+                room -= 1;
+                chosen.push(id.clone());
+            }
+        }
         self.closing.extend(chosen);
     }
 
+    /// Busy instances to be vacated at once so that the wave keeps its time.
+    fn busy_room(&self, now: Instant) -> usize {
+        let left = self.planned_end.saturating_duration_since(now);
+        let rounds = (left.as_secs_f64() / BUSY_TIME.as_secs_f64()).max(1.0);
+        (self.due().count() as f64 / rounds).ceil() as usize
+    }
+
     /// Instances whose upkeep can start now. `is_empty` tells whether the pool's holder has vacated an instance.
     pub fn take_due(
         &mut self,
--- a/tests/pool_decisions/fleet.rs
+++ b/tests/pool_decisions/fleet.rs
@@ -80,7 +80,7 @@
     ]
     .into();
     wave.set_instances(now, &instances);
-    wave.choose_closing(&instances, &BTreeMap::new());
+    wave.choose_closing(now, &instances, &BTreeMap::new());
     assert_eq!(wave.take_due(now, &instances, |_| true).len(), 1);
 }
 
@@ -343,3 +343,44 @@
     let moved = sizer.decide(now, facts(&in_spare, &turn), |_| false);
     assert!(moved.len() >= 10, "{} moves", moved.len());
 }
+
+fn lasting_report(
+    lasting: std::ops::Range<usize>,
+    busy: std::ops::Range<usize>,
+) -> BTreeMap<WorkerId, WorkerUse> {
+    let usage = |lasting| WorkerUse {
+        runs: 1,
+        lasting,
+        is_usable: true,
+        ..WorkerUse::default()
+    };
+    let worker = |number: usize| WorkerId::new(format!("i-{number}")).expect("worker");
+    let with_lasting = lasting.map(|number| (worker(number), usage(1)));
+    with_lasting
+        .chain(busy.map(|number| (worker(number), usage(0))))
+        .collect()
+}
+
+/// Guards against waves that are late by their last instances: those with lasting tasks came last, one every 1.8 s, and
+/// busy ones were all vacated at once in the middle of a turn.
+#[test]
+fn lasting_instances_begin_early_and_busy_ones_are_spread() {
+    let now = Instant::now();
+    let request = WaveRequest {
+        instances: (0..60).map(instance_id).collect(),
+        duration: Duration::from_secs(25),
+        most_down: 40,
+    };
+    let instances: BTreeMap<_, _> = (0..60)
+        .map(|number| instance("pool-a", number, InstanceState::Up))
+        .collect();
+    let uses = lasting_report(0..20, 20..60);
+    let mut wave = WavePlan::new(now, request, WaveProgress::default());
+    wave.choose_closing(now, &instances, &uses);
+    let is_lasting = |id: &&InstanceId| (0..20).any(|number| **id == instance_id(number));
+    let lasting = wave.closing().iter().filter(is_lasting).count();
+    let busy = wave.closing().len() - lasting;
+    assert_eq!(lasting, 2, "lasting tasks of a step move one at a time");
+    // 60 instances in rounds of 4 s within 15 s.
+    assert!((10..=20).contains(&busy), "{busy} busy instances at once");
+}
