--- a/src/duty/node_lease.rs
+++ b/src/duty/node_lease.rs
@@ -11,16 +11,16 @@
 use slog::Logger;
 
 /// Time to live. A lost holder is replaced after it; a holder that cannot renew stops ordering before it.
-const LEASE_TIME: Duration = Duration::from_secs(2);
+const LEASE_TIME: Duration = Duration::from_millis(1_200);
 
 /// Time between renewals.
-const RENEWAL_GAP: Duration = Duration::from_millis(500);
+const RENEWAL_GAP: Duration = Duration::from_millis(300);
 
 /// Pause after a renewal without an answer.
 const RETRY_GAP: Duration = Duration::from_millis(100);
 
 /// Time for one renewal.
-const RENEWAL_TIMEOUT: Duration = Duration::from_millis(700);
+const RENEWAL_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Margin between the end of the own trust in the lease and its end in the store.
 const END_MARGIN: Duration = Duration::from_millis(150);
