Never place a second run of a task on the worker that runs it; stop runs that stand still

Cause 1: a second copy went to the fullest worker with room, mostly the one that ran the task, and was then dropped, so that tasks that hang got no copy. Cause 2: a task that stands still on a worker that answers kept its job from ending for ever where copies are not allowed. A run without progress for 1.8 s, or 0.3 of its estimate, is stopped and starts elsewhere; the worker's evidence counts it as a failure.

--- a/src/dispatch/pool_scheduler/report_fold.rs
+++ b/src/dispatch/pool_scheduler/report_fold.rs
@@ -66,6 +66,7 @@
             self.take_running(now, worker_id, row);
         }
         self.find_missing(now, worker_id, sent_at, report.clock_ms, &report.running);
+        self.stop_stalled(now, worker_id);
         if let Some(worker) = self.workers.get_mut(worker_id) {
             let tail = worker.worst_tail();
             worker.pace.observe(now, tail);
@@ -225,7 +226,7 @@
             && placed.run == row.run
         {
             placed.missing = 0;
-            placed.percent = row.percent;
+            placed.observe_progress(now, row.percent);
             placed.load = row.load;
             if !row.saved.is_empty() {
                 placed.saved = Arc::clone(&row.saved);
@@ -270,6 +271,7 @@
             is_filler: spec.is_some_and(|spec| spec.is_filler),
             tail_target_ms: spec.and_then(|spec| spec.tail_target_ms),
             percent: row.percent,
+            progress_at: now,
             load: row.load,
             saved: Arc::clone(&row.saved),
             deadline_ms: 0,
@@ -345,6 +347,29 @@
         !job.state.is_final() && !state.is_done && (may_copy || state.copies.is_empty())
     }
 
+    /// Has runs that stand still stopped, so that they start again on another worker.
+    fn stop_stalled(&mut self, now: Instant, worker_id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        let mut stalled = Vec::new();
+        for (task, placed) in &mut worker.runs {
+            if placed.is_stalled(now) {
+                placed.must_stop = true;
+                worker.blame.fail(now, &task.step.job);
+                stalled.push((task_run(task, placed), placed.percent));
+            }
+        }
+        for (run, percent) in stalled {
+            if let Some(task) = self.task_mut(&run.task) {
+                task.avoid.insert(worker_id.clone());
+            }
+            let inputs = format!("run {} of task {} at {percent} %", run.run, run.task);
+            let job = Some(run.task.step.job.clone());
+            self.note("run stands still", job, Some(worker_id.clone()), inputs);
+        }
+    }
+
     /// Resolves runs that the report does not list.
     fn find_missing(
         &mut self,
--- a/src/dispatch/pool_scheduler/start_pass.rs
+++ b/src/dispatch/pool_scheduler/start_pass.rs
@@ -231,7 +231,7 @@
         let advice = self.advice.get(&task.step).filter(|_| has_advice);
         let allowed = advice.map(|advice| &advice.tickets);
         let request = PlaceRequest {
-            step: &task.step,
+            task,
             spec,
             avoid: if state.avoid.is_empty() {
                 &none
@@ -319,6 +319,7 @@
                 is_filler: spec.is_filler,
                 tail_target_ms: spec.tail_target_ms,
                 percent: 0.0,
+                progress_at: now,
                 load: 0.0,
                 saved: Arc::clone(&saved),
                 deadline_ms,
@@ -425,11 +426,11 @@
             let Some(worker) = self.choose_worker(now, &task, &spec, false) else {
                 continue;
             };
-            let is_elsewhere = self
+            let is_quick = self
                 .workers
                 .get(&worker)
-                .is_some_and(|state| !state.runs.contains_key(&task) && !state.blame.is_slow());
-            if is_elsewhere {
+                .is_some_and(|state| !state.blame.is_slow());
+            if is_quick {
                 let run = self.next_run(&task);
                 self.note(
                     "second copy",
--- a/src/dispatch/pool_scheduler/vacate_pass.rs
+++ b/src/dispatch/pool_scheduler/vacate_pass.rs
@@ -92,7 +92,7 @@
             return false;
         };
         let request = PlaceRequest {
-            step: &task.step,
+            task,
             spec,
             avoid: &state.avoid,
             closing: &self.plan.closing,
--- a/src/dispatch/start_place.rs
+++ b/src/dispatch/start_place.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use crate::dispatch::job_spec::StepSpec;
-use crate::dispatch::task_id::StepId;
+use crate::dispatch::task_id::{StepId, TaskId};
 use crate::dispatch::worker_state::WorkerState;
 use crate::model::id::WorkerId;
 
@@ -27,9 +27,9 @@
 /// What the choice depends on.
 #[derive(Debug, Clone, Copy)]
 pub struct PlaceRequest<'a> {
-    /// The step.
-    pub step: &'a StepId,
-    /// Its tasks.
+    /// The task. A worker that runs it already gets no second run of it.
+    pub task: &'a TaskId,
+    /// Tasks of its step.
     pub spec: &'a StepSpec,
     /// Workers on which the task failed.
     pub avoid: &'a BTreeSet<WorkerId>,
@@ -64,8 +64,9 @@
         && worker.starting < MOST_STARTING
         && worker.free().covers(&request.spec.reserved())
         && !request.closing.contains(id)
+        && !worker.runs.contains_key(request.task)
         && request.allowed.is_none_or(|allowed| allowed.contains_key(id))
-        && most.is_none_or(|most| worker.count_step(request.step) < most)
+        && most.is_none_or(|most| worker.count_step(&request.task.step) < most)
 }
 
 /// Chooses a worker, if any has room.
@@ -78,7 +79,7 @@
         .values()
         .filter(|worker| is_candidate(now, worker, request));
     let racks = if request.spec.is_lasting {
-        count_racks(workers, request.step)
+        count_racks(workers, &request.task.step)
     } else {
         BTreeMap::new()
     };
@@ -111,7 +112,7 @@
     // Tasks of one step that lasts are spread, so that the loss of a worker or a rack takes few of them.
     let beside = if request.spec.is_lasting {
         let on_rack = worker.entry.rack().and_then(|rack| racks.get(&**rack));
-        u64::from(worker.count_step(request.step)) * RACK_SCALE + on_rack.copied().unwrap_or(0)
+        u64::from(worker.count_step(&request.task.step)) * RACK_SCALE + on_rack.copied().unwrap_or(0)
     } else {
         0
     };
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -14,6 +14,13 @@
 use crate::model::resource::ResourceSet;
 use crate::model::unix_time::UnixMillis;
 
+/// Shortest time without progress after which a run stands still. Workers are looked at once a second, and a start
+/// from a checkpoint takes up to 0.6 s.
+const LEAST_STALL: Duration = Duration::from_millis(1_800);
+
+/// Part of the estimated run time without progress after which a run stands still; workers list whole percents.
+const STALL_PART: f64 = 0.3;
+
 /// Certainty about a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunPhase {
@@ -54,6 +61,8 @@
     pub tail_target_ms: Option<u64>,
     /// Progress at the last look.
     pub percent: f64,
+    /// Time at which the progress last rose, or of the start.
+    pub progress_at: Instant,
     /// Tail of response times in milliseconds, for a serving task, at the last look.
     pub load: f64,
     /// Newest checkpoint.
@@ -87,6 +96,26 @@
     is_unheard: bool,
 }
 
+impl PlacedRun {
+    /// Takes the progress that the worker lists.
+    pub fn observe_progress(&mut self, now: Instant, percent: f64) {
+        if percent > self.percent {
+            self.progress_at = now;
+        }
+        self.percent = percent;
+    }
+
+    /// Whether a run that should end stands still though the worker answers.
+    pub fn is_stalled(&self, now: Instant) -> bool {
+        let limit = LEAST_STALL.max(self.estimate.mul_f64(STALL_PART));
+        let can_stall = !self.is_lasting && !self.is_filler && self.percent < 100.0;
+        can_stall
+            && self.phase == RunPhase::Running
+            && !self.must_stop
+            && now.saturating_duration_since(self.progress_at) > limit
+    }
+}
+
 impl EndLog {
     /// Whether an end has been applied already.
     pub fn is_known(&self, sequence: u64) -> bool {
--- /dev/null
+++ b/tests/pool_decisions/features.rs
@@ -0,0 +1,357 @@
+//! Kinds of jobs that calm days seldom have: gangs, advice, schedules, checkpoints, copies and fillers.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use figloft::dispatch::job_record::{AdviceRule, JobRecord};
+use figloft::dispatch::job_spec::{JobSchedule, StepSpec};
+use figloft::dispatch::order::{AdviceAnswer, Order, StartOrder, StartOutcome};
+use figloft::dispatch::pool_scheduler::PoolScheduler;
+use figloft::dispatch::worker_report::{EndedRow, RunEnd, RunningRow, WorkerReport};
+use figloft::model::unix_time::UnixMillis;
+
+use crate::setup::{
+    WALL, job_id, record, report, running_row, scheduler, start_all, starts, step, worker_id,
+};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn gang(tasks: u32, cores: u64) -> StepSpec {
+    StepSpec {
+        is_gang: true,
+        ..step(tasks, cores, 1_000)
+    }
+}
+
+fn worker_report(running: Vec<RunningRow>, ended: Vec<EndedRow>) -> WorkerReport {
+    WorkerReport {
+        clock_ms: 5_000,
+        born: Some(UnixMillis::new(1)),
+        running,
+        ended,
+    }
+}
+
+fn end_row(sequence: u64, start: &StartOrder, end: RunEnd, saved: &str) -> EndedRow {
+    EndedRow {
+        sequence,
+        task: start.run.task.clone(),
+        run: start.run.run,
+        end,
+        saved: saved.into(),
+    }
+}
+
+/// Guards against a gang of which only some members start: they would wait for the others and end alone.
+#[test]
+fn gang_starts_whole_or_not_at_all() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 2, 8);
+    scheduler.submit(now, now, record(1, vec![step(1, 6, 1_000)]), None);
+    assert_eq!(start_all(&mut scheduler, now).len(), 1);
+    scheduler.submit(now, now, record(2, vec![gang(3, 4)]), None);
+    assert!(
+        starts(scheduler.decide(now, WALL, true)).is_empty(),
+        "room for two of three"
+    );
+    scheduler.submit(now, now, record(3, vec![gang(2, 4)]), None);
+    let started = start_all(&mut scheduler, now);
+    assert_eq!(started.len(), 2);
+    assert_eq!(
+        started[0].run.run, started[1].run.run,
+        "members share the run number"
+    );
+}
+
+/// Guards against a gang that hangs after one member was refused: the others end alone, and all start again with one
+/// higher run number.
+#[test]
+fn gang_with_a_refused_member_starts_again() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 2, 4);
+    scheduler.submit(now, now, record(1, vec![gang(2, 4)]), None);
+    let first = starts(scheduler.decide(now, WALL, true));
+    assert_eq!(first.len(), 2);
+    scheduler.start_answered(now, &first[0].target.worker, &first[0].run, StartOutcome::Started);
+    scheduler.start_answered(now, &first[1].target.worker, &first[1].run, StartOutcome::NoRoom);
+    assert!(starts(scheduler.decide(now, WALL, true)).is_empty());
+    let later = now + MS * 3_200;
+    scheduler.decide(later, WALL, true);
+    let alone = worker_report(vec![], vec![end_row(1, &first[0], RunEnd::Alone, "")]);
+    scheduler.look_answered(later, &first[0].target.worker, later, alone);
+    let second = starts(scheduler.decide(later, WALL, true));
+    assert_eq!(second.len(), 2);
+    assert!(second[0].run.run > first[0].run.run && second[0].run.run == second[1].run.run);
+}
+
+/// Guards against tasks that are slower because they run on several racks.
+#[test]
+fn tasks_of_one_rack_stay_together() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 8, 8);
+    let together = StepSpec {
+        is_same_rack: true,
+        ..step(6, 4, 1_000)
+    };
+    scheduler.submit(now, now, record(1, vec![together]), None);
+    let started = start_all(&mut scheduler, now);
+    assert_eq!(started.len(), 6);
+    let racks: std::collections::BTreeSet<usize> = started
+        .iter()
+        .map(|start| {
+            let number = (0..8).find(|number| worker_id(*number) == start.target.worker);
+            number.expect("worker") / 4
+        })
+        .collect();
+    assert_eq!(racks.len(), 1);
+}
+
+fn advised_job(number: usize, tasks: u32) -> JobRecord {
+    let mut job = record(number, vec![step(tasks, 2, 1_000)]);
+    job.rule.advice = Some(AdviceRule {
+        decide: MS * 20,
+        each: MS,
+        valid: MS * 2_000,
+    });
+    job
+}
+
+fn questions(orders: &[Order]) -> Vec<usize> {
+    let asked = orders.iter().filter_map(|order| match order {
+        Order::Advise(_, workers) => Some(workers.len()),
+        _ => None,
+    });
+    asked.collect()
+}
+
+/// Guards against starts without a ticket, which the workers reject, and against calls that name too many workers.
+#[test]
+fn advised_tasks_start_only_with_tickets() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 40, 8);
+    scheduler.submit(now, now, advised_job(1, 3), None);
+    let orders = scheduler.decide(now, WALL, true);
+    assert_eq!(questions(&orders), vec![30], "one call, bounded");
+    assert!(starts(orders).is_empty());
+    assert!(
+        questions(&scheduler.decide(now, WALL, true)).is_empty(),
+        "asked once"
+    );
+    let id = figloft::dispatch::task_id::StepId::new(job_id(1), 0, 0);
+    let ticket: Arc<str> = "t-7".into();
+    let answer = AdviceAnswer {
+        tickets: vec![(worker_id(7), Arc::clone(&ticket))],
+        valid: MS * 2_000,
+    };
+    scheduler.advice_answered(now, &id, Some(answer));
+    let started = starts(scheduler.decide(now, WALL, true));
+    assert_eq!(started.len(), 3);
+    let is_advised =
+        |start: &StartOrder| start.target.worker == worker_id(7) && start.ticket == Some(Arc::clone(&ticket));
+    assert!(started.iter().all(is_advised));
+}
+
+/// Guards against a ticket that ended on the way: the step asks again in place of repeating the rejected start.
+#[test]
+fn rejected_ticket_asks_again() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 2, 8);
+    scheduler.submit(now, now, advised_job(1, 1), None);
+    scheduler.decide(now, WALL, true);
+    let id = figloft::dispatch::task_id::StepId::new(job_id(1), 0, 0);
+    let answer = AdviceAnswer {
+        tickets: vec![(worker_id(1), "old".into())],
+        valid: MS * 2_000,
+    };
+    scheduler.advice_answered(now, &id, Some(answer));
+    let start = starts(scheduler.decide(now, WALL, true)).remove(0);
+    scheduler.start_answered(now, &start.target.worker, &start.run, StartOutcome::NoTicket);
+    let orders = scheduler.decide(now + MS * 10, WALL, true);
+    assert_eq!(questions(&orders).len(), 1);
+    assert!(starts(orders).is_empty());
+}
+
+/// Guards against scheduled tasks that start before their time or never, and against counting them as waiting.
+#[test]
+fn occurrences_start_when_they_are_due() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 2, 8);
+    let mut job = record(1, vec![step(1, 1, 100)]);
+    job.spec.schedule = Some(JobSchedule {
+        first: UnixMillis::new(WALL.get() + 1_000),
+        interval: MS * 500,
+        count: 2,
+    });
+    scheduler.submit(now, now, job, None);
+    assert!(scheduler.waiting().values().all(|count| *count == 0));
+    let at = |ms: u64| (now + MS * ms as u32, UnixMillis::new(WALL.get() + ms));
+    let (early, wall) = at(700);
+    assert!(starts(scheduler.decide(early, wall, true)).is_empty());
+    let (due, wall) = at(1_000);
+    let first = starts(scheduler.decide(due, wall, true));
+    assert_eq!(first.len(), 1);
+    let (due, wall) = at(1_500);
+    let second = starts(scheduler.decide(due, wall, true));
+    assert_eq!(second.len(), 1);
+    assert_ne!(first[0].run.task, second[0].run.task, "occurrences overlap");
+}
+
+/// Guards against work thrown away: a run that was stopped goes on from its checkpoint.
+#[test]
+fn stopped_run_goes_on_from_its_checkpoint() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 2, 8);
+    let saving = StepSpec {
+        is_saving: true,
+        ..step(1, 2, 5_000)
+    };
+    scheduler.submit(now, now, record(1, vec![saving]), None);
+    let first = start_all(&mut scheduler, now).remove(0);
+    assert!(first.saved.is_empty());
+    let later = now + MS * 2_000;
+    scheduler.decide(later, WALL, true);
+    let stopped = worker_report(vec![], vec![end_row(1, &first, RunEnd::Stopped, "c-1")]);
+    scheduler.look_answered(later, &first.target.worker, later, stopped);
+    let again = starts(scheduler.decide(later + MS, WALL, true)).remove(0);
+    assert_eq!(&*again.saved, "c-1");
+    assert!(again.run.run > first.run.run);
+}
+
+/// Guards against serving tasks that stay over their target beside fillers: the fillers slow down, and the pace returns
+/// when the tail falls.
+#[test]
+fn fillers_slow_down_beside_a_high_tail() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 1, 8);
+    let serving = StepSpec {
+        is_lasting: true,
+        tail_target_ms: Some(100),
+        ..step(1, 2, 0)
+    };
+    let filler = StepSpec {
+        is_lasting: true,
+        is_filler: true,
+        ..step(1, 2, 0)
+    };
+    scheduler.submit(now, now, record(1, vec![serving]), None);
+    scheduler.submit(now, now, record(2, vec![filler]), None);
+    let started = start_all(&mut scheduler, now);
+    assert_eq!(started.len(), 2);
+    let serving_job = job_id(1);
+    let look = |scheduler: &mut PoolScheduler, at: Instant, tail: f64| -> Vec<u32> {
+        scheduler.decide(at, WALL, true);
+        let rows = started.iter().map(|start| RunningRow {
+            load: if start.run.task.step.job == serving_job {
+                tail
+            } else {
+                2.0
+            },
+            ..running_row(start)
+        });
+        scheduler.look_answered(at, &worker_id(0), at, worker_report(rows.collect(), vec![]));
+        let orders = scheduler.decide(at + MS, WALL, true);
+        let paces = orders.into_iter().filter_map(|order| match order {
+            Order::Pace(_, run, percent) => {
+                assert_ne!(run.task.step.job, serving_job, "only fillers are paced");
+                Some(percent)
+            }
+            _ => None,
+        });
+        paces.collect()
+    };
+    assert_eq!(look(&mut scheduler, now + MS * 100, 150.0), vec![50]);
+    assert!(
+        look(&mut scheduler, now + MS * 900, 70.0).is_empty(),
+        "within the target"
+    );
+    assert_eq!(look(&mut scheduler, now + MS * 1_700, 20.0), vec![60]);
+}
+
+/// Guards against a hanging task that keeps its job from ending where copies are allowed, and against a second copy
+/// where they are not.
+#[test]
+fn only_speculative_tasks_get_a_second_copy() {
+    for is_speculative in [true, false] {
+        let now = Instant::now();
+        let mut scheduler = scheduler(now, 2, 8);
+        let job = StepSpec {
+            is_speculative,
+            ..step(1, 2, 500)
+        };
+        scheduler.submit(now, now, record(1, vec![job]), None);
+        let first = start_all(&mut scheduler, now).remove(0);
+        let copies = starts(scheduler.decide(now + MS * 1_500, WALL, true));
+        assert_eq!(copies.len(), usize::from(is_speculative));
+        assert!(
+            copies
+                .iter()
+                .all(|copy| copy.target.worker != first.target.worker)
+        );
+    }
+}
+
+/// Guards against starts that the platform forbids: on a worker without the label, or beyond the tasks of a step that
+/// one worker may have.
+#[test]
+fn labels_and_the_spread_of_a_step_bound_its_places() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 8, 8);
+    let labelled = StepSpec {
+        label: Some("r-1".into()),
+        most_per_worker: Some(1),
+        ..step(6, 1, 1_000)
+    };
+    scheduler.submit(now, now, record(1, vec![labelled]), None);
+    let started = start_all(&mut scheduler, now);
+    let places: std::collections::BTreeSet<_> =
+        started.iter().map(|start| start.target.worker.clone()).collect();
+    assert_eq!(started.len(), 4, "four workers have the label");
+    assert_eq!(places, (4..8).map(worker_id).collect());
+}
+
+/// Guards against tasks that stand still on a worker that answers: they kept their job from ending for ever. A task that
+/// progresses is left alone.
+#[test]
+fn stalled_run_is_stopped_and_starts_elsewhere() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 3, 8);
+    scheduler.submit(now, now, record(1, vec![step(2, 2, 1_000)]), None);
+    let started = start_all(&mut scheduler, now);
+    let number = (0..3).find(|number| worker_id(*number) == started[0].target.worker);
+    let number = number.expect("worker");
+    let mut stops = Vec::new();
+    for second in 1..4_u32 {
+        let at = now + MS * 1_000 * second;
+        let orders = scheduler.decide(at, WALL, true);
+        stops.extend(orders.into_iter().filter_map(|order| match order {
+            Order::Stop(_, run) => Some(run),
+            _ => None,
+        }));
+        let rows = started.iter().enumerate().map(|(index, start)| RunningRow {
+            percent: if index == 0 {
+                10.0
+            } else {
+                20.0 * f64::from(second)
+            },
+            ..running_row(start)
+        });
+        scheduler.look_answered(at, &worker_id(number), at, worker_report(rows.collect(), vec![]));
+    }
+    let at = now + MS * 3_100;
+    let orders = scheduler.decide(at, WALL, true);
+    stops.extend(orders.into_iter().filter_map(|order| match order {
+        Order::Stop(_, run) => Some(run),
+        _ => None,
+    }));
+    assert_eq!(stops, vec![started[0].run.clone()]);
+    let stopped = vec![end_row(1, &started[0], RunEnd::Stopped, "")];
+    scheduler.look_answered(
+        at,
+        &worker_id(number),
+        at,
+        worker_report(vec![running_row(&started[1])], stopped),
+    );
+    let again = starts(scheduler.decide(at + MS * 10, WALL, true));
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].target.worker, started[0].target.worker);
+}
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of a pool's scheduler and of the fleet's planner, replayed without input or output.
 
+mod features;
 mod fleet;
 mod load;
 mod scheduler;
