--- a/src/connection/backend_client.rs
+++ b/src/connection/backend_client.rs
@@ -1,6 +1,5 @@
 //! Connections to backend servers.
 
-use std::error::Error as StdError;
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -10,6 +9,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 use crate::connection::backend_body::BackendBody;
+use crate::error;
 
 /// Time within which an idle connection is used again. Silent middleboxes drop idle connections, so that
 /// connections are not kept for long.
@@ -54,19 +54,7 @@
     pub async fn send(&self, request: Request<BackendBody>) -> Result<Response<Incoming>, SendFault> {
         self.client.request(request).await.map_err(|error| SendFault {
             is_not_sent: error.is_connect(),
-            detail: describe(&error),
+            detail: error::describe(&error),
         })
     }
 }
-
-/// An error with its causes in one line.
-fn describe(error: &dyn StdError) -> String {
-    let mut text = error.to_string();
-    let mut cause = error.source();
-    while let Some(inner) = cause {
-        text.push_str(": ");
-        text.push_str(&inner.to_string());
-        cause = inner.source();
-    }
-    text
-}
--- a/src/dispatch/work_forecast.rs
+++ b/src/dispatch/work_forecast.rs
@@ -13,7 +13,7 @@
 /// its entry, the first look and the records between the holders.
 pub const MOVE_LEAD: Duration = Duration::from_secs(2);
 
-/// Time at which a step will run, from now.
+/// Time in which a step is expected to run, from now.
 #[derive(Debug, Clone, Copy)]
 struct StepSpan {
     start: Duration,
--- a/src/error.rs
+++ b/src/error.rs
@@ -197,3 +197,15 @@
     #[serde(skip_serializing_if = "Option::is_none", default)]
     pub retry_after_ms: Option<u64>,
 }
+
+/// An error with its causes in one line.
+pub fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(inner) = cause {
+        text.push_str(": ");
+        text.push_str(&inner.to_string());
+        cause = inner.source();
+    }
+    text
+}
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -15,7 +15,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::error::{Error, ErrorKind, Result};
+use crate::error::{self, Error, ErrorKind, Result};
 use crate::platform::reset_connector::ResetConnector;
 
 /// Longest time for opening a connection. A lost opening packet is sent again after seconds, so that a new attempt
@@ -189,7 +189,7 @@
         .body(Full::new(call.body))
         .map_err(|error| CallFault::NotSent(error.to_string()))?;
     let answer = client.request(request).await.map_err(|error| {
-        let detail = describe(&error);
+        let detail = error::describe(&error);
         if error.is_connect() {
             CallFault::NotSent(detail)
         } else {
@@ -204,15 +204,3 @@
         body: body.to_bytes(),
     })
 }
-
-/// An error with its causes in one line.
-fn describe(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut cause = error.source();
-    while let Some(inner) = cause {
-        text.push_str(": ");
-        text.push_str(&inner.to_string());
-        cause = inner.source();
-    }
-    text
-}
--- /dev/null
+++ b/tests/pool_decisions/forecast.rs
@@ -0,0 +1,96 @@
+//! Forecast of a pool's demand at the time at which a moved instance takes work.
+
+use std::time::{Duration, Instant};
+
+use figloft::dispatch::inflow_forecast::InflowForecast;
+use figloft::dispatch::job_spec::JobSpec;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::setup::{record, scheduler, start_all, step};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// A job that keeps 40 cores busy for a second.
+fn usual_job() -> JobSpec {
+    record(0, vec![step(8, 5, 1_000)]).spec
+}
+
+fn cores(forecast: &InflowForecast, now: Instant) -> f64 {
+    forecast.busy(now).cores.get() as f64 / 1_000.0
+}
+
+/// Replays the top of a turn, 20 jobs a second at random times: jobs that happen to come close together are no trend.
+/// The forecast once asked for twice the need.
+#[test]
+fn random_arrivals_are_no_trend() {
+    let mean = 20.0 * 40.0;
+    let mut highest = 0.0_f64;
+    for seed in 0..20 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let begin = Instant::now();
+        let mut forecast = InflowForecast::default();
+        let mut sum = 0.0;
+        for tick in 0..1_000_u32 {
+            let now = begin + MS * 10 * tick;
+            if rng.random_bool(0.2) {
+                forecast.submit(now, Duration::ZERO, &usual_job());
+            }
+            if tick >= 600 {
+                sum += cores(&forecast, now);
+            }
+        }
+        highest = highest.max(sum / 400.0);
+    }
+    assert!(highest < mean * 1.35, "{highest} cores for a mean of {mean}");
+}
+
+/// Replays the rise of a turn, from 2 to 40 jobs a second: after a second the forecast asks for most of the need.
+#[test]
+fn rise_of_a_turn_is_seen_within_a_second() {
+    let begin = Instant::now();
+    let mut forecast = InflowForecast::default();
+    for number in 0..10 {
+        forecast.submit(begin + MS * 500 * number, Duration::ZERO, &usual_job());
+    }
+    let rise = begin + MS * 5_000;
+    for number in 0..40 {
+        forecast.submit(rise + MS * 25 * number, Duration::ZERO, &usual_job());
+    }
+    let asked = cores(&forecast, rise + MS * 1_000);
+    assert!(asked > 0.7 * 40.0 * 40.0, "{asked} cores");
+}
+
+/// Guards against jobs that are read together after an outage of the store: their number in one moment looked like a
+/// burst of twice the turn.
+#[test]
+fn jobs_read_late_are_no_burst() {
+    let now = Instant::now();
+    let (mut late, mut steady) = (InflowForecast::default(), InflowForecast::default());
+    for number in 0..100_u32 {
+        let age = MS * 50 * number;
+        late.submit(now, age, &usual_job());
+    }
+    for number in (0..100_u32).rev() {
+        let at = now.checked_sub(MS * 50 * number).expect("instant");
+        steady.submit(at, Duration::ZERO, &usual_job());
+    }
+    let (late, steady) = (cores(&late, now), cores(&steady, now));
+    assert!((late - steady).abs() < 0.01 * steady, "{late} and {steady} cores");
+}
+
+/// Guards against room that is held for work that will be over, and against second steps that are not foreseen.
+#[test]
+fn remaining_work_is_that_of_the_lead_time() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 4, 32);
+    let mut second = step(6, 4, 1_500);
+    second.after = vec![0];
+    scheduler.submit(now, now, record(1, vec![step(2, 4, 1_500), second]), None);
+    scheduler.submit(now, now, record(2, vec![step(3, 4, 1_500)]), None);
+    assert_eq!(start_all(&mut scheduler, now).len(), 5);
+    let report = scheduler.report(now);
+    assert_eq!(report.used.cores.get(), 20_000);
+    // After 2 s the second step runs; both first steps are over.
+    assert_eq!(report.remaining.cores.get(), 24_000);
+}
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod features;
 mod fleet;
+mod forecast;
 mod load;
 mod scheduler;
 mod setup;
--- a/tests/pool_decisions/world.rs
+++ b/tests/pool_decisions/world.rs
@@ -458,7 +458,10 @@
         let now = self.now();
         for fake in &self.workers {
             let (seed, id) = (self.seed, &fake.entry.id);
-            assert!(scheduler.workers()[id].is_usable(now), "seed {seed}: {id} stays unused");
+            assert!(
+                scheduler.workers()[id].is_usable(now),
+                "seed {seed}: {id} stays unused"
+            );
             assert!(
                 fake.ended.is_empty(),
                 "seed {seed}: ends of {id} are not acknowledged"
