--- a/src/duty/fleet_duty.rs
+++ b/src/duty/fleet_duty.rs
@@ -324,10 +324,10 @@
             }
             let report = self.planner.report(pool).cloned().unwrap_or_default();
             info!(self.log, "pool sized"; "pool" => %pool, "target" => need.target,
-                "available" => need.available, "used_cores" => %report.used.cores,
-                "ready_cores" => %report.ready.cores, "inflow_cores" => %report.inflow.cores,
-                "remaining_cores" => %report.remaining.cores,
-                "lasting_cores" => %report.lasting.cores, "spread" => report.spread,
+                "available" => need.available, "used_millicores" => %report.used.cores,
+                "ready_millicores" => %report.ready.cores, "inflow_millicores" => %report.inflow.cores,
+                "remaining_millicores" => %report.remaining.cores,
+                "lasting_millicores" => %report.lasting.cores, "spread" => report.spread,
                 "listed" => report.workers.len());
         }
         self.logged_needs.clone_from(self.planner.needs());
