Let the store remove the states of ended jobs

Their final state now hangs on a lease of ten minutes that the pool's holder takes every two minutes and does not renew; a write whose lease has ended keeps the record without it.

--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -3,6 +3,7 @@
 //! `platform_node` starts one process. `duty_board` claims duties under the lease that `node_lease` keeps;
 //! `pool_duty` and `fleet_duty` carry them.
 
+pub mod archive_lease;
 pub mod config_follower;
 pub mod duty_board;
 pub mod duty_metrics;
--- a/src/duty/pool_duty.rs
+++ b/src/duty/pool_duty.rs
@@ -18,6 +18,7 @@
 use crate::dispatch::task_id::StepId;
 use crate::dispatch::worker_lease::WorkerLease;
 use crate::dispatch::worker_report::WorkerReport;
+use crate::duty::archive_lease::{self, ArchiveLease};
 use crate::duty::job_keys;
 use crate::duty::node_parts::{NodeParts, STORE_TIMEOUT};
 use crate::duty::pool_load::{self, PoolRecords};
@@ -73,6 +74,7 @@
     Advised(StepId, Option<AdviceAnswer>),
     Writer(WriterEvent),
     Counted(bool),
+    Archive(Instant, Option<(LeaseId, Duration)>),
 }
 
 struct PoolShell {
@@ -91,6 +93,7 @@
     waiting: Option<(LeaseId, BTreeMap<QueueId, u32>)>,
     is_counting: bool,
     next_count: Instant,
+    archive: ArchiveLease,
     /// Progress of jobs of former terms; taken by the first complete read of the inbox.
     old_progress: Option<BTreeMap<JobId, JobProgress>>,
     next_decision: Instant,
@@ -186,6 +189,7 @@
         scheduler.set_plan(records.plan);
         let gateway = WorkerGateway::new(parts.caller.clone(), tenure.term);
         Self {
+            archive: ArchiveLease::new(parts.settings.retention),
             parts,
             pool,
             log,
@@ -305,6 +309,7 @@
                     TenureOutcome::Deposed => self.ended = Some("another session holds the duty"),
                 }
             }
+            PoolEvent::Archive(asked_at, granted) => self.archive.take_answer(asked_at, granted),
             PoolEvent::Counted(is_stored) => {
                 self.is_counting = false;
                 if !is_stored {
@@ -444,6 +449,7 @@
             let worker = note.worker.as_ref().map_or("", WorkerId::as_str);
             info!(self.log, "{}", note.decision; "job" => job, "worker" => worker, "inputs" => note.inputs);
         }
+        self.ask_archive(now);
         self.flush();
         self.publish_waiting(now, valid);
         self.parts
@@ -457,6 +463,24 @@
         }
     }
 
+    /// Asks for the lease on which the states of ended jobs hang.
+    fn ask_archive(&mut self, now: Instant) {
+        if !self.archive.needs_lease(now) {
+            return;
+        }
+        let (store, sender, log) = (self.parts.store.clone(), self.sender.clone(), self.log.clone());
+        tokio::spawn(async move {
+            let granted = store
+                .grant_lease(archive_lease::ARCHIVE_TIME, STORE_TIMEOUT)
+                .await;
+            if let Err(error) = &granted {
+                debug!(log, "states of ended jobs are kept without an end"; "error" => %error);
+            }
+            // The shell is gone only when the duty has ended.
+            let _ = sender.send(PoolEvent::Archive(now, granted.ok()));
+        });
+    }
+
     fn flush(&mut self) {
         let now = self.parts.clock.now();
         if self.is_writing || now < self.next_flush {
@@ -499,9 +523,11 @@
 
     fn encode_batch(&self, batch: &FlushBatch, report: Option<&PoolReport>) -> Result<StoreWrite> {
         let mut write = StoreWrite::default();
+        let archive = self.archive.lease(self.parts.clock.now());
         for job in &batch.jobs {
             if let Some(head) = &job.head {
-                write.put(job_keys::head_key(&job.job), job_keys::encode(head)?, None);
+                let lease = archive.filter(|_| head.ended.is_some());
+                write.put(job_keys::head_key(&job.job), job_keys::encode(head)?, lease);
             }
             if let Some(progress) = &job.progress {
                 let key = job_keys::progress_key(&self.pool, &job.job);
--- a/src/duty/tenure_writer.rs
+++ b/src/duty/tenure_writer.rs
@@ -92,6 +92,16 @@
     log: Logger,
 }
 
+/// Takes the ended lease off a write. The duty's own key would be gone with its lease; other records stay.
+fn detach(write: &mut StoreWrite, duty_key: &str) {
+    write
+        .puts
+        .retain(|put| put.lease.is_none() || &*put.key != duty_key);
+    for put in &mut write.puts {
+        put.lease = None;
+    }
+}
+
 impl TenureWriter {
     /// Creates the writer of a claimed duty.
     pub fn new(store: StoreGateway, session: SessionId, tenure: DutyTenure, log: Logger) -> Self {
@@ -133,8 +143,7 @@
                         return Ok(TenureOutcome::Written);
                     }
                 }
-                // The lease of a put has ended: what hangs on it would be gone already.
-                Ok(WriteOutcome::LeaseEnded) => write.puts.retain(|put| put.lease.is_none()),
+                Ok(WriteOutcome::LeaseEnded) => detach(&mut write, &job_keys::duty_key(&self.tenure.duty)),
                 Err(error) if error.kind() == ErrorKind::BadMessage => return Err(error),
                 Err(error) => {
                     if faults == 0 {
--- a/tests/pool_decisions/features.rs
+++ b/tests/pool_decisions/features.rs
@@ -8,6 +8,8 @@
 use figloft::dispatch::order::{AdviceAnswer, Order, StartOrder, StartOutcome};
 use figloft::dispatch::pool_scheduler::PoolScheduler;
 use figloft::dispatch::worker_report::{EndedRow, RunEnd, RunningRow, WorkerReport};
+use figloft::duty::archive_lease::ArchiveLease;
+use figloft::model::id::LeaseId;
 use figloft::model::unix_time::UnixMillis;
 
 use crate::setup::{WALL, job_id, record, running_row, scheduler, start_all, starts, step, worker_id};
@@ -353,3 +355,41 @@
     assert_eq!(again.len(), 1);
     assert_ne!(again[0].target.worker, started[0].target.worker);
 }
+
+/// Guards against states of ended jobs that stay in the store for ever, or that end before callers may ask for them.
+#[test]
+fn archive_lease_outlives_the_retention() {
+    let begin = Instant::now();
+    let second = Duration::from_secs(1);
+    let mut archive = ArchiveLease::new(second * 120);
+    assert!(archive.needs_lease(begin));
+    assert!(!archive.needs_lease(begin), "asked once");
+    archive.take_answer(begin, None);
+    assert!(archive.lease(begin).is_none());
+    assert!(
+        !archive.needs_lease(begin + second),
+        "not at once after a refusal"
+    );
+    let later = begin + second * 6;
+    assert!(archive.needs_lease(later));
+    let lease = LeaseId::new(7);
+    archive.take_answer(later, Some((lease, second * 600)));
+    let last = later + second * 119;
+    assert_eq!(archive.lease(last), Some(lease));
+    // The last record of the lease is kept for longer than the retention.
+    assert!(last + second * 120 < later + second * 600);
+    assert!(archive.lease(later + second * 120).is_none());
+    assert!(archive.needs_lease(later + second * 120));
+}
+
+/// Guards against a lease that is shorter than the retention: states without an end are better than lost ones.
+#[test]
+fn short_archive_leases_are_not_used() {
+    let begin = Instant::now();
+    let mut archive = ArchiveLease::new(Duration::from_mins(2));
+    assert!(archive.needs_lease(begin));
+    archive.take_answer(begin, Some((LeaseId::new(7), Duration::from_mins(1))));
+    assert!(archive.lease(begin).is_none());
+    let mut long = ArchiveLease::new(Duration::from_mins(15));
+    assert!(!long.needs_lease(begin));
+}
