Open a departed worker that the platform's list shows again under its id

Found on reading the diff: a worker that came back under its id after upkeep would have stayed closed as long as its pool reported it. The test failed with the rule switched off.

--- a/src/dispatch/fleet_planner.rs
+++ b/src/dispatch/fleet_planner.rs
@@ -32,7 +32,7 @@
 }
 
 /// State of the fleet's holder.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct FleetPlanner {
     config: SiteConfig,
     instances: BTreeMap<InstanceId, InstanceEntry>,
@@ -44,7 +44,14 @@
     sizer: PoolSizer,
     /// Workers whose instance has left them for another pool or for upkeep. Their entries outlive them by some
     /// seconds, in which they must neither get work nor count as room.
-    departed: BTreeMap<WorkerId, PoolId>,
+    departed: BTreeMap<WorkerId, DepartedWorker>,
+}
+
+/// A worker whose instance has left it.
+#[derive(Debug, Clone)]
+struct DepartedWorker {
+    pool: PoolId,
+    at: Instant,
 }
 
 impl FleetPlanner {
@@ -66,12 +73,21 @@
     /// Takes a pool's report.
     pub fn set_report(&mut self, pool: PoolId, report: PoolReport) {
         self.departed
-            .retain(|worker, of| *of != pool || report.workers.contains_key(worker));
+            .retain(|worker, departed| departed.pool != pool || report.workers.contains_key(worker));
         self.reports.insert(pool, report);
     }
 
     /// Takes the platform's list, read at `read_at`.
     pub fn set_instances(&mut self, read_at: Instant, instances: BTreeMap<InstanceId, InstanceEntry>) {
+        // A worker that is listed again has come back under its id.
+        let is_back = |worker: &WorkerId| {
+            let mut up = instances
+                .values()
+                .filter(|entry| entry.state == InstanceState::Up);
+            up.any(|entry| entry.worker.as_ref() == Some(worker))
+        };
+        self.departed
+            .retain(|worker, departed| read_at <= departed.at || !is_back(worker));
         self.instances = instances;
         self.is_listed = true;
         for wave in self.waves.values_mut() {
@@ -102,7 +118,7 @@
         outcome: InstanceOutcome,
     ) {
         if outcome == InstanceOutcome::Done {
-            self.depart(instance);
+            self.depart(now, instance);
         }
         if let Some(wave) = self.waves.get_mut(&number)
             && wave.answered(now, instance, outcome)
@@ -120,12 +136,12 @@
         outcome: InstanceOutcome,
     ) {
         if outcome == InstanceOutcome::Done {
-            self.depart(instance);
+            self.depart(now, instance);
         }
         self.sizer.answered(now, instance, to, outcome);
     }
 
-    fn depart(&mut self, instance: &InstanceId) {
+    fn depart(&mut self, now: Instant, instance: &InstanceId) {
         let Some(entry) = self.instances.get(instance) else {
             return;
         };
@@ -134,7 +150,11 @@
         };
         let report = self.reports.get(&entry.pool);
         if report.is_some_and(|report| report.workers.contains_key(worker)) {
-            self.departed.insert(worker.clone(), entry.pool.clone());
+            let departed = DepartedWorker {
+                pool: entry.pool.clone(),
+                at: now,
+            };
+            self.departed.insert(worker.clone(), departed);
         }
     }
 
@@ -250,7 +270,10 @@
         let entries = instances.filter_map(|id| self.instances.get(id));
         let of_pool = entries.filter(|entry| entry.pool == *pool);
         let vacated = of_pool.filter_map(|entry| entry.worker.clone());
-        let departed = self.departed.iter().filter(|(_, of)| *of == pool);
+        let departed = self
+            .departed
+            .iter()
+            .filter(|(_, departed)| departed.pool == *pool);
         vacated
             .chain(departed.map(|(worker, _)| worker.clone()))
             .collect()
--- a/src/dispatch/wave_plan.rs
+++ b/src/dispatch/wave_plan.rs
@@ -212,7 +212,7 @@
             if room == 0 {
                 break;
             }
-            let limit = if !has_no_lasting {
+            let is_allowed = if !has_no_lasting {
                 let count = lasting.entry(pool).or_default();
                 *count += 1;
                 *count <= LASTING_AHEAD
@@ -223,7 +223,7 @@
             } else {
                 true
             };
-            if limit {
+            if is_allowed {
                 room -= 1;
                 chosen.push(id.clone());
             }
--- a/src/dispatch/work_forecast.rs
+++ b/src/dispatch/work_forecast.rs
@@ -27,8 +27,7 @@
     let mut spans: Vec<StepSpan> = Vec::with_capacity(occurrence.steps.len());
     for (number, state) in occurrence.steps.iter().enumerate() {
         let spec = &job.record.spec.steps[number];
-        let start = spec.after.iter().map(|before| spans[*before as usize].end).max();
-        let start = start.unwrap_or_default();
+        let start = start_after(spec, |before| spans[before].end);
         let span = step_span(now, spec, state, start, is_late);
         if span.start <= MOVE_LEAD && MOVE_LEAD < span.end && !spec.is_lasting {
             busy = busy.plus(&spec.reserved().times(state.open as u64));
@@ -38,6 +37,13 @@
     busy
 }
 
+/// Time at which a step can start, given the ends of the steps before it.
+fn start_after(spec: &StepSpec, end: impl Fn(usize) -> Duration) -> Duration {
+    let ends = spec.after.iter().map(|before| end(*before as usize));
+    ends.max().unwrap_or_default()
+}
+
+/// Time in which a step runs that can start at `start`.
 fn step_span(now: Instant, spec: &StepSpec, state: &StepState, start: Duration, is_late: bool) -> StepSpan {
     if state.open == 0 {
         return StepSpan { start, end: start };
@@ -72,8 +78,7 @@
     let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
     let mut works = Vec::new();
     for step in steps {
-        let start = step.after.iter().map(|before| ends[*before as usize]).max();
-        let start = start.unwrap_or_default();
+        let start = start_after(step, |before| ends[before]);
         let end = start + step.estimate;
         ends.push(end);
         let overlap = end.min(MOVE_LEAD).saturating_sub(start);
--- a/tests/pool_decisions/fleet.rs
+++ b/tests/pool_decisions/fleet.rs
@@ -239,6 +239,14 @@
     }
     let reopened = published(&planner.decide(now), "pool-a");
     assert!(reopened.is_none_or(|reopened| reopened.closing == plan.closing));
+    // A worker that comes back under its id is open again.
+    let mut returned = planner.clone();
+    let later = now + Duration::from_secs(3);
+    returned.set_report(pool_id("pool-a"), report(0..4, 120, 120));
+    let up = (0..4).map(|number| instance("pool-a", number, InstanceState::Up));
+    returned.set_instances(later, up.collect());
+    let reopened = published(&returned.decide(later), "pool-a").expect("a plan without them");
+    assert!(reopened.closing.is_empty());
     // Once the pool's holder has forgotten the workers, the plan does too.
     idle.workers.retain(|worker, _| !plan.closing.contains(worker));
     planner.set_report(pool_id("pool-a"), idle);
