Build placed runs in one place and rate classes without a key

A started and an adopted run repeated 23 fields: PlacedRun::new serves both. The room for a task that moves is found by the search that places it. The demand report rates a step's class without building an order key for a step that it had to name. The fleet's planner gathers the use of workers once for each decision.

--- a/src/dispatch/fleet_planner.rs
+++ b/src/dispatch/fleet_planner.rs
@@ -177,19 +177,24 @@
     pub fn decide(&mut self, now: Instant) -> Vec<FleetOrder> {
         let mut orders = Vec::new();
         if self.is_listed {
-            self.run_waves(now, &mut orders);
-            self.size_pools(now, &mut orders);
+            let uses = self.worker_uses();
+            self.run_waves(now, &uses, &mut orders);
+            self.size_pools(now, &uses, &mut orders);
         }
         self.publish_plans(&mut orders);
         orders
     }
 
-    fn run_waves(&mut self, now: Instant, orders: &mut Vec<FleetOrder>) {
-        let uses = self.worker_uses();
+    fn run_waves(
+        &mut self,
+        now: Instant,
+        uses: &BTreeMap<WorkerId, WorkerUse>,
+        orders: &mut Vec<FleetOrder>,
+    ) {
         for (number, wave) in &mut self.waves {
-            wave.choose_closing(now, &self.instances, &uses);
+            wave.choose_closing(now, &self.instances, uses);
             let due = wave.take_due(now, &self.instances, |entry| {
-                is_vacated(entry, &self.config, &uses)
+                is_vacated(entry, &self.config, uses)
             });
             orders.extend(due.into_iter().map(|id| FleetOrder::Upkeep(id, *number)));
             if wave.complete() {
@@ -203,8 +208,12 @@
         }
     }
 
-    fn size_pools(&mut self, now: Instant, orders: &mut Vec<FleetOrder>) {
-        let uses = self.worker_uses();
+    fn size_pools(
+        &mut self,
+        now: Instant,
+        uses: &BTreeMap<WorkerId, WorkerUse>,
+        orders: &mut Vec<FleetOrder>,
+    ) {
         let pools: Vec<PoolId> = self.config.working_pools().cloned().collect();
         let spare = self.config.pools.iter().find(|(_, pool)| pool.is_spare);
         let reserved = self.waves.values().flat_map(WavePlan::closing).cloned().collect();
@@ -218,7 +227,7 @@
         let config = &self.config;
         let moves = self
             .sizer
-            .decide(now, facts, |entry| is_vacated(entry, config, &uses));
+            .decide(now, facts, |entry| is_vacated(entry, config, uses));
         orders.extend(
             moves
                 .into_iter()
--- a/src/dispatch/pool_scheduler/demand_report.rs
+++ b/src/dispatch/pool_scheduler/demand_report.rs
@@ -7,8 +7,7 @@
 use crate::dispatch::job_state::{JobOccurrence, JobRun};
 use crate::dispatch::pool_plan::{PoolReport, WorkerUse};
 use crate::dispatch::pool_scheduler::{PoolScheduler, start_pass};
-use crate::dispatch::start_order::{StartClass, StartKey};
-use crate::dispatch::task_id::StepId;
+use crate::dispatch::start_order::StartClass;
 use crate::dispatch::work_forecast;
 use crate::model::id::QueueId;
 use crate::model::resource::ResourceSet;
@@ -95,9 +94,8 @@
         return false;
     }
     let reserved = spec.reserved().times(waiting);
-    let id = StepId::new(job.record.id.clone(), 0, number as u32);
     let facts = start_pass::step_facts(job, number, occurrence.due_at);
-    let is_late = StartKey::new(now, &facts, id).class() >= StartClass::Late;
+    let is_late = StartClass::of(now, &facts) >= StartClass::Late;
     if !is_late {
         report.ready = report.ready.plus(&reserved);
     }
--- a/src/dispatch/pool_scheduler/report_fold.rs
+++ b/src/dispatch/pool_scheduler/report_fold.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use crate::dispatch::job_record::JobState;
-use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::job_state::{JobRun, TaskCopy};
 use crate::dispatch::order::TaskRun;
 use crate::dispatch::pool_scheduler::{LOOK_GAP, MISSING_LOOKS, PoolScheduler, stop_copies, task_run};
@@ -12,7 +11,6 @@
 use crate::dispatch::worker_report::{EndedRow, RunEnd, RunningRow, WorkerReport};
 use crate::dispatch::worker_state::{EndLog, PlacedRun, RunPhase};
 use crate::model::id::{JobId, WorkerId};
-use crate::model::resource::ResourceSet;
 use crate::model::unix_time::UnixMillis;
 
 impl PoolScheduler {
@@ -258,32 +256,19 @@
         }
         let job = self.jobs.get(&row.task.step.job);
         let spec = job.and_then(|job| job.record.spec.steps.get(row.task.step.step as usize));
+        // A run of no known job takes no room and is stopped.
+        let spec = spec.cloned().unwrap_or_default();
         let organisation = job.and_then(|job| job.record.organisation.clone());
+        let phase = RunPhase::Running;
         let placed = PlacedRun {
-            run: row.run,
-            phase: RunPhase::Running,
-            reserved: spec.map_or_else(ResourceSet::default, StepSpec::reserved),
-            demand: spec.map_or_else(ResourceSet::default, |spec| spec.demand),
-            organisation: organisation.clone(),
-            placed_at: now,
-            estimate: spec.map_or(Duration::ZERO, |spec| spec.estimate),
-            is_lasting: spec.is_some_and(|spec| spec.is_lasting),
-            is_filler: spec.is_some_and(|spec| spec.is_filler),
-            tail_target_ms: spec.and_then(|spec| spec.tail_target_ms),
             percent: row.percent,
             progress_mark: row.percent,
-            progress_at: now,
             load: row.load,
             saved: Arc::clone(&row.saved),
-            deadline_ms: 0,
             // The pace that a former holder ordered is not known; the next order sets it.
             pace: 0,
-            is_doubtful: false,
-            unknown_since: None,
             must_stop: !is_wanted,
-            stop_sent: None,
-            stop_taken: None,
-            missing: 0,
+            ..PlacedRun::new(now, row.run, phase, &spec, organisation.clone())
         };
         if let Some(organisation) = organisation {
             let usage = self.usage.entry(organisation).or_default();
--- a/src/dispatch/pool_scheduler/start_pass.rs
+++ b/src/dispatch/pool_scheduler/start_pass.rs
@@ -1,6 +1,6 @@
 //! Chooses which tasks start where.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -212,14 +212,13 @@
         allowance.covers(&used.plus(demand))
     }
 
-    fn choose_worker(
+    pub(super) fn choose_worker(
         &self,
         now: Instant,
         task: &TaskId,
         spec: &StepSpec,
         has_advice: bool,
     ) -> Option<WorkerId> {
-        let none = BTreeSet::new();
         let job = self.jobs.get(&task.step.job)?;
         let step = job.step(&task.step)?;
         let state = step.tasks.get(task.index as usize)?;
@@ -233,11 +232,7 @@
         let request = PlaceRequest {
             task,
             spec,
-            avoid: if state.avoid.is_empty() {
-                &none
-            } else {
-                &state.avoid
-            },
+            avoid: &state.avoid,
             closing: &self.plan.closing,
             due: &self.plan.due,
             rack: rack.as_deref(),
@@ -305,34 +300,12 @@
             placed_at: now,
         });
         let saved = Arc::clone(&state.saved);
-        worker.add_run(
-            task.clone(),
-            PlacedRun {
-                run,
-                phase: RunPhase::Starting,
-                reserved: spec.reserved(),
-                demand: spec.demand,
-                organisation: organisation.cloned(),
-                placed_at: now,
-                estimate: spec.estimate,
-                is_lasting: spec.is_lasting,
-                is_filler: spec.is_filler,
-                tail_target_ms: spec.tail_target_ms,
-                percent: 0.0,
-                progress_mark: 0.0,
-                progress_at: now,
-                load: 0.0,
-                saved: Arc::clone(&saved),
-                deadline_ms,
-                pace: 100,
-                is_doubtful: false,
-                unknown_since: None,
-                must_stop: false,
-                stop_sent: None,
-                stop_taken: None,
-                missing: 0,
-            },
-        );
+        let placed = PlacedRun {
+            saved: Arc::clone(&saved),
+            deadline_ms,
+            ..PlacedRun::new(now, run, RunPhase::Starting, spec, organisation.cloned())
+        };
+        worker.add_run(task.clone(), placed);
         if let Some(organisation) = organisation {
             let usage = self.usage.entry(organisation.clone()).or_default();
             *usage = usage.plus(&spec.demand);
--- a/src/dispatch/pool_scheduler/vacate_pass.rs
+++ b/src/dispatch/pool_scheduler/vacate_pass.rs
@@ -3,7 +3,6 @@
 use std::time::Instant;
 
 use crate::dispatch::pool_scheduler::PoolScheduler;
-use crate::dispatch::start_place::{self, PlaceRequest};
 use crate::dispatch::task_id::TaskId;
 use crate::dispatch::worker_state::RunPhase;
 use crate::model::id::WorkerId;
@@ -81,25 +80,8 @@
     }
 
     fn has_room(&self, now: Instant, task: &TaskId) -> bool {
-        let Some(job) = self.jobs.get(&task.step.job) else {
-            return false;
-        };
-        let spec = &job.record.spec.steps[task.step.step as usize];
-        let Some(state) = job
-            .step(&task.step)
-            .and_then(|step| step.tasks.get(task.index as usize))
-        else {
-            return false;
-        };
-        let request = PlaceRequest {
-            task,
-            spec,
-            avoid: &state.avoid,
-            closing: &self.plan.closing,
-            due: &self.plan.due,
-            rack: None,
-            allowed: None,
-        };
-        start_place::choose(now, &self.workers, &request).is_some()
+        let job = self.jobs.get(&task.step.job);
+        let spec = job.and_then(|job| job.record.spec.steps.get(task.step.step as usize));
+        spec.is_some_and(|spec| self.choose_worker(now, task, spec, false).is_some())
     }
 }
--- a/src/dispatch/start_order.rs
+++ b/src/dispatch/start_order.rs
@@ -77,26 +77,39 @@
     step: StepId,
 }
 
-impl StartKey {
-    /// Rates a step.
-    pub fn new(now: Instant, facts: &StepFacts, step: StepId) -> Self {
-        let age = now.saturating_duration_since(facts.accepted_at);
-        let end = age + facts.chain.mul_f64(CHAIN_MARGIN.0) + CHAIN_MARGIN.1;
-        let class = if facts.is_filler {
-            StartClass::Filler
+impl StartClass {
+    /// Class of a step now.
+    pub fn of(now: Instant, facts: &StepFacts) -> Self {
+        let end = expected_end(now, facts);
+        if facts.is_filler {
+            Self::Filler
         } else if facts.is_lasting {
-            StartClass::Serving
+            Self::Serving
         } else if end > facts.objective * LATE_FACTOR {
-            StartClass::Overdue
+            Self::Overdue
         } else if end > facts.objective {
-            StartClass::Late
+            Self::Late
         } else if facts.is_surplus {
-            StartClass::Surplus
+            Self::Surplus
         } else if facts.has_begun {
-            StartClass::Begun
+            Self::Begun
         } else {
-            StartClass::InTime
-        };
+            Self::InTime
+        }
+    }
+}
+
+/// Time from acceptance to the end of the job, if the step starts now.
+fn expected_end(now: Instant, facts: &StepFacts) -> Duration {
+    let age = now.saturating_duration_since(facts.accepted_at);
+    age + facts.chain.mul_f64(CHAIN_MARGIN.0) + CHAIN_MARGIN.1
+}
+
+impl StartKey {
+    /// Rates a step.
+    pub fn new(now: Instant, facts: &StepFacts, step: StepId) -> Self {
+        let class = StartClass::of(now, facts);
+        let end = expected_end(now, facts);
         let slack_ms = facts.objective.as_millis() as i64 - end.as_millis() as i64;
         let is_urgent = slack_ms < (facts.objective.mul_f64(URGENT_SLACK)).as_millis() as i64;
         Self {
@@ -108,11 +121,6 @@
         }
     }
 
-    /// The class.
-    pub fn class(&self) -> StartClass {
-        self.class
-    }
-
     /// The step.
     pub fn step(&self) -> &StepId {
         &self.step
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::dispatch::fill_pace::FillPace;
+use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::order::OrderTarget;
 use crate::dispatch::task_id::{StepId, TaskId};
 use crate::dispatch::worker_blame::WorkerBlame;
@@ -103,6 +104,41 @@
 }
 
 impl PlacedRun {
+    /// Creates a run of a task of a step, as confirmed as `phase` says.
+    pub fn new(
+        now: Instant,
+        run: RunNumber,
+        phase: RunPhase,
+        spec: &StepSpec,
+        organisation: Option<OrganisationId>,
+    ) -> Self {
+        Self {
+            run,
+            phase,
+            reserved: spec.reserved(),
+            demand: spec.demand,
+            organisation,
+            placed_at: now,
+            estimate: spec.estimate,
+            is_lasting: spec.is_lasting,
+            is_filler: spec.is_filler,
+            tail_target_ms: spec.tail_target_ms,
+            percent: 0.0,
+            progress_mark: 0.0,
+            progress_at: now,
+            load: 0.0,
+            saved: Arc::default(),
+            deadline_ms: 0,
+            pace: 100,
+            is_doubtful: false,
+            unknown_since: None,
+            must_stop: false,
+            stop_sent: None,
+            stop_taken: None,
+            missing: 0,
+        }
+    }
+
     /// Takes the progress that the worker lists.
     pub fn observe_progress(&mut self, now: Instant, percent: f64) {
         if percent >= self.progress_mark + STALL_STEP {
