--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -1,9 +1,12 @@
 //! The scheduler of one pool: events in, orders out.
 //!
-//! `report_fold` takes in what workers answer, `start_pass` chooses starts, `vacate_pass` empties workers, and
-//! `progress_flush` collects what has to be stored.
+//! `answer_fold` takes in the outcomes of orders and `report_fold` what workers list; `start_pass` chooses starts,
+//! `vacate_pass` empties workers, and `order_pass` sends the other orders. `demand_report` tells the fleet's holder of
+//! demand and room, and `progress_flush` collects what has to be stored.
 
+mod answer_fold;
 mod demand_report;
+mod order_pass;
 mod progress_flush;
 mod report_fold;
 mod start_pass;
@@ -17,7 +20,7 @@
 use crate::dispatch::inflow_forecast::InflowForecast;
 use crate::dispatch::job_record::{JobProgress, JobRecord, JobState};
 use crate::dispatch::job_state::{JobRun, TaskState};
-use crate::dispatch::order::{AdviceAnswer, LookFault, LookOrder, Order, StartOutcome, StopOutcome, TaskRun};
+use crate::dispatch::order::{Order, TaskRun};
 use crate::dispatch::pool_plan::PoolPlan;
 use crate::dispatch::scheduler_rules::SchedulerRules;
 use crate::dispatch::settling::SettlingState;
@@ -27,7 +30,7 @@
 use crate::dispatch::task_id::{StepId, TaskId};
 use crate::dispatch::usual_work::UsualWork;
 use crate::dispatch::worker_entry::WorkerEntry;
-use crate::dispatch::worker_state::{PlacedRun, RunPhase, WorkerState};
+use crate::dispatch::worker_state::{PlacedRun, WorkerState};
 
 use crate::model::id::{DutyTerm, JobId, OrganisationId, PoolId, WorkerId};
 use crate::model::resource::ResourceSet;
@@ -41,24 +44,12 @@
 /// Pause between an answered look and the next; ends that come close together are listed in one answer.
 pub const LOOK_GAP: Duration = Duration::from_millis(60);
 
-/// Pause after a look without an answer.
-const LOOK_RETRY: Duration = Duration::from_millis(250);
-
-/// Pause before a stop is sent again.
-const STOP_RETRY: Duration = Duration::from_millis(500);
-
-/// Time for which a worker counts as full after it refused a start for want of room.
-const FULL_TIME: Duration = Duration::from_millis(250);
-
 /// Pause before advice is asked for again after a call without an answer.
 const ADVICE_RETRY: Duration = Duration::from_millis(300);
 
 /// Looks in a row that do not list a confirmed run, after which it is stopped.
 const MISSING_LOOKS: u32 = 2;
 
-/// Least difference of two paces that is ordered, in percent.
-const PACE_STEP: u32 = 5;
-
 /// A decision worth a log line.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DecisionNote {
@@ -325,138 +316,6 @@
         listed.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Takes the outcome of a start.
-    pub fn start_answered(
-        &mut self,
-        now: Instant,
-        worker_id: &WorkerId,
-        run: &TaskRun,
-        outcome: StartOutcome,
-    ) {
-        let Some(worker) = self.workers.get_mut(worker_id) else {
-            return;
-        };
-        worker.starting = worker.starting.saturating_sub(1);
-        if worker.look.next_at.is_none() {
-            worker.look.next_at = Some(now + LOOK_GAP);
-        }
-        match outcome {
-            StartOutcome::Unknown | StartOutcome::NotSent => worker.blame.miss_answer(now),
-            StartOutcome::Unhealthy => worker.blame.refuse(now),
-            _ => worker.blame.take_answer(),
-        }
-        let Some(placed) = worker
-            .runs
-            .get_mut(&run.task)
-            .filter(|placed| placed.run == run.run)
-        else {
-            return;
-        };
-        match outcome {
-            StartOutcome::Started => {
-                if placed.phase == RunPhase::Starting {
-                    placed.phase = RunPhase::Running;
-                }
-                self.mark_begun(&run.task.step.job, worker_id);
-                return;
-            }
-            StartOutcome::Unknown => {
-                placed.phase = RunPhase::Unknown;
-                // The next look tells whether it runs; only if it does not, a stop settles it.
-                placed.unknown_since = Some(now);
-                if worker.look.sent_at.is_none() {
-                    worker.look.next_at = Some(now);
-                }
-                let inputs = format!("run {} of task {}", run.run, run.task);
-                self.note(
-                    "start without an answer",
-                    Some(run.task.step.job.clone()),
-                    Some(worker_id.clone()),
-                    inputs,
-                );
-                return;
-            }
-            StartOutcome::NoRoom => worker.full_until = Some(now + FULL_TIME),
-            StartOutcome::Fenced => self.is_fenced = true,
-            StartOutcome::NoTicket => {
-                self.advice.remove(&run.task.step);
-            }
-            StartOutcome::OtherWorker => worker.is_listed = false,
-            _ => {}
-        }
-        self.drop_run(now, worker_id, run, false);
-        let inputs = format!("{outcome:?}: run {} of task {}", run.run, run.task);
-        self.note(
-            "start refused",
-            Some(run.task.step.job.clone()),
-            Some(worker_id.clone()),
-            inputs,
-        );
-        if outcome == StartOutcome::Malformed
-            && let Some(task) = self.task_mut(&run.task)
-        {
-            task.ready_at = Some(now + Duration::from_secs(1));
-        }
-    }
-
-    /// Takes the outcome of a stop.
-    pub fn stop_answered(&mut self, now: Instant, worker_id: &WorkerId, run: &TaskRun, outcome: StopOutcome) {
-        if outcome == StopOutcome::Fenced {
-            self.is_fenced = true;
-        }
-        if outcome == StopOutcome::Taken {
-            self.strays.remove(&(worker_id.clone(), run.clone()));
-        }
-        let Some(worker) = self.workers.get_mut(worker_id) else {
-            return;
-        };
-        if outcome == StopOutcome::OtherWorker {
-            worker.is_listed = false;
-        }
-        if let Some(placed) = worker.runs.get_mut(&run.task)
-            && placed.run == run.run
-            && outcome == StopOutcome::Taken
-        {
-            placed.stop_taken = Some(now);
-        }
-    }
-
-    /// Takes a look without a report.
-    pub fn look_failed(&mut self, now: Instant, worker_id: &WorkerId, fault: &LookFault) {
-        if *fault == LookFault::Fenced {
-            self.is_fenced = true;
-        }
-        let Some(worker) = self.workers.get_mut(worker_id) else {
-            return;
-        };
-        worker.look.sent_at = None;
-        worker.look.faults += 1;
-        worker.look.next_at = Some(now + LOOK_RETRY * worker.look.faults.min(4));
-        if *fault == LookFault::OtherWorker {
-            worker.is_listed = false;
-        }
-        if worker.look.faults == 1 {
-            let inputs = format!("{fault}; {} runs on it", worker.runs.len());
-            self.note("worker lost", None, Some(worker_id.clone()), inputs);
-        }
-    }
-
-    /// Takes an answer of the advice service; none if there was no answer.
-    pub fn advice_answered(&mut self, now: Instant, step: &StepId, answer: Option<AdviceAnswer>) {
-        let Some(advice) = self.advice.get_mut(step) else {
-            return;
-        };
-        advice.asked_at = None;
-        match answer {
-            None => advice.retry_at = now + ADVICE_RETRY,
-            Some(answer) => {
-                advice.valid_until = now + answer.valid;
-                advice.retry_at = now + ADVICE_RETRY;
-                advice.tickets = answer.tickets.into_iter().collect();
-            }
-        }
-    }
-
     /// Removes a run that has not started or is over, and frees its task. The checkpoint of a lapsed run is kept.
     fn drop_run(&mut self, now: Instant, worker_id: &WorkerId, run: &TaskRun, is_lapsed: bool) {
         let Some(worker) = self.workers.get_mut(worker_id) else {
@@ -537,101 +396,6 @@
         }
     }
 
-    /// Drops the runs of silent workers whose leases have certainly ended.
-    fn expire_runs(&mut self, now: Instant) {
-        let mut lapsed = Vec::new();
-        for (id, worker) in &self.workers {
-            if worker.look.faults == 0 || worker.runs.is_empty() {
-                continue;
-            }
-            let end = worker.lease.end().or_else(|| self.settling.end());
-            if end.is_some_and(|end| now < end) {
-                continue;
-            }
-            let over = worker
-                .runs
-                .iter()
-                .filter(|(_, run)| run.phase != RunPhase::Starting);
-            lapsed.extend(over.map(|(task, run)| (id.clone(), task_run(task, run))));
-        }
-        for (worker, run) in lapsed {
-            self.drop_run(now, &worker, &run, true);
-            let inputs = format!("run {} of task {}", run.run, run.task);
-            self.note(
-                "lease ended",
-                Some(run.task.step.job.clone()),
-                Some(worker),
-                inputs,
-            );
-        }
-    }
-
-    fn order_stops(&mut self, now: Instant, orders: &mut Vec<Order>) {
-        let retry = STOP_RETRY.max(self.rules.stop_time + LOOK_GAP);
-        for worker in self.workers.values_mut() {
-            let target = worker.target();
-            for (task, run) in &mut worker.runs {
-                let is_due = run.stop_sent.is_none_or(|at| now >= at + retry);
-                if !run.must_stop || run.phase == RunPhase::Starting || !is_due {
-                    continue;
-                }
-                run.stop_sent = Some(now);
-                orders.push(Order::Stop(target.clone(), task_run(task, run)));
-            }
-        }
-        for ((worker, run), sent_at) in &mut self.strays {
-            let is_due = sent_at.is_none_or(|at| now >= at + retry);
-            if let Some(state) = self.workers.get(worker).filter(|_| is_due) {
-                *sent_at = Some(now);
-                orders.push(Order::Stop(state.target(), run.clone()));
-            }
-        }
-    }
-
-    fn order_paces(&mut self, orders: &mut Vec<Order>) {
-        for worker in self.workers.values_mut() {
-            let percent = worker.pace.percent();
-            let target = worker.target();
-            let fillers = worker.runs.iter_mut().filter(|(_, run)| run.is_filler);
-            for (task, run) in fillers {
-                let differs = run.pace.abs_diff(percent) >= PACE_STEP;
-                if differs && run.phase == RunPhase::Running && !run.must_stop {
-                    run.pace = percent;
-                    orders.push(Order::Pace(target.clone(), task_run(task, run), percent));
-                }
-            }
-        }
-    }
-
-    fn order_looks(&mut self, now: Instant, may_extend: bool, orders: &mut Vec<Order>) {
-        let durable = self.durable();
-        let lease = self.rules.lease;
-        for worker in self.workers.values_mut() {
-            // A lost worker without runs is looked at as well: otherwise it would never be usable again.
-            let has_cause = !worker.runs.is_empty()
-                || worker.ends.has_ready(durable)
-                || (worker.is_listed && (!worker.is_seen || worker.look.faults > 0));
-            let is_due = worker.look.next_at.is_none_or(|at| at <= now);
-            if worker.look.sent_at.is_some() || !has_cause || !is_due {
-                continue;
-            }
-            let is_calm = worker.is_seen && worker.look.faults == 0 && !worker.runs.is_empty();
-            // Looks at a silent worker extend nothing: otherwise the end of its lease would never be certain.
-            let deadline_ms = if may_extend && is_calm {
-                worker.lease.grant(now, lease)
-            } else {
-                None
-            };
-            worker.look.sent_at = Some(now);
-            orders.push(Order::Look(LookOrder {
-                target: worker.target(),
-                acknowledged: worker.ends.acknowledge(durable),
-                deadline_ms,
-                wait: if is_calm { LOOK_WAIT } else { Duration::ZERO },
-            }));
-        }
-    }
-
     /// Time at which [`Self::decide`] should run again without an event.
     pub fn next_wakeup(&self, now: Instant, wall: UnixMillis) -> Instant {
         let mut next = now + Duration::from_millis(500);
--- /dev/null
+++ b/src/dispatch/pool_scheduler/answer_fold.rs
@@ -0,0 +1,149 @@
+//! Takes in the outcomes of orders: starts, stops, looks without a report and advice.
+
+use std::time::{Duration, Instant};
+
+use crate::dispatch::order::{AdviceAnswer, LookFault, StartOutcome, StopOutcome, TaskRun};
+use crate::dispatch::pool_scheduler::{ADVICE_RETRY, LOOK_GAP, PoolScheduler};
+use crate::dispatch::task_id::StepId;
+use crate::dispatch::worker_state::RunPhase;
+use crate::model::id::WorkerId;
+
+/// Pause after a look without an answer.
+const LOOK_RETRY: Duration = Duration::from_millis(250);
+
+/// Time for which a worker counts as full after it refused a start for want of room.
+const FULL_TIME: Duration = Duration::from_millis(250);
+
+impl PoolScheduler {
+    /// Takes the outcome of a start.
+    pub fn start_answered(
+        &mut self,
+        now: Instant,
+        worker_id: &WorkerId,
+        run: &TaskRun,
+        outcome: StartOutcome,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        worker.starting = worker.starting.saturating_sub(1);
+        if worker.look.next_at.is_none() {
+            worker.look.next_at = Some(now + LOOK_GAP);
+        }
+        match outcome {
+            StartOutcome::Unknown | StartOutcome::NotSent => worker.blame.miss_answer(now),
+            StartOutcome::Unhealthy => worker.blame.refuse(now),
+            _ => worker.blame.take_answer(),
+        }
+        let Some(placed) = worker
+            .runs
+            .get_mut(&run.task)
+            .filter(|placed| placed.run == run.run)
+        else {
+            return;
+        };
+        match outcome {
+            StartOutcome::Started => {
+                if placed.phase == RunPhase::Starting {
+                    placed.phase = RunPhase::Running;
+                }
+                self.mark_begun(&run.task.step.job, worker_id);
+                return;
+            }
+            StartOutcome::Unknown => {
+                placed.phase = RunPhase::Unknown;
+                // The next look tells whether it runs; only if it does not, a stop settles it.
+                placed.unknown_since = Some(now);
+                if worker.look.sent_at.is_none() {
+                    worker.look.next_at = Some(now);
+                }
+                let inputs = format!("run {} of task {}", run.run, run.task);
+                self.note(
+                    "start without an answer",
+                    Some(run.task.step.job.clone()),
+                    Some(worker_id.clone()),
+                    inputs,
+                );
+                return;
+            }
+            StartOutcome::NoRoom => worker.full_until = Some(now + FULL_TIME),
+            StartOutcome::Fenced => self.is_fenced = true,
+            StartOutcome::NoTicket => {
+                self.advice.remove(&run.task.step);
+            }
+            StartOutcome::OtherWorker => worker.is_listed = false,
+            _ => {}
+        }
+        self.drop_run(now, worker_id, run, false);
+        let inputs = format!("{outcome:?}: run {} of task {}", run.run, run.task);
+        self.note(
+            "start refused",
+            Some(run.task.step.job.clone()),
+            Some(worker_id.clone()),
+            inputs,
+        );
+        if outcome == StartOutcome::Malformed
+            && let Some(task) = self.task_mut(&run.task)
+        {
+            task.ready_at = Some(now + Duration::from_secs(1));
+        }
+    }
+
+    /// Takes the outcome of a stop.
+    pub fn stop_answered(&mut self, now: Instant, worker_id: &WorkerId, run: &TaskRun, outcome: StopOutcome) {
+        if outcome == StopOutcome::Fenced {
+            self.is_fenced = true;
+        }
+        if outcome == StopOutcome::Taken {
+            self.strays.remove(&(worker_id.clone(), run.clone()));
+        }
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        if outcome == StopOutcome::OtherWorker {
+            worker.is_listed = false;
+        }
+        if let Some(placed) = worker.runs.get_mut(&run.task)
+            && placed.run == run.run
+            && outcome == StopOutcome::Taken
+        {
+            placed.stop_taken = Some(now);
+        }
+    }
+
+    /// Takes a look without a report.
+    pub fn look_failed(&mut self, now: Instant, worker_id: &WorkerId, fault: &LookFault) {
+        if *fault == LookFault::Fenced {
+            self.is_fenced = true;
+        }
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        worker.look.sent_at = None;
+        worker.look.faults += 1;
+        worker.look.next_at = Some(now + LOOK_RETRY * worker.look.faults.min(4));
+        if *fault == LookFault::OtherWorker {
+            worker.is_listed = false;
+        }
+        if worker.look.faults == 1 {
+            let inputs = format!("{fault}; {} runs on it", worker.runs.len());
+            self.note("worker lost", None, Some(worker_id.clone()), inputs);
+        }
+    }
+
+    /// Takes an answer of the advice service; none if there was no answer.
+    pub fn advice_answered(&mut self, now: Instant, step: &StepId, answer: Option<AdviceAnswer>) {
+        let Some(advice) = self.advice.get_mut(step) else {
+            return;
+        };
+        advice.asked_at = None;
+        match answer {
+            None => advice.retry_at = now + ADVICE_RETRY,
+            Some(answer) => {
+                advice.valid_until = now + answer.valid;
+                advice.retry_at = now + ADVICE_RETRY;
+                advice.tickets = answer.tickets.into_iter().collect();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/pool_scheduler/order_pass.rs
@@ -0,0 +1,110 @@
+//! Orders that follow from the state of the workers: stops, paces and looks, and runs whose lease has ended.
+
+use std::time::{Duration, Instant};
+
+use crate::dispatch::order::{LookOrder, Order};
+use crate::dispatch::pool_scheduler::{LOOK_GAP, LOOK_WAIT, PoolScheduler, task_run};
+use crate::dispatch::worker_state::RunPhase;
+
+/// Pause before a stop is sent again.
+const STOP_RETRY: Duration = Duration::from_millis(500);
+
+/// Least difference of two paces that is ordered, in percent.
+const PACE_STEP: u32 = 5;
+
+impl PoolScheduler {
+    /// Drops the runs of silent workers whose leases have certainly ended.
+    pub(super) fn expire_runs(&mut self, now: Instant) {
+        let mut lapsed = Vec::new();
+        for (id, worker) in &self.workers {
+            if worker.look.faults == 0 || worker.runs.is_empty() {
+                continue;
+            }
+            let end = worker.lease.end().or_else(|| self.settling.end());
+            if end.is_some_and(|end| now < end) {
+                continue;
+            }
+            let over = worker
+                .runs
+                .iter()
+                .filter(|(_, run)| run.phase != RunPhase::Starting);
+            lapsed.extend(over.map(|(task, run)| (id.clone(), task_run(task, run))));
+        }
+        for (worker, run) in lapsed {
+            self.drop_run(now, &worker, &run, true);
+            let inputs = format!("run {} of task {}", run.run, run.task);
+            self.note(
+                "lease ended",
+                Some(run.task.step.job.clone()),
+                Some(worker),
+                inputs,
+            );
+        }
+    }
+
+    pub(super) fn order_stops(&mut self, now: Instant, orders: &mut Vec<Order>) {
+        let retry = STOP_RETRY.max(self.rules.stop_time + LOOK_GAP);
+        for worker in self.workers.values_mut() {
+            let target = worker.target();
+            for (task, run) in &mut worker.runs {
+                let is_due = run.stop_sent.is_none_or(|at| now >= at + retry);
+                if !run.must_stop || run.phase == RunPhase::Starting || !is_due {
+                    continue;
+                }
+                run.stop_sent = Some(now);
+                orders.push(Order::Stop(target.clone(), task_run(task, run)));
+            }
+        }
+        for ((worker, run), sent_at) in &mut self.strays {
+            let is_due = sent_at.is_none_or(|at| now >= at + retry);
+            if let Some(state) = self.workers.get(worker).filter(|_| is_due) {
+                *sent_at = Some(now);
+                orders.push(Order::Stop(state.target(), run.clone()));
+            }
+        }
+    }
+
+    pub(super) fn order_paces(&mut self, orders: &mut Vec<Order>) {
+        for worker in self.workers.values_mut() {
+            let percent = worker.pace.percent();
+            let target = worker.target();
+            let fillers = worker.runs.iter_mut().filter(|(_, run)| run.is_filler);
+            for (task, run) in fillers {
+                let differs = run.pace.abs_diff(percent) >= PACE_STEP;
+                if differs && run.phase == RunPhase::Running && !run.must_stop {
+                    run.pace = percent;
+                    orders.push(Order::Pace(target.clone(), task_run(task, run), percent));
+                }
+            }
+        }
+    }
+
+    pub(super) fn order_looks(&mut self, now: Instant, may_extend: bool, orders: &mut Vec<Order>) {
+        let durable = self.durable();
+        let lease = self.rules.lease;
+        for worker in self.workers.values_mut() {
+            // A lost worker without runs is looked at as well: otherwise it would never be usable again.
+            let has_cause = !worker.runs.is_empty()
+                || worker.ends.has_ready(durable)
+                || (worker.is_listed && (!worker.is_seen || worker.look.faults > 0));
+            let is_due = worker.look.next_at.is_none_or(|at| at <= now);
+            if worker.look.sent_at.is_some() || !has_cause || !is_due {
+                continue;
+            }
+            let is_calm = worker.is_seen && worker.look.faults == 0 && !worker.runs.is_empty();
+            // Looks at a silent worker extend nothing: otherwise the end of its lease would never be certain.
+            let deadline_ms = if may_extend && is_calm {
+                worker.lease.grant(now, lease)
+            } else {
+                None
+            };
+            worker.look.sent_at = Some(now);
+            orders.push(Order::Look(LookOrder {
+                target: worker.target(),
+                acknowledged: worker.ends.acknowledge(durable),
+                deadline_ms,
+                wait: if is_calm { LOOK_WAIT } else { Duration::ZERO },
+            }));
+        }
+    }
+}
