--- a/src/duty/duty_metrics.rs
+++ b/src/duty/duty_metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use prometheus::core::Collector;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
 };
@@ -22,27 +23,29 @@
     decisions: IntCounterVec,
     jobs: IntGaugeVec,
     in_flight: IntGauge,
+    store_calls: IntCounterVec,
 }
 
 fn fault(error: &prometheus::Error) -> Error {
     Error::new(ErrorKind::Internal, format!("metrics: {error}"))
 }
 
-fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec> {
-    let vec = IntCounterVec::new(Opts::new(name, help), labels).map_err(|error| fault(&error))?;
+/// Registers a metric.
+fn register<M: Collector + Clone + 'static>(registry: &Registry, metric: prometheus::Result<M>) -> Result<M> {
+    let metric = metric.map_err(|error| fault(&error))?;
     registry
-        .register(Box::new(vec.clone()))
+        .register(Box::new(metric.clone()))
         .map_err(|error| fault(&error))?;
-    Ok(vec)
+    Ok(metric)
+}
+
+fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec> {
+    register(registry, IntCounterVec::new(Opts::new(name, help), labels))
 }
 
 fn histogram(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> Result<HistogramVec> {
     let options = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS.to_vec());
-    let vec = HistogramVec::new(options, labels).map_err(|error| fault(&error))?;
-    registry
-        .register(Box::new(vec.clone()))
-        .map_err(|error| fault(&error))?;
-    Ok(vec)
+    register(registry, HistogramVec::new(options, labels))
 }
 
 impl DutyMetrics {
@@ -51,24 +54,20 @@
     /// # Errors
     /// `internal` if a name is taken.
     pub fn new(registry: Registry) -> Result<Self> {
-        let jobs = IntGaugeVec::new(
-            Opts::new("figloft_pool_jobs", "Jobs of the pools held here."),
-            &["pool"],
-        )
-        .map_err(|error| fault(&error))?;
-        registry
-            .register(Box::new(jobs.clone()))
-            .map_err(|error| fault(&error))?;
+        let jobs = Opts::new("figloft_pool_jobs", "Jobs of the pools held here.");
+        let jobs = register(&registry, IntGaugeVec::new(jobs, &["pool"]))?;
         let in_flight = IntGauge::new(
             "figloft_calls_in_flight",
             "Calls of callers that are not answered.",
-        )
-        .map_err(|error| fault(&error))?;
-        registry
-            .register(Box::new(in_flight.clone()))
-            .map_err(|error| fault(&error))?;
+        );
         Ok(Self {
-            in_flight,
+            in_flight: register(&registry, in_flight)?,
+            store_calls: counter(
+                &registry,
+                "figloft_store_calls_total",
+                "Calls to the store by kind and outcome.",
+                &["call", "outcome"],
+            )?,
             calls: counter(
                 &registry,
                 "figloft_calls_total",
@@ -104,6 +103,11 @@
         })
     }
 
+    /// Counter of the calls to the store, for its client.
+    pub fn store_calls(&self) -> IntCounterVec {
+        self.store_calls.clone()
+    }
+
     /// Counts the start of a call.
     pub fn begin_call(&self) {
         self.in_flight.inc();
--- a/src/duty/platform_node.rs
+++ b/src/duty/platform_node.rs
@@ -63,9 +63,9 @@
     let log = log.new(o!("node" => settings.node.to_string(), "session" => session.to_string()));
     let signals = NodeSignals::new()?;
     let clock: SharedClock = Arc::new(SystemClock);
-    let registry = Registry::new();
+    let metrics = Arc::new(DutyMetrics::new(Registry::new())?);
     let caller = HttpCaller::new();
-    let store = StoreGateway::new(caller.clone(), settings.store, &registry)?;
+    let store = StoreGateway::new(caller.clone(), settings.store, metrics.store_calls());
     let (config_sender, config) = watch::channel(None);
     let (lease_sender, lease) = watch::channel(LeaseStanding::default());
     let (stop, stopping) = watch::channel(false);
@@ -79,7 +79,7 @@
         config,
         lease,
         stopping,
-        metrics: Arc::new(DutyMetrics::new(registry)?),
+        metrics,
         log: log.clone(),
     };
     let servers = start_servers(&parts, metrics_port)?;
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -12,8 +12,8 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 
 use crate::error::{self, Error, ErrorKind, Result};
 use crate::platform::reset_connector::ResetConnector;
@@ -123,6 +123,17 @@
             Error::new(ErrorKind::BadMessage, message)
         })
     }
+
+    /// Why an order was refused; empty if the answer does not say it.
+    pub fn reason(&self) -> String {
+        self.json::<WireReason>().unwrap_or_default().reason
+    }
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct WireReason {
+    #[serde(default)]
+    reason: String,
 }
 
 impl HttpCaller {
--- a/src/platform/instance.rs
+++ b/src/platform/instance.rs
@@ -58,12 +58,6 @@
     wave: WaveNumber,
 }
 
-#[derive(Debug, Default, Deserialize)]
-struct WireReason {
-    #[serde(default)]
-    reason: String,
-}
-
 impl InstanceGateway {
     /// Creates a client that gives orders as a holder under a term.
     pub fn new(caller: HttpCaller, address: SocketAddr, holder: Arc<str>, token: DutyTerm) -> Self {
@@ -163,14 +157,11 @@
 fn decode_outcome(answer: &HttpAnswer) -> InstanceOutcome {
     match answer.status {
         StatusCode::OK => InstanceOutcome::Done,
-        StatusCode::CONFLICT => {
-            let reason = answer.json::<WireReason>().unwrap_or_default().reason;
-            match reason.as_str() {
-                "fence" => InstanceOutcome::Fenced,
-                "wave" => InstanceOutcome::NotApplicable,
-                _ => InstanceOutcome::Busy,
-            }
-        }
+        StatusCode::CONFLICT => match answer.reason().as_str() {
+            "fence" => InstanceOutcome::Fenced,
+            "wave" => InstanceOutcome::NotApplicable,
+            _ => InstanceOutcome::Busy,
+        },
         StatusCode::BAD_REQUEST => InstanceOutcome::NotApplicable,
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => InstanceOutcome::Refused,
         _ => InstanceOutcome::Unknown,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,7 +9,7 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use prometheus::{IntCounterVec, Opts, Registry};
+use prometheus::IntCounterVec;
 use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, ErrorKind, Result};
@@ -198,26 +198,14 @@
 }
 
 impl StoreGateway {
-    /// Creates a client; its calls are counted by kind and outcome.
-    ///
-    /// # Errors
-    /// `internal` if the counter is registered already.
-    pub fn new(caller: HttpCaller, address: SocketAddr, registry: &Registry) -> Result<Self> {
-        let options = Opts::new(
-            "figloft_store_calls_total",
-            "Calls to the store by kind and outcome.",
-        );
-        let calls =
-            IntCounterVec::new(options, &["call", "outcome"]).map_err(|error| metric_fault(&error))?;
-        registry
-            .register(Box::new(calls.clone()))
-            .map_err(|error| metric_fault(&error))?;
-        Ok(Self {
+    /// Creates a client that counts its calls by kind and outcome.
+    pub fn new(caller: HttpCaller, address: SocketAddr, calls: IntCounterVec) -> Self {
+        Self {
             caller,
             address,
             calls,
             faults: Arc::new(AtomicU32::new(0)),
-        })
+        }
     }
 
     async fn send(&self, name: &str, call: HttpCall) -> std::result::Result<HttpAnswer, CallFault> {
@@ -244,8 +232,8 @@
         self.faults.load(Ordering::Relaxed) >= LOST_FAULTS
     }
 
-    async fn read(&self, name: &str, path: String, timeout: Duration) -> Result<HttpAnswer> {
-        let call = HttpCall::new(self.address, Method::GET, path, timeout);
+    /// Sends a call that may be repeated, so that it does not matter whether one without an answer was done.
+    async fn request(&self, name: &str, call: HttpCall) -> Result<HttpAnswer> {
         let answer = self
             .send(name, call)
             .await
@@ -254,6 +242,11 @@
         Ok(answer)
     }
 
+    async fn read(&self, name: &str, path: String, timeout: Duration) -> Result<HttpAnswer> {
+        let call = HttpCall::new(self.address, Method::GET, path, timeout);
+        self.request(name, call).await
+    }
+
     /// Reads one item.
     ///
     /// # Errors
@@ -364,11 +357,7 @@
             ttl_ms: ttl.as_millis() as u64,
         };
         let call = HttpCall::new(self.address, Method::POST, "/kv-lease", timeout).with_json(&body)?;
-        let answer = self
-            .send("grant", call)
-            .await
-            .map_err(|fault| unavailable("grant", &fault))?;
-        refuse_overload("grant", &answer)?;
+        let answer = self.request("grant", call).await?;
         check_status("grant", &answer)?;
         let lease: WireLease = answer.json()?;
         Ok((LeaseId::new(lease.lease), Duration::from_millis(lease.ttl_ms)))
@@ -380,11 +369,7 @@
     /// `store_unavailable`, `rate_limited` or `bad_message`.
     pub async fn keep_lease(&self, lease: LeaseId, timeout: Duration) -> Result<bool> {
         let call = HttpCall::new(self.address, Method::POST, format!("/kv-keep/{lease}"), timeout);
-        let answer = self
-            .send("keep", call)
-            .await
-            .map_err(|fault| unavailable("keep", &fault))?;
-        refuse_overload("keep", &answer)?;
+        let answer = self.request("keep", call).await?;
         if answer.status == StatusCode::NOT_FOUND {
             return Ok(false);
         }
@@ -403,11 +388,7 @@
             format!("/kv-lease-end/{lease}"),
             timeout,
         );
-        let answer = self
-            .send("end", call)
-            .await
-            .map_err(|fault| unavailable("end", &fault))?;
-        refuse_overload("end", &answer)
+        self.request("end", call).await.map(drop)
     }
 }
 
@@ -468,7 +449,3 @@
         }
     }
 }
-
-fn metric_fault(error: &prometheus::Error) -> Error {
-    Error::new(ErrorKind::Internal, format!("metrics: {error}"))
-}
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -74,12 +74,6 @@
     wait_ms: Option<u64>,
 }
 
-#[derive(Debug, Deserialize)]
-struct WireReason {
-    #[serde(default)]
-    reason: String,
-}
-
 /// Task, run, checkpoint, progress in percent, load.
 #[derive(Debug, Deserialize)]
 struct WireRunning(
@@ -144,7 +138,7 @@
         };
         match answer.status {
             StatusCode::OK => StartOutcome::Started,
-            StatusCode::CONFLICT => match reason(&answer).as_str() {
+            StatusCode::CONFLICT => match answer.reason().as_str() {
                 "fence" => StartOutcome::Fenced,
                 "old" => StartOutcome::OldRun,
                 "late" => StartOutcome::LateOrder,
@@ -170,7 +164,7 @@
         };
         match answer.status {
             StatusCode::OK => StopOutcome::Taken,
-            StatusCode::CONFLICT if reason(&answer) == "fence" => StopOutcome::Fenced,
+            StatusCode::CONFLICT if answer.reason() == "fence" => StopOutcome::Fenced,
             StatusCode::MISDIRECTED_REQUEST => StopOutcome::OtherWorker,
             _ => StopOutcome::Unknown,
         }
@@ -215,13 +209,6 @@
     }
 }
 
-fn reason(answer: &HttpAnswer) -> String {
-    answer
-        .json::<WireReason>()
-        .map(|body| body.reason)
-        .unwrap_or_default()
-}
-
 fn decode_report(answer: &HttpAnswer) -> Result<WorkerReport> {
     let wire: WireReport = answer.json()?;
     let running = wire.running.into_iter().map(|row| {
