--- a/src/duty/fleet_duty.rs
+++ b/src/duty/fleet_duty.rs
@@ -13,7 +13,7 @@
 use crate::dispatch::pool_size::PoolNeed;
 use crate::dispatch::wave_plan::{InstanceEntry, InstanceOutcome, WaveProgress};
 use crate::duty::job_keys;
-use crate::duty::node_parts::{NodeParts, STORE_TIMEOUT};
+use crate::duty::node_parts::{self, NodeParts, STORE_TIMEOUT};
 use crate::duty::pool_load;
 use crate::duty::prefix_follower::{self, PrefixNews};
 use crate::duty::tenure_writer::{self, DutyTenure, TenureOutcome, TenureWriter, WriterEvent, WriterJob};
@@ -72,7 +72,7 @@
 /// The store's error if a write cannot succeed.
 pub async fn run(parts: NodeParts, tenure: DutyTenure) -> Result<&'static str> {
     let log = parts.log.new(o!("duty" => "fleet", "term" => tenure.term.get()));
-    let (plans, waves) = load(&parts, &log).await;
+    let (plans, waves) = node_parts::read_until_answered(&log, || read(&parts)).await;
     let (sender, mut receiver) = mpsc::unbounded_channel();
     let (writer, jobs) = mpsc::unbounded_channel();
     let tenure_writer = TenureWriter::new(
@@ -145,26 +145,7 @@
     prefix_follower::spawn(&parts.store, prefix.into(), gap, log, take)
 }
 
-/// Reads the plans and the progress of waves, until the store answers.
-async fn load(
-    parts: &NodeParts,
-    log: &Logger,
-) -> (BTreeMap<PoolId, PoolPlan>, BTreeMap<WaveNumber, WaveProgress>) {
-    let mut faults = 0;
-    loop {
-        match read(parts).await {
-            Ok(found) => return found,
-            Err(error) => {
-                if faults == 0 {
-                    warn!(log, "records not read"; "error" => %error);
-                }
-                faults += 1;
-                tokio::time::sleep(prefix_follower::pause(faults)).await;
-            }
-        }
-    }
-}
-
+/// Reads the plans and the progress of waves.
 async fn read(parts: &NodeParts) -> Result<(BTreeMap<PoolId, PoolPlan>, BTreeMap<WaveNumber, WaveProgress>)> {
     let mut plans = BTreeMap::new();
     let (items, _) = parts.store.range(job_keys::PLAN_PREFIX, STORE_TIMEOUT).await?;
--- a/src/duty/node_parts.rs
+++ b/src/duty/node_parts.rs
@@ -3,22 +3,55 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use slog::Logger;
+use slog::{Logger, warn};
 use tokio::sync::watch;
 
 use crate::clock::SharedClock;
 use crate::dispatch::site_config::SiteConfig;
 use crate::duty::duty_metrics::DutyMetrics;
 use crate::duty::node_lease::LeaseStanding;
+use crate::error::Result;
 use crate::model::id::SessionId;
 use crate::model::unix_time::UnixMillis;
 use crate::platform::http::HttpCaller;
 use crate::platform::settings::NodeSettings;
 use crate::platform::store::StoreGateway;
+use crate::version::retry_delay::RetryDelay;
 
 /// Time for one call to the store. Its answers take milliseconds, and some tens of times that when it is slow.
 pub const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Shortest and longest bound of the delay between two tries of a call to the store; jitter spreads the return of many
+/// callers.
+const RETRY_BOUNDS: (Duration, Duration) = (Duration::from_millis(80), Duration::from_millis(400));
+
+/// Delays between tries of a call to the store.
+pub fn store_delay() -> RetryDelay {
+    RetryDelay::new(RETRY_BOUNDS.0, RETRY_BOUNDS.1)
+}
+
+/// Reads from the store until it answers. The first fault in a row is logged.
+pub async fn read_until_answered<T, F>(log: &Logger, read: impl Fn() -> F) -> T
+where
+    F: Future<Output = Result<T>>,
+{
+    let mut delay = store_delay();
+    let mut is_lost = false;
+    loop {
+        match read().await {
+            Ok(records) => return records,
+            Err(error) => {
+                if !is_lost {
+                    warn!(log, "records not read"; "error" => %error);
+                }
+                is_lost = true;
+                let pause = delay.draw(&mut rand::rng());
+                tokio::time::sleep(pause).await;
+            }
+        }
+    }
+}
+
 /// The configuration in force; none before the first was read.
 pub type ConfigReceiver = watch::Receiver<Option<Arc<SiteConfig>>>;
 
--- a/src/duty/pool_duty.rs
+++ b/src/duty/pool_duty.rs
@@ -20,7 +20,7 @@
 use crate::dispatch::worker_report::WorkerReport;
 use crate::duty::archive_lease::{self, ArchiveLease};
 use crate::duty::job_keys;
-use crate::duty::node_parts::{NodeParts, STORE_TIMEOUT};
+use crate::duty::node_parts::{self, NodeParts, STORE_TIMEOUT};
 use crate::duty::pool_load::{self, PoolRecords};
 use crate::duty::prefix_follower::{self, PrefixNews};
 use crate::duty::tenure_writer::{self, DutyTenure, TenureOutcome, TenureWriter, WriterEvent, WriterJob};
@@ -109,7 +109,7 @@
         .log
         .new(o!("pool" => pool.to_string(), "term" => tenure.term.get()));
     let started = parts.clock.now();
-    let records = pool_load::load(&parts, &pool).await;
+    let records = node_parts::read_until_answered(&log, || pool_load::read(&parts, &pool)).await;
     info!(log, "records read"; "jobs_with_progress" => records.progress.len(),
         "former_workers" => records.report.workers.len(),
         "ms" => parts.clock.now().saturating_duration_since(started).as_millis() as u64);
--- a/src/duty/pool_load.rs
+++ b/src/duty/pool_load.rs
@@ -10,7 +10,6 @@
 use crate::dispatch::pool_plan::{PoolPlan, PoolReport};
 use crate::duty::job_keys;
 use crate::duty::node_parts::{NodeParts, STORE_TIMEOUT};
-use crate::duty::prefix_follower;
 use crate::error::Result;
 use crate::model::id::{JobId, PoolId};
 use crate::platform::store::StoreItem;
@@ -26,24 +25,11 @@
     pub plan: PoolPlan,
 }
 
-/// Reads the records, until the store answers.
-pub async fn load(parts: &NodeParts, pool: &PoolId) -> PoolRecords {
-    let mut faults = 0;
-    loop {
-        match read(parts, pool).await {
-            Ok(records) => return records,
-            Err(error) => {
-                if faults == 0 {
-                    warn!(parts.log, "records not read"; "pool" => %pool, "error" => %error);
-                }
-                faults += 1;
-                tokio::time::sleep(prefix_follower::pause(faults)).await;
-            }
-        }
-    }
-}
-
-async fn read(parts: &NodeParts, pool: &PoolId) -> Result<PoolRecords> {
+/// Reads the records.
+///
+/// # Errors
+/// The store's error.
+pub async fn read(parts: &NodeParts, pool: &PoolId) -> Result<PoolRecords> {
     let (items, _) = parts
         .store
         .range(&job_keys::progress_prefix(pool), STORE_TIMEOUT)
--- a/src/duty/prefix_follower.rs
+++ b/src/duty/prefix_follower.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::Rng;
 use slog::{Logger, info, warn};
 use tokio::task::JoinHandle;
 
+use crate::duty::node_parts;
 use crate::model::id::StoreRevision;
 use crate::platform::store::{StoreEvent, StoreGateway, StoreItem, WatchAnswer};
 
@@ -16,9 +16,6 @@
 /// Time for reading one page of up to a megabyte, which takes a small instance its time to decode.
 const READ_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Shortest and longest pause after a fault; jitter spreads the return of many followers.
-const RETRY_PAUSES: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(400));
-
 /// News of a prefix.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PrefixNews {
@@ -67,6 +64,7 @@
 ) {
     let mut position: Option<StoreRevision> = None;
     let mut faults = 0_u32;
+    let mut delay = node_parts::store_delay();
     loop {
         let outcome = step(&store, prefix, &mut position).await;
         match outcome {
@@ -75,6 +73,7 @@
                     info!(log, "store regained"; "prefix" => prefix, "faults" => faults);
                 }
                 faults = 0;
+                delay.reset();
                 let has_news = news.is_some();
                 if news.is_some_and(|news| !take(news)) {
                     return;
@@ -88,20 +87,13 @@
                     warn!(log, "store lost"; "prefix" => prefix, "error" => %error);
                 }
                 faults += 1;
-                tokio::time::sleep(pause(faults)).await;
+                let pause = delay.draw(&mut rand::rng());
+                tokio::time::sleep(pause).await;
             }
         }
     }
 }
 
-/// Pause after the given number of faults in a row.
-pub fn pause(faults: u32) -> Duration {
-    let longest = RETRY_PAUSES.0 * 2_u32.saturating_pow(faults.min(8));
-    longest
-        .min(RETRY_PAUSES.1)
-        .mul_f64(rand::rng().random_range(0.5..1.0))
-}
-
 /// Reads or watches once.
 async fn step(
     store: &StoreGateway,
--- a/src/duty/tenure_writer.rs
+++ b/src/duty/tenure_writer.rs
@@ -9,8 +9,7 @@
 use tokio::sync::mpsc;
 
 use crate::duty::job_keys;
-use crate::duty::node_parts::STORE_TIMEOUT;
-use crate::duty::prefix_follower;
+use crate::duty::node_parts::{self, STORE_TIMEOUT};
 use crate::error::{ErrorKind, Result};
 use crate::model::id::{DutyTerm, LeaseId, SessionId, StoreRevision, WriteNonce};
 use crate::platform::store::{StoreGateway, StoreItem, StoreWrite, WriteOutcome};
@@ -126,7 +125,8 @@
             nonce,
         };
         write.put(Arc::clone(&key), job_keys::encode(&record)?, None);
-        let mut faults = 0;
+        let mut delay = node_parts::store_delay();
+        let mut is_delayed = false;
         loop {
             write.expected = vec![(Arc::clone(&key), self.tenure.revision)];
             match self.store.commit(&write, STORE_TIMEOUT).await {
@@ -146,11 +146,12 @@
                 Ok(WriteOutcome::LeaseEnded) => detach(&mut write, &job_keys::duty_key(&self.tenure.duty)),
                 Err(error) if error.kind() == ErrorKind::BadMessage => return Err(error),
                 Err(error) => {
-                    if faults == 0 {
+                    if !is_delayed {
                         warn!(self.log, "write delayed"; "duty" => &*self.tenure.duty, "error" => %error);
                     }
-                    faults += 1;
-                    tokio::time::sleep(prefix_follower::pause(faults)).await;
+                    is_delayed = true;
+                    let pause = delay.draw(&mut rand::rng());
+                    tokio::time::sleep(pause).await;
                 }
             }
         }
--- a/src/request/job_intake.rs
+++ b/src/request/job_intake.rs
@@ -10,7 +10,7 @@
 use crate::clock::SharedClock;
 use crate::dispatch::job_record::{JobHead, JobRecord, JobState};
 use crate::duty::job_keys;
-use crate::duty::prefix_follower;
+use crate::duty::node_parts;
 use crate::error::{Error, ErrorKind, Result};
 use crate::model::id::StoreRevision;
 use crate::platform::store::{StoreGateway, StoreWrite, WriteOutcome};
@@ -118,6 +118,7 @@
 async fn store_group(store: &StoreGateway, clock: &SharedClock, mut group: Vec<IntakeEntry>) {
     let mut may_be_stored = false;
     let mut refusals = 0;
+    let mut delay = node_parts::store_delay();
     while !group.is_empty() {
         let write = match encode(&group) {
             Ok(write) => write,
@@ -152,7 +153,8 @@
                 if refusals >= MOST_REFUSALS {
                     return answer_all(group, &Err(refusal(error.message())));
                 }
-                tokio::time::sleep(prefix_follower::pause(refusals)).await;
+                let pause = delay.draw(&mut rand::rng());
+                tokio::time::sleep(pause).await;
             }
         }
         let now = clock.now();
@@ -167,7 +169,9 @@
         answer_all(late, &Err(fault));
         group = open;
         if may_be_stored && !group.is_empty() {
-            tokio::time::sleep(prefix_follower::pause(1)).await;
+            delay.reset();
+            let pause = delay.draw(&mut rand::rng());
+            tokio::time::sleep(pause).await;
         }
     }
 }
