One writer shell for both duties; orders and the flush record out of pool_duty

pool_duty and fleet_duty each started a writer, kept its lease and its one write on the way, resumed under a new lease and followed prefixes with a copy of the same function. DutyWriter and prefix_follower::spawn serve both, and the board.

--- a/src/duty/duty_board.rs
+++ b/src/duty/duty_board.rs
@@ -72,14 +72,13 @@
 /// Claims and carries duties until the process stops and all duties have ended.
 pub async fn run(parts: NodeParts) {
     let (sender, mut receiver) = mpsc::unbounded_channel();
-    let news = sender.clone();
-    let take = move |item| news.send(BoardEvent::News(item)).is_ok();
     let follower = prefix_follower::spawn(
         &parts.store,
         job_keys::DUTY_PREFIX.into(),
         Duration::ZERO,
         &parts.log,
-        take,
+        &sender,
+        BoardEvent::News,
     );
     let mut board = DutyBoard {
         parts,
@@ -129,13 +128,13 @@
                 match tenure {
                     Some(tenure) => self.carry(tenure),
                     None => {
-                        self.claim_at.insert(duty, Instant::now() + CLAIM_PAUSE);
+                        self.claim_at.insert(duty, self.parts.clock.now() + CLAIM_PAUSE);
                     }
                 }
             }
             BoardEvent::Ended(duty) => {
                 self.held.remove(&duty);
-                self.claim_at.insert(duty, Instant::now() + CLAIM_PAUSE);
+                self.claim_at.insert(duty, self.parts.clock.now() + CLAIM_PAUSE);
             }
         }
     }
@@ -166,7 +165,7 @@
         let Some(holders) = &self.holders else {
             return;
         };
-        let now = Instant::now();
+        let now = self.parts.clock.now();
         let wanted = self.wanted();
         let mut due = Vec::new();
         for (rank, duty) in wanted.iter().enumerate() {
--- a/src/duty/fleet_duty.rs
+++ b/src/duty/fleet_duty.rs
@@ -12,13 +12,14 @@
 use crate::dispatch::pool_plan::PoolPlan;
 use crate::dispatch::pool_size::PoolNeed;
 use crate::dispatch::wave_plan::{InstanceEntry, InstanceOutcome, WaveProgress};
+use crate::duty::duty_writer::{self, DutyWriter, WriterNews};
 use crate::duty::job_keys;
 use crate::duty::node_parts::{self, NodeParts, STORE_TIMEOUT};
 use crate::duty::pool_load;
 use crate::duty::prefix_follower::{self, PrefixNews};
-use crate::duty::tenure_writer::{self, DutyTenure, TenureOutcome, TenureWriter, WriterEvent, WriterJob};
+use crate::duty::tenure_writer::{DutyTenure, WriterEvent};
 use crate::error::Result;
-use crate::model::id::{InstanceId, LeaseId, PoolId};
+use crate::model::id::{InstanceId, PoolId};
 use crate::platform::instance::InstanceGateway;
 use crate::platform::store::{StoreItem, StoreWrite};
 use crate::platform::wave;
@@ -53,9 +54,7 @@
     planner: FleetPlanner,
     gateway: Option<InstanceGateway>,
     sender: mpsc::UnboundedSender<FleetEvent>,
-    writer: mpsc::UnboundedSender<WriterJob>,
-    lease: LeaseId,
-    is_writing: bool,
+    writer: DutyWriter,
     /// Writes that wait for the one before.
     unwritten: VecDeque<FleetOrder>,
     is_listing: bool,
@@ -74,33 +73,15 @@
     let log = parts.log.new(o!("duty" => "fleet", "term" => tenure.term.get()));
     let (plans, waves) = node_parts::read_until_answered(&log, || read(&parts)).await;
     let (sender, mut receiver) = mpsc::unbounded_channel();
-    let (writer, jobs) = mpsc::unbounded_channel();
-    let tenure_writer = TenureWriter::new(
-        parts.store.clone(),
-        parts.session.clone(),
-        tenure.clone(),
-        log.clone(),
-    );
     let events = sender.clone();
     let send = move |event| events.send(FleetEvent::Writer(event)).is_ok();
+    let writer = DutyWriter::start(&parts, &tenure, &log, send);
+    let follow = |prefix: &str, gap, wrap| {
+        prefix_follower::spawn(&parts.store, prefix.into(), gap, &log, &sender, wrap)
+    };
     let tasks = [
-        tokio::spawn(tenure_writer::run_writer(tenure_writer, jobs, send)),
-        follow(
-            &parts,
-            job_keys::REPORT_PREFIX,
-            REPORT_GAP,
-            &log,
-            &sender,
-            FleetEvent::Reports,
-        ),
-        follow(
-            &parts,
-            wave::WAVE_PREFIX,
-            Duration::ZERO,
-            &log,
-            &sender,
-            FleetEvent::Waves,
-        ),
+        follow(job_keys::REPORT_PREFIX, REPORT_GAP, FleetEvent::Reports),
+        follow(wave::WAVE_PREFIX, Duration::ZERO, FleetEvent::Waves),
     ];
     let mut planner = FleetPlanner::new();
     for (pool, plan) in plans {
@@ -120,8 +101,6 @@
         gateway,
         sender,
         writer,
-        lease: tenure.lease,
-        is_writing: false,
         unwritten: VecDeque::new(),
         is_listing: false,
         wave_progress: waves,
@@ -132,19 +111,6 @@
     reason
 }
 
-fn follow(
-    parts: &NodeParts,
-    prefix: &'static str,
-    gap: Duration,
-    log: &Logger,
-    sender: &mpsc::UnboundedSender<FleetEvent>,
-    wrap: fn(PrefixNews) -> FleetEvent,
-) -> JoinHandle<()> {
-    let sender = sender.clone();
-    let take = move |news| sender.send(wrap(news)).is_ok();
-    prefix_follower::spawn(&parts.store, prefix.into(), gap, log, take)
-}
-
 /// Reads the plans and the progress of waves.
 async fn read(parts: &NodeParts) -> Result<(BTreeMap<PoolId, PoolPlan>, BTreeMap<WaveNumber, WaveProgress>)> {
     let mut plans = BTreeMap::new();
@@ -193,7 +159,7 @@
             if self.parts.is_stopping() {
                 return Ok("the process stops");
             }
-            self.act();
+            self.act()?;
         }
     }
 
@@ -230,26 +196,14 @@
                 self.planner.move_answered(now, &instance, &pool, outcome);
                 self.check_fenced(outcome);
             }
-            FleetEvent::Writer(WriterEvent::Written(outcome)) => {
-                self.is_writing = false;
-                self.check_deposed(outcome?);
-            }
-            FleetEvent::Writer(WriterEvent::Resumed(lease, outcome)) => {
-                self.is_writing = false;
-                self.check_deposed(outcome?);
-                self.lease = lease;
-                info!(self.log, "duty resumed"; "lease" => %lease);
-            }
+            FleetEvent::Writer(event) => match self.writer.take(event)? {
+                WriterNews::Stored | WriterNews::Resumed => {}
+                WriterNews::Deposed => self.ended = Some(duty_writer::DEPOSED),
+            },
         }
         Ok(())
     }
 
-    fn check_deposed(&mut self, outcome: TenureOutcome) {
-        if outcome == TenureOutcome::Deposed {
-            self.ended = Some("another session holds the duty");
-        }
-    }
-
     fn check_fenced(&mut self, outcome: InstanceOutcome) {
         if outcome == InstanceOutcome::Fenced {
             self.ended = Some("the machine API has seen a newer holder");
@@ -268,18 +222,11 @@
         }
     }
 
-    fn act(&mut self) {
+    fn act(&mut self) -> Result<()> {
         let now = self.parts.clock.now();
         let valid = self.parts.lease.borrow().valid_lease(&self.parts.clock);
-        if let Some(lease) = valid
-            && lease != self.lease
-            && !self.is_writing
-        {
-            self.is_writing = true;
-            self.send_writer(WriterJob::Resume(lease));
-        }
-        if valid != Some(self.lease) {
-            return;
+        if !self.writer.holds_under(valid)? {
+            return Ok(());
         }
         self.read_list(now);
         for order in self.planner.decide(now) {
@@ -290,7 +237,7 @@
             }
         }
         self.log_sizes(now);
-        self.flush();
+        self.flush()
     }
 
     /// Logs the sizes of pools that have changed, with the demand that decided them.
@@ -314,12 +261,6 @@
         self.logged_needs.clone_from(self.planner.needs());
     }
 
-    fn send_writer(&mut self, job: WriterJob) {
-        if self.writer.send(job).is_err() {
-            self.ended = Some("the writer has ended");
-        }
-    }
-
     fn read_list(&mut self, now: Instant) {
         let Some(gateway) = self.gateway.clone() else {
             return;
@@ -361,22 +302,13 @@
         });
     }
 
-    fn flush(&mut self) {
-        if self.is_writing || self.unwritten.is_empty() {
-            return;
+    fn flush(&mut self) -> Result<()> {
+        if self.writer.is_writing() || self.unwritten.is_empty() {
+            return Ok(());
         }
         let count = self.unwritten.len().min(WRITE_ORDERS);
         let orders: Vec<FleetOrder> = self.unwritten.drain(..count).collect();
-        match encode(&orders) {
-            Ok(write) => {
-                self.is_writing = true;
-                self.send_writer(WriterJob::Write(write));
-            }
-            Err(error) => {
-                warn!(self.log, "write not encoded"; "error" => %error);
-                self.ended = Some("a write cannot be encoded");
-            }
-        }
+        self.writer.write(encode(&orders)?)
     }
 }
 
--- /dev/null
+++ b/src/duty/order_executor.rs
@@ -0,0 +1,101 @@
+//! Sends the orders of a pool's scheduler and brings their outcomes.
+
+use std::time::Instant;
+
+use slog::{Logger, info, warn};
+
+use crate::dispatch::order::{AdviceAnswer, LookFault, Order, StartOutcome, StopOutcome, TaskRun};
+use crate::dispatch::task_id::StepId;
+use crate::dispatch::worker_report::WorkerReport;
+use crate::duty::node_parts::NodeParts;
+use crate::error::{Error, ErrorKind};
+use crate::model::id::{DutyTerm, WorkerId};
+use crate::platform::advice;
+use crate::platform::worker::WorkerGateway;
+
+/// Outcome of an order.
+#[derive(Debug)]
+pub enum OrderAnswer {
+    /// Of a start.
+    Started(WorkerId, TaskRun, StartOutcome),
+    /// Of a stop.
+    Stopped(WorkerId, TaskRun, StopOutcome),
+    /// Of a look sent at the given time.
+    Looked(WorkerId, Instant, Result<WorkerReport, LookFault>),
+    /// Of a call for advice; absent if there was no answer.
+    Advised(StepId, Option<AdviceAnswer>),
+}
+
+/// Sends orders under one term.
+#[derive(Debug, Clone)]
+pub struct OrderExecutor {
+    parts: NodeParts,
+    gateway: WorkerGateway,
+    log: Logger,
+}
+
+impl OrderExecutor {
+    /// Creates an executor for the holder of a term.
+    pub fn new(parts: NodeParts, term: DutyTerm, log: Logger) -> Self {
+        let gateway = WorkerGateway::new(parts.caller.clone(), term);
+        Self { parts, gateway, log }
+    }
+
+    /// Sends an order that was decided at `sent_at` and waits for its outcome; a pace has none that decisions depend on.
+    pub async fn execute(&self, order: Order, sent_at: Instant) -> Option<OrderAnswer> {
+        match order {
+            Order::Start(order) => {
+                let outcome = self.gateway.start(&order).await;
+                self.count("start", &format!("{outcome:?}"), sent_at);
+                Some(OrderAnswer::Started(order.target.worker, order.run, outcome))
+            }
+            Order::Stop(target, run) => {
+                let outcome = self.gateway.stop(&target, &run).await;
+                self.count("stop", &format!("{outcome:?}"), sent_at);
+                Some(OrderAnswer::Stopped(target.worker, run, outcome))
+            }
+            Order::Look(order) => {
+                let outcome = self.gateway.look(&order).await;
+                let name = match &outcome {
+                    Ok(_) => "Report".to_owned(),
+                    Err(LookFault::NoAnswer(_)) => "NoAnswer".to_owned(),
+                    Err(fault) => format!("{fault:?}"),
+                };
+                self.count("look", &name, sent_at);
+                Some(OrderAnswer::Looked(order.target.worker, sent_at, outcome))
+            }
+            Order::Pace(target, run, percent) => {
+                let is_taken = self.gateway.pace(&target, &run, percent).await;
+                self.count("pace", if is_taken { "Taken" } else { "Refused" }, sent_at);
+                info!(self.log, "pace ordered"; "job" => %run.task.step.job, "worker" => %target.worker,
+                    "task" => %run.task, "percent" => percent, "taken" => is_taken);
+                None
+            }
+            Order::Advise(step, workers) => Some(self.ask_advice(step, &workers, sent_at).await),
+        }
+    }
+
+    async fn ask_advice(&self, step: StepId, workers: &[WorkerId], sent_at: Instant) -> OrderAnswer {
+        let address = self
+            .parts
+            .settings
+            .advice
+            .ok_or_else(|| Error::new(ErrorKind::BadRecord, "the settings name no advice service"));
+        let answer = match address {
+            Ok(address) => advice::ask(&self.parts.caller, address, &step, workers).await,
+            Err(error) => Err(error),
+        };
+        let outcome = if answer.is_ok() { "Answer" } else { "NoAnswer" };
+        self.count("advise", outcome, sent_at);
+        if let Err(error) = &answer {
+            warn!(self.log, "no advice"; "job" => %step.job, "step" => %step, "workers" => workers.len(),
+                "error" => %error);
+        }
+        OrderAnswer::Advised(step, answer.ok())
+    }
+
+    fn count(&self, order: &str, outcome: &str, sent_at: Instant) {
+        let elapsed = self.parts.clock.now().saturating_duration_since(sent_at);
+        self.parts.metrics.count_order(order, outcome, elapsed);
+    }
+}
--- a/src/duty/pool_duty.rs
+++ b/src/duty/pool_duty.rs
@@ -1,7 +1,6 @@
 //! Carries the duty for one pool: feeds the scheduler with events and executes its orders.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use slog::{Logger, debug, info, o, warn};
@@ -9,27 +8,24 @@
 use tokio::task::JoinHandle;
 
 use crate::dispatch::job_record::{JobProgress, JobRecord};
-use crate::dispatch::order::{
-    AdviceAnswer, LookFault, LookOrder, Order, StartOrder, StartOutcome, StopOutcome, TaskRun,
-};
+use crate::dispatch::order::Order;
 use crate::dispatch::pool_plan::PoolReport;
-use crate::dispatch::pool_scheduler::{FlushBatch, PoolScheduler};
+use crate::dispatch::pool_scheduler::PoolScheduler;
 use crate::dispatch::settling::SettlingState;
-use crate::dispatch::task_id::StepId;
 use crate::dispatch::worker_lease::WorkerLease;
-use crate::dispatch::worker_report::WorkerReport;
 use crate::duty::archive_lease::{self, ArchiveLease};
+use crate::duty::duty_writer::{self, DutyWriter, WriterNews};
+use crate::duty::flush_record;
 use crate::duty::job_keys;
 use crate::duty::node_parts::{self, NodeParts, STORE_TIMEOUT};
+use crate::duty::order_executor::{OrderAnswer, OrderExecutor};
 use crate::duty::pool_load::{self, PoolRecords};
 use crate::duty::prefix_follower::{self, PrefixNews};
-use crate::duty::tenure_writer::{self, DutyTenure, TenureOutcome, TenureWriter, WriterEvent, WriterJob};
-use crate::error::{Error, ErrorKind, Result};
+use crate::duty::tenure_writer::{DutyTenure, WriterEvent};
+use crate::error::Result;
 use crate::model::id::{JobId, LeaseId, PoolId, QueueId, WorkerId};
-use crate::platform::advice;
 use crate::platform::discovery;
 use crate::platform::store::{StoreEvent, StoreItem, StoreWrite, WORKER_PREFIX, WriteOutcome};
-use crate::platform::worker::WorkerGateway;
 
 /// Jobs in one write: each takes up to four of the entries that a transaction may have.
 const FLUSH_JOBS: usize = 7;
@@ -68,10 +64,7 @@
     Inbox(PrefixNews),
     Workers(PrefixNews),
     Plan(PrefixNews),
-    Started(WorkerId, TaskRun, StartOutcome),
-    Stopped(WorkerId, TaskRun, StopOutcome),
-    Looked(WorkerId, Instant, std::result::Result<WorkerReport, LookFault>),
-    Advised(StepId, Option<AdviceAnswer>),
+    Answered(OrderAnswer),
     Writer(WriterEvent),
     Counted(bool),
     Archive(Instant, Option<(LeaseId, Duration)>),
@@ -82,11 +75,9 @@
     pool: PoolId,
     log: Logger,
     scheduler: PoolScheduler,
-    gateway: WorkerGateway,
+    executor: OrderExecutor,
     sender: mpsc::UnboundedSender<PoolEvent>,
-    writer: mpsc::UnboundedSender<WriterJob>,
-    lease: LeaseId,
-    is_writing: bool,
+    writer: DutyWriter,
     next_flush: Instant,
     reported: Option<PoolReport>,
     reported_at: Instant,
@@ -114,41 +105,14 @@
         "former_workers" => records.report.workers.len(),
         "ms" => parts.clock.now().saturating_duration_since(started).as_millis() as u64);
     let (sender, mut receiver) = mpsc::unbounded_channel();
-    let (writer, jobs) = mpsc::unbounded_channel();
-    let tenure_writer = TenureWriter::new(
-        parts.store.clone(),
-        parts.session.clone(),
-        tenure.clone(),
-        log.clone(),
-    );
     let events = sender.clone();
     let send = move |event| events.send(PoolEvent::Writer(event)).is_ok();
+    let writer = DutyWriter::start(&parts, &tenure, &log, send);
+    let follow = |prefix, gap, wrap| prefix_follower::spawn(&parts.store, prefix, gap, &log, &sender, wrap);
     let tasks = [
-        tokio::spawn(tenure_writer::run_writer(tenure_writer, jobs, send)),
-        follow(
-            &parts,
-            job_keys::inbox_prefix(&pool),
-            Duration::ZERO,
-            &log,
-            &sender,
-            PoolEvent::Inbox,
-        ),
-        follow(
-            &parts,
-            WORKER_PREFIX.into(),
-            WORKER_GAP,
-            &log,
-            &sender,
-            PoolEvent::Workers,
-        ),
-        follow(
-            &parts,
-            job_keys::plan_key(&pool),
-            Duration::ZERO,
-            &log,
-            &sender,
-            PoolEvent::Plan,
-        ),
+        follow(job_keys::inbox_prefix(&pool), Duration::ZERO, PoolEvent::Inbox),
+        follow(WORKER_PREFIX.into(), WORKER_GAP, PoolEvent::Workers),
+        follow(job_keys::plan_key(&pool), Duration::ZERO, PoolEvent::Plan),
     ];
     let mut shell = PoolShell::new(parts, pool, log, &tenure, records, sender, writer);
     let reason = shell.carry(&mut receiver).await;
@@ -157,19 +121,6 @@
     reason
 }
 
-fn follow(
-    parts: &NodeParts,
-    prefix: Arc<str>,
-    gap: Duration,
-    log: &Logger,
-    sender: &mpsc::UnboundedSender<PoolEvent>,
-    wrap: fn(PrefixNews) -> PoolEvent,
-) -> JoinHandle<()> {
-    let sender = sender.clone();
-    let take = move |news| sender.send(wrap(news)).is_ok();
-    prefix_follower::spawn(&parts.store, prefix, gap, log, take)
-}
-
 impl PoolShell {
     fn new(
         parts: NodeParts,
@@ -178,7 +129,7 @@
         tenure: &DutyTenure,
         records: PoolRecords,
         sender: mpsc::UnboundedSender<PoolEvent>,
-        writer: mpsc::UnboundedSender<WriterJob>,
+        writer: DutyWriter,
     ) -> Self {
         let now = parts.clock.now();
         let rules = parts.settings.rules;
@@ -187,18 +138,16 @@
         let settling = SettlingState::new(former, until);
         let mut scheduler = PoolScheduler::new(pool.clone(), tenure.term, rules, settling);
         scheduler.set_plan(records.plan);
-        let gateway = WorkerGateway::new(parts.caller.clone(), tenure.term);
+        let executor = OrderExecutor::new(parts.clone(), tenure.term, log.clone());
         Self {
             archive: ArchiveLease::new(parts.settings.retention),
             parts,
             pool,
             log,
             scheduler,
-            gateway,
+            executor,
             sender,
             writer,
-            lease: tenure.lease,
-            is_writing: false,
             next_flush: now,
             reported: None,
             reported_at: now,
@@ -244,7 +193,7 @@
                 return self.finish(receiver).await;
             }
             let started = self.parts.clock.now();
-            self.act();
+            self.act()?;
             let ended = self.parts.clock.now();
             let pause = ended.saturating_duration_since(started) * DECISION_PAUSE_FACTOR;
             self.next_decision = ended + pause.clamp(DECISION_GAP, LONGEST_DECISION_GAP);
@@ -253,7 +202,7 @@
 
     fn next_wakeup(&self, now: Instant) -> Instant {
         let mut wakeup = self.scheduler.next_wakeup(now, self.parts.wall());
-        if !self.is_writing && self.scheduler.has_changes() {
+        if !self.writer.is_writing() && self.scheduler.has_changes() {
             wakeup = wakeup.min(self.next_flush.max(now));
         }
         wakeup
@@ -264,8 +213,8 @@
         let end = tokio::time::Instant::now() + LAST_WRITE_TIME;
         loop {
             self.next_flush = self.parts.clock.now();
-            self.flush();
-            if !self.is_writing {
+            self.flush()?;
+            if !self.writer.is_writing() {
                 return Ok("the process stops");
             }
             match tokio::time::timeout_at(end, receiver.recv()).await {
@@ -281,34 +230,12 @@
             PoolEvent::Inbox(news) => self.take_inbox(now, news),
             PoolEvent::Workers(news) => self.take_workers(news),
             PoolEvent::Plan(news) => self.take_plan(news),
-            PoolEvent::Started(worker, run, outcome) => {
-                self.scheduler.start_answered(now, &worker, &run, outcome);
-            }
-            PoolEvent::Stopped(worker, run, outcome) => {
-                self.scheduler.stop_answered(now, &worker, &run, outcome);
-            }
-            PoolEvent::Looked(worker, sent_at, Ok(report)) => {
-                self.scheduler.look_answered(now, &worker, sent_at, report);
-            }
-            PoolEvent::Looked(worker, _, Err(fault)) => self.scheduler.look_failed(now, &worker, &fault),
-            PoolEvent::Advised(step, answer) => self.scheduler.advice_answered(now, &step, answer),
-            PoolEvent::Writer(WriterEvent::Written(outcome)) => {
-                self.is_writing = false;
-                match outcome? {
-                    TenureOutcome::Written => self.scheduler.flush_done(),
-                    TenureOutcome::Deposed => self.ended = Some("another session holds the duty"),
-                }
-            }
-            PoolEvent::Writer(WriterEvent::Resumed(lease, outcome)) => {
-                self.is_writing = false;
-                match outcome? {
-                    TenureOutcome::Written => {
-                        self.lease = lease;
-                        info!(self.log, "duty resumed"; "lease" => %lease);
-                    }
-                    TenureOutcome::Deposed => self.ended = Some("another session holds the duty"),
-                }
-            }
+            PoolEvent::Answered(answer) => self.take_answer(now, answer),
+            PoolEvent::Writer(event) => match self.writer.take(event)? {
+                WriterNews::Stored => self.scheduler.flush_done(),
+                WriterNews::Resumed => {}
+                WriterNews::Deposed => self.ended = Some(duty_writer::DEPOSED),
+            },
             PoolEvent::Archive(asked_at, granted) => self.archive.take_answer(asked_at, granted),
             PoolEvent::Counted(is_stored) => {
                 self.is_counting = false;
@@ -323,6 +250,23 @@
         Ok(())
     }
 
+    fn take_answer(&mut self, now: Instant, answer: OrderAnswer) {
+        let scheduler = &mut self.scheduler;
+        match answer {
+            OrderAnswer::Started(worker, run, outcome) => {
+                scheduler.start_answered(now, &worker, &run, outcome);
+            }
+            OrderAnswer::Stopped(worker, run, outcome) => {
+                scheduler.stop_answered(now, &worker, &run, outcome);
+            }
+            OrderAnswer::Looked(worker, sent_at, Ok(report)) => {
+                scheduler.look_answered(now, &worker, sent_at, report);
+            }
+            OrderAnswer::Looked(worker, _, Err(fault)) => scheduler.look_failed(now, &worker, &fault),
+            OrderAnswer::Advised(step, answer) => scheduler.advice_answered(now, &step, answer),
+        }
+    }
+
     fn take_inbox(&mut self, now: Instant, news: PrefixNews) {
         // Deletions are the holder's own.
         let items = news.into_items();
@@ -423,22 +367,15 @@
         }
     }
 
-    fn act(&mut self) {
+    fn act(&mut self) -> Result<()> {
         if self.old_progress.is_some() {
             // Before the jobs are known, every run that a worker lists would look like a stray.
-            return;
+            return Ok(());
         }
         let now = self.parts.clock.now();
         let standing = *self.parts.lease.borrow();
         let valid = standing.valid_lease(&self.parts.clock);
-        if let Some(lease) = valid
-            && lease != self.lease
-            && !self.is_writing
-        {
-            self.is_writing = true;
-            self.send_writer(WriterJob::Resume(lease));
-        }
-        let may_extend = valid == Some(self.lease);
+        let may_extend = self.writer.holds_under(valid)?;
         let orders = self.scheduler.decide(now, self.parts.wall(), may_extend);
         for order in orders {
             self.execute(order);
@@ -450,17 +387,12 @@
             info!(self.log, "{}", note.decision; "job" => job, "worker" => worker, "inputs" => note.inputs);
         }
         self.ask_archive(now);
-        self.flush();
+        self.flush()?;
         self.publish_waiting(now, valid);
         self.parts
             .metrics
             .set_jobs(self.pool.as_str(), self.scheduler.job_count());
-    }
-
-    fn send_writer(&mut self, job: WriterJob) {
-        if self.writer.send(job).is_err() {
-            self.ended = Some("the writer has ended");
-        }
+        Ok(())
     }
 
     /// Asks for the lease on which the states of ended jobs hang.
@@ -481,31 +413,24 @@
         });
     }
 
-    fn flush(&mut self) {
+    fn flush(&mut self) -> Result<()> {
         let now = self.parts.clock.now();
-        if self.is_writing || now < self.next_flush {
-            return;
+        if self.writer.is_writing() || now < self.next_flush {
+            return Ok(());
         }
         let report = self.due_report(now);
         if !self.scheduler.has_changes() && report.is_none() {
-            return;
+            return Ok(());
         }
         let batch = self.scheduler.take_flush(self.parts.wall(), FLUSH_JOBS);
-        match self.encode_batch(&batch, report.as_ref()) {
-            Ok(write) => {
-                if report.is_some() {
-                    self.reported = report;
-                    self.reported_at = now;
-                }
-                self.is_writing = true;
-                self.next_flush = now + FLUSH_GAP;
-                self.send_writer(WriterJob::Write(write));
-            }
-            Err(error) => {
-                warn!(self.log, "write not encoded"; "error" => %error);
-                self.ended = Some("a write cannot be encoded");
-            }
+        let archive = self.archive.lease(now);
+        let write = flush_record::encode(&self.pool, &batch, report.as_ref(), archive)?;
+        if report.is_some() {
+            self.reported = report;
+            self.reported_at = now;
         }
+        self.next_flush = now + FLUSH_GAP;
+        self.writer.write(write)
     }
 
     fn due_report(&self, now: Instant) -> Option<PoolReport> {
@@ -521,34 +446,6 @@
         is_due.then_some(report)
     }
 
-    fn encode_batch(&self, batch: &FlushBatch, report: Option<&PoolReport>) -> Result<StoreWrite> {
-        let mut write = StoreWrite::default();
-        let archive = self.archive.lease(self.parts.clock.now());
-        for job in &batch.jobs {
-            if let Some(head) = &job.head {
-                let lease = archive.filter(|_| head.ended.is_some());
-                write.put(job_keys::head_key(&job.job), job_keys::encode(head)?, lease);
-            }
-            if let Some(progress) = &job.progress {
-                let key = job_keys::progress_key(&self.pool, &job.job);
-                write.put(key, job_keys::encode(progress)?, None);
-            } else {
-                write.deletes.push(job_keys::inbox_key(&self.pool, &job.job));
-                write.deletes.push(job_keys::progress_key(&self.pool, &job.job));
-                if job.is_cancelled {
-                    write.deletes.push(job_keys::cancel_key(&self.pool, &job.job));
-                }
-            }
-        }
-        for job in &batch.stale_cancels {
-            write.deletes.push(job_keys::cancel_key(&self.pool, job));
-        }
-        if let Some(report) = report {
-            write.put(job_keys::report_key(&self.pool), job_keys::encode(report)?, None);
-        }
-        Ok(write)
-    }
-
     /// Publishes the waiting counts under the lease, so that they vanish with their holder.
     fn publish_waiting(&mut self, now: Instant, lease: Option<LeaseId>) {
         let Some(lease) = lease.filter(|_| !self.is_counting && now >= self.next_count) else {
@@ -587,79 +484,14 @@
     }
 
     fn execute(&self, order: Order) {
-        let (gateway, sender, parts) = (self.gateway.clone(), self.sender.clone(), self.parts.clone());
-        let log = self.log.clone();
-        let sent_at = parts.clock.now();
+        let (executor, sender) = (self.executor.clone(), self.sender.clone());
+        // A look tells nothing of what is placed after its decision.
+        let sent_at = self.parts.clock.now();
         tokio::spawn(async move {
-            let event = match order {
-                Order::Start(order) => start(&gateway, &parts, order, sent_at).await,
-                Order::Stop(target, run) => {
-                    let outcome = gateway.stop(&target, &run).await;
-                    count(&parts, "stop", &format!("{outcome:?}"), sent_at);
-                    PoolEvent::Stopped(target.worker, run, outcome)
-                }
-                Order::Look(order) => look(&gateway, &parts, order, sent_at).await,
-                Order::Pace(target, run, percent) => {
-                    let is_taken = gateway.pace(&target, &run, percent).await;
-                    count(
-                        &parts,
-                        "pace",
-                        if is_taken { "Taken" } else { "Refused" },
-                        sent_at,
-                    );
-                    info!(log, "pace ordered"; "job" => %run.task.step.job, "worker" => %target.worker,
-                        "task" => %run.task, "percent" => percent, "taken" => is_taken);
-                    return;
-                }
-                Order::Advise(step, workers) => ask_advice(&parts, &log, step, &workers, sent_at).await,
-            };
-            // The shell is gone only when the duty has ended.
-            let _ = sender.send(event);
+            if let Some(answer) = executor.execute(order, sent_at).await {
+                // The shell is gone only when the duty has ended.
+                let _ = sender.send(PoolEvent::Answered(answer));
+            }
         });
     }
 }
-
-async fn start(gateway: &WorkerGateway, parts: &NodeParts, order: StartOrder, sent_at: Instant) -> PoolEvent {
-    let outcome = gateway.start(&order).await;
-    count(parts, "start", &format!("{outcome:?}"), sent_at);
-    PoolEvent::Started(order.target.worker, order.run, outcome)
-}
-
-async fn look(gateway: &WorkerGateway, parts: &NodeParts, order: LookOrder, sent_at: Instant) -> PoolEvent {
-    let outcome = gateway.look(&order).await;
-    let name = match &outcome {
-        Ok(_) => "Report".to_owned(),
-        Err(LookFault::NoAnswer(_)) => "NoAnswer".to_owned(),
-        Err(fault) => format!("{fault:?}"),
-    };
-    count(parts, "look", &name, sent_at);
-    PoolEvent::Looked(order.target.worker, sent_at, outcome)
-}
-
-async fn ask_advice(
-    parts: &NodeParts,
-    log: &Logger,
-    step: StepId,
-    workers: &[WorkerId],
-    sent_at: Instant,
-) -> PoolEvent {
-    let address = parts
-        .settings
-        .advice
-        .ok_or_else(|| Error::new(ErrorKind::BadRecord, "the settings name no advice service"));
-    let answer = match address {
-        Ok(address) => advice::ask(&parts.caller, address, &step, workers).await,
-        Err(error) => Err(error),
-    };
-    let outcome = if answer.is_ok() { "Answer" } else { "NoAnswer" };
-    count(parts, "advise", outcome, sent_at);
-    if let Err(error) = &answer {
-        warn!(log, "no advice"; "job" => %step.job, "step" => %step, "workers" => workers.len(), "error" => %error);
-    }
-    PoolEvent::Advised(step, answer.ok())
-}
-
-fn count(parts: &NodeParts, order: &str, outcome: &str, sent_at: Instant) {
-    let elapsed = parts.clock.now().saturating_duration_since(sent_at);
-    parts.metrics.count_order(order, outcome, elapsed);
-}
--- a/src/duty/prefix_follower.rs
+++ b/src/duty/prefix_follower.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use slog::{Logger, info, warn};
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
 use crate::duty::node_parts;
@@ -42,15 +43,17 @@
     }
 }
 
-/// Follows a prefix in a task of its own until `take` returns false.
-pub fn spawn(
+/// Follows a prefix in a task of its own and sends the news as events, until nobody receives them.
+pub fn spawn<E: Send + 'static>(
     store: &StoreGateway,
     prefix: Arc<str>,
     gap: Duration,
     log: &Logger,
-    take: impl FnMut(PrefixNews) -> bool + Send + 'static,
+    sender: &mpsc::UnboundedSender<E>,
+    wrap: fn(PrefixNews) -> E,
 ) -> JoinHandle<()> {
-    let (store, log) = (store.clone(), log.clone());
+    let (store, log, sender) = (store.clone(), log.clone(), sender.clone());
+    let take = move |news| sender.send(wrap(news)).is_ok();
     tokio::spawn(async move { follow(store, &prefix, gap, &log, take).await })
 }
 
