--- /dev/null
+++ b/tests/platform_soak/fake_server.rs
@@ -0,0 +1,58 @@
+//! The HTTP server of the fakes.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::net::TcpListener;
+
+/// An answer of a fake.
+pub type Answer = Response<Full<Bytes>>;
+
+/// Builds an answer.
+pub fn answer(status: u16, body: &Value) -> Answer {
+    let mut answer = Response::new(Full::new(Bytes::from(body.to_string())));
+    *answer.status_mut() = StatusCode::from_u16(status).expect("status");
+    answer
+}
+
+/// Reads a body; one that is no JSON counts as null.
+pub async fn read_body(request: Request<Incoming>) -> Value {
+    let body = request
+        .into_body()
+        .collect()
+        .await
+        .map(http_body_util::Collected::to_bytes)
+        .unwrap_or_default();
+    serde_json::from_slice(&body).unwrap_or(Value::Null)
+}
+
+/// Serves on a free port, each connection in a task of its own, and returns the address.
+pub async fn start<S, F>(serve: S) -> SocketAddr
+where
+    S: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listener");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let serve = serve.clone();
+            tokio::spawn(async move {
+                let service = service_fn(move |request| {
+                    let answer = serve(request);
+                    async move { Ok::<_, Infallible>(answer.await) }
+                });
+                let connection = hyper::server::conn::http1::Builder::new();
+                let _ = connection.serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    });
+    address
+}
--- a/tests/platform_soak/fake_store.rs
+++ b/tests/platform_soak/fake_store.rs
@@ -1,20 +1,16 @@
 //! A fake of the platform's store, with lost answers and late writes.
 
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http::Request;
 use hyper::body::Incoming;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
+
+use crate::fake_server::{self, Answer, answer};
 
 #[derive(Debug, Clone)]
 struct Item {
@@ -40,14 +36,6 @@
     draw: Arc<AtomicU32>,
 }
 
-type Answer = Response<Full<Bytes>>;
-
-fn answer(status: u16, body: &Value) -> Answer {
-    let mut answer = Response::new(Full::new(Bytes::from(body.to_string())));
-    *answer.status_mut() = StatusCode::from_u16(status).expect("status");
-    answer
-}
-
 impl StoreState {
     fn item(&self, key: &str, item: &Item) -> Value {
         json!({"key": key, "value": item.value, "revision": item.revision, "lease": item.lease, "as-of": self.revision})
@@ -138,27 +126,17 @@
 impl FakeStore {
     /// Starts the store and returns its address.
     pub async fn start() -> (Self, SocketAddr) {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("store listener");
-        let address = listener.local_addr().expect("store address");
         let store = Self {
             state: Arc::default(),
             lost_percent: Arc::default(),
             draw: Arc::default(),
         };
         let shared = store.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let store = shared.clone();
-                tokio::spawn(async move {
-                    let service = service_fn(move |request| {
-                        let store = store.clone();
-                        async move { Ok::<_, Infallible>(store.serve(request).await) }
-                    });
-                    let connection = hyper::server::conn::http1::Builder::new();
-                    let _ = connection.serve_connection(TokioIo::new(stream), service).await;
-                });
-            }
-        });
+        let serve = move |request| {
+            let store = shared.clone();
+            async move { store.serve(request).await }
+        };
+        let address = fake_server::start(serve).await;
         (store, address)
     }
 
@@ -181,13 +159,7 @@
             .filter_map(|pair| pair.split_once('='))
             .map(|(name, value)| (name.to_owned(), value.to_owned()))
             .collect();
-        let body = request
-            .into_body()
-            .collect()
-            .await
-            .map(http_body_util::Collected::to_bytes)
-            .unwrap_or_default();
-        let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let body = fake_server::read_body(request).await;
         if path == "/kv-watch" {
             return self.watch(&query).await;
         }
--- a/tests/platform_soak/fake_worker.rs
+++ b/tests/platform_soak/fake_worker.rs
@@ -1,19 +1,15 @@
 //! A fake of a worker: runs tasks under a lease and keeps the record that the checker reads.
 
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http::Request;
 use hyper::body::Incoming;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
+
+use crate::fake_server::{self, Answer, answer};
 
 /// One run, as the worker saw it.
 #[derive(Debug, Clone)]
@@ -165,8 +161,6 @@
 impl FakeWorker {
     /// Starts a worker and returns its address.
     pub async fn start() -> (Self, SocketAddr) {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("worker listener");
-        let address = listener.local_addr().expect("worker address");
         let state = WorkerState {
             start: Instant::now(),
             born: 1_000,
@@ -182,19 +176,11 @@
             state: Arc::new(Mutex::new(state)),
         };
         let shared = worker.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let worker = shared.clone();
-                tokio::spawn(async move {
-                    let service = service_fn(move |request| {
-                        let worker = worker.clone();
-                        async move { Ok::<_, Infallible>(worker.serve(request).await) }
-                    });
-                    let connection = hyper::server::conn::http1::Builder::new();
-                    let _ = connection.serve_connection(TokioIo::new(stream), service).await;
-                });
-            }
-        });
+        let serve = move |request| {
+            let worker = shared.clone();
+            async move { worker.serve(request).await }
+        };
+        let address = fake_server::start(serve).await;
         let ticking = worker.clone();
         tokio::spawn(async move {
             loop {
@@ -232,15 +218,9 @@
         self.state.lock().expect("state").records.clone()
     }
 
-    async fn serve(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn serve(&self, request: Request<Incoming>) -> Answer {
         let path = request.uri().path().to_owned();
-        let body = request
-            .into_body()
-            .collect()
-            .await
-            .map(http_body_util::Collected::to_bytes)
-            .unwrap_or_default();
-        let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let body = fake_server::read_body(request).await;
         let (status, mut reply) = self.state.lock().expect("state").serve(&path, &body);
         if path == "/hold" && status == 200 {
             let end = Instant::now() + Duration::from_millis(body["wait-ms"].as_u64().unwrap_or(0));
@@ -257,8 +237,6 @@
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
         }
-        let mut answer = Response::new(Full::new(Bytes::from(reply.to_string())));
-        *answer.status_mut() = StatusCode::from_u16(status).expect("status");
-        answer
+        answer(status, &reply)
     }
 }
--- a/tests/platform_soak/main.rs
+++ b/tests/platform_soak/main.rs
@@ -4,6 +4,7 @@
 //! Each seed that failed once stays in `REGRESSION_SEEDS` with its cause.
 
 mod checker;
+mod fake_server;
 mod fake_store;
 mod fake_worker;
 mod link_proxy;
--- a/tests/pool_decisions/fleet.rs
+++ b/tests/pool_decisions/fleet.rs
@@ -18,6 +18,22 @@
 
 static EMPTY: BTreeSet<InstanceId> = BTreeSet::new();
 
+/// Facts of pools with a spare pool and no instance reserved by a wave.
+fn size_facts<'a>(
+    pools: &'a [PoolId],
+    spare: &'a PoolId,
+    reports: &'a BTreeMap<PoolId, PoolReport>,
+    instances: &'a BTreeMap<InstanceId, InstanceEntry>,
+) -> SizeFacts<'a> {
+    SizeFacts {
+        pools,
+        spare: Some(spare),
+        reports,
+        instances,
+        reserved: &EMPTY,
+    }
+}
+
 fn pool_id(name: &str) -> PoolId {
     PoolId::new(name).expect("pool")
 }
@@ -116,13 +132,8 @@
         .chain((4..24).map(|number| instance("spare", number, InstanceState::Up)))
         .collect();
     let reports = BTreeMap::from([(pool_id("pool-a"), report(0..4, 60, 400))]);
-    let facts = SizeFacts {
-        pools: &[pool_id("pool-a")],
-        spare: Some(&pool_id("spare")),
-        reports: &reports,
-        instances: &instances,
-        reserved: &BTreeSet::new(),
-    };
+    let (pools, spare) = ([pool_id("pool-a")], pool_id("spare"));
+    let facts = size_facts(&pools, &spare, &reports, &instances);
     let moves = PoolSizer::default().decide(now, facts, |_| false);
     assert!(moves.iter().all(|order| order.to == pool_id("pool-a")));
     assert!(
@@ -141,13 +152,8 @@
         .map(|number| instance("pool-a", number, InstanceState::Up))
         .collect();
     let reports = BTreeMap::from([(pool_id("pool-a"), report(0..8, 20, 20))]);
-    let facts = SizeFacts {
-        pools: &[pool_id("pool-a")],
-        spare: Some(&pool_id("spare")),
-        reports: &reports,
-        instances: &instances,
-        reserved: &BTreeSet::new(),
-    };
+    let (pools, spare) = ([pool_id("pool-a")], pool_id("spare"));
+    let facts = size_facts(&pools, &spare, &reports, &instances);
     let mut sizer = PoolSizer::default();
     sizer.decide(now, facts, |_| false);
     assert!(sizer.closing().is_empty());
@@ -168,13 +174,8 @@
         (pool_id("pool-a"), report(0..4, 128, 300)),
         (pool_id("pool-b"), report(4..24, 0, 0)),
     ]);
-    let facts = SizeFacts {
-        pools: &[pool_id("pool-a"), pool_id("pool-b")],
-        spare: Some(&pool_id("spare")),
-        reports: &reports,
-        instances: &instances,
-        reserved: &BTreeSet::new(),
-    };
+    let (pools, spare) = ([pool_id("pool-a"), pool_id("pool-b")], pool_id("spare"));
+    let facts = size_facts(&pools, &spare, &reports, &instances);
     let mut sizer = PoolSizer::default();
     sizer.decide(now, facts, |_| false);
     // 300 cores need 10 workers of 32 cores; 4 are there.
@@ -264,13 +265,8 @@
         .chain((4..64).map(|number| instance("spare", number, InstanceState::Up)))
         .collect();
     let reports = BTreeMap::from([(pool_id("pool-a"), report(0..4, 60, 400))]);
-    let facts = SizeFacts {
-        pools: &[pool_id("pool-a")],
-        spare: Some(&pool_id("spare")),
-        reports: &reports,
-        instances: &instances,
-        reserved: &BTreeSet::new(),
-    };
+    let (pools, spare) = ([pool_id("pool-a")], pool_id("spare"));
+    let facts = size_facts(&pools, &spare, &reports, &instances);
     let mut sizer = PoolSizer::default();
     assert!(!sizer.decide(now, facts, |_| false).is_empty());
     assert!(sizer.decide(now, facts, |_| false).is_empty());
@@ -285,13 +281,9 @@
         .map(|number| instance("pool-a", number, InstanceState::Up))
         .collect();
     let busy = report(0..20, 320, 320);
-    let facts = SizeFacts {
-        pools: &[pool_id("pool-a")],
-        spare: Some(&pool_id("spare")),
-        reports: &BTreeMap::from([(pool_id("pool-a"), busy)]),
-        instances: &instances,
-        reserved: &BTreeSet::new(),
-    };
+    let (pools, spare) = ([pool_id("pool-a")], pool_id("spare"));
+    let reports = BTreeMap::from([(pool_id("pool-a"), busy)]);
+    let facts = size_facts(&pools, &spare, &reports, &instances);
     let mut sizer = PoolSizer::default();
     sizer.decide(now, facts, |_| false);
     for step in 0..5 {
@@ -312,13 +304,6 @@
         .map(|number| instance("pool-b", number, InstanceState::Up))
         .chain((2..20).map(|number| instance("pool-a", number, InstanceState::Up)))
         .collect();
-    let facts = |instances, reports| SizeFacts {
-        pools: &pools,
-        spare: Some(&spare),
-        reports,
-        instances,
-        reserved: &EMPTY,
-    };
     let busy = BTreeMap::from([
         (pools[0].clone(), report(2..20, 320, 320)),
         (pools[1].clone(), report(0..2, 40, 40)),
@@ -328,10 +313,10 @@
         (pools[1].clone(), report(0..2, 40, 40)),
     ]);
     let mut sizer = PoolSizer::default();
-    sizer.decide(now, facts(&in_pools, &busy), |_| false);
-    sizer.decide(now, facts(&in_pools, &idle), |_| false);
+    sizer.decide(now, size_facts(&pools, &spare, &busy, &in_pools), |_| false);
+    sizer.decide(now, size_facts(&pools, &spare, &idle, &in_pools), |_| false);
     let now = now + Duration::from_secs(2);
-    let rested = sizer.decide(now, facts(&in_pools, &idle), |_| true);
+    let rested = sizer.decide(now, size_facts(&pools, &spare, &idle, &in_pools), |_| true);
     assert!(rested.len() >= 10 && rested.iter().all(|order| order.to == spare));
     let mut in_spare = in_pools.clone();
     for order in &rested {
@@ -345,7 +330,7 @@
         (pools[1].clone(), report(0..2, 64, 400)),
     ]);
     let now = now + Duration::from_millis(1_600);
-    let moved = sizer.decide(now, facts(&in_spare, &turn), |_| false);
+    let moved = sizer.decide(now, size_facts(&pools, &spare, &turn, &in_spare), |_| false);
     assert!(moved.len() >= 10, "{} moves", moved.len());
 }
 
--- a/tests/pool_decisions/scheduler.rs
+++ b/tests/pool_decisions/scheduler.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use figloft::dispatch::job_record::{JobProgress, JobState};
-use figloft::dispatch::order::{LookFault, Order, StartOutcome, StopOutcome};
+use figloft::dispatch::order::{LookFault, Order, StartOrder, StartOutcome, StopOutcome};
 use figloft::dispatch::pool_plan::PoolPlan;
 use figloft::dispatch::pool_scheduler::PoolScheduler;
 use figloft::dispatch::scheduler_rules::SchedulerRules;
@@ -12,13 +12,24 @@
 use figloft::dispatch::site_config::{OrganisationConfig, SiteConfig};
 use figloft::dispatch::worker_report::RunEnd;
 use figloft::model::amount::{MemoryMib, MilliCores};
-use figloft::model::id::{DutyTerm, OrganisationId, PlanVersion};
+use figloft::model::id::{OrganisationId, PlanVersion};
 use figloft::model::resource::ResourceSet;
 
-use crate::setup::{WALL, entry, job_id, record, report, scheduler, start_all, starts, step, worker_id};
+use crate::setup::{
+    WALL, empty_scheduler, entry, job_id, record, report, scheduler, start_all, starts, step, worker_id,
+};
 
 const MS: Duration = Duration::from_millis(1);
 
+/// A scheduler of one worker with a start that had no answer.
+fn unanswered_start(now: Instant) -> (PoolScheduler, StartOrder) {
+    let mut scheduler = scheduler(now, 1, 8);
+    scheduler.submit(now, now, record(1, vec![step(1, 1, 100)]), None);
+    let start = starts(scheduler.decide(now, WALL, true)).remove(0);
+    scheduler.start_answered(now, &start.target.worker, &start.run, StartOutcome::Unknown);
+    (scheduler, start)
+}
+
 /// Guards against looks at a silent worker that extend its lease for ever: its task was never started again.
 #[test]
 fn lease_of_silent_worker_ends() {
@@ -79,12 +90,7 @@
     report(&mut first, now, worker, &[], &[(1, &start, RunEnd::Failed)]);
     let batch = first.take_flush(WALL, 7);
     let progress = batch.jobs[0].progress.clone().expect("progress");
-    let mut second = PoolScheduler::new(
-        crate::setup::pool(),
-        DutyTerm::new(2),
-        SchedulerRules::default(),
-        SettlingState::default(),
-    );
+    let mut second = empty_scheduler(2, SettlingState::default());
     second.set_worker(now, entry(worker, 8));
     second.submit(now, now, record(1, vec![step(1, 1, 100)]), Some(&progress));
     second.decide(now, WALL, true);
@@ -97,12 +103,7 @@
 #[test]
 fn unseen_worker_is_not_reported_as_vacated() {
     let now = Instant::now();
-    let mut scheduler = PoolScheduler::new(
-        crate::setup::pool(),
-        DutyTerm::new(2),
-        SchedulerRules::default(),
-        SettlingState::default(),
-    );
+    let mut scheduler = empty_scheduler(2, SettlingState::default());
     scheduler.set_worker(now, entry(0, 8));
     scheduler.set_plan(PoolPlan {
         version: PlanVersion::new(1),
@@ -119,10 +120,7 @@
 #[test]
 fn unanswered_start_does_not_begin_a_job() {
     let now = Instant::now();
-    let mut scheduler = scheduler(now, 1, 8);
-    scheduler.submit(now, now, record(1, vec![step(1, 1, 100)]), None);
-    let start = starts(scheduler.decide(now, WALL, true)).remove(0);
-    scheduler.start_answered(now, &start.target.worker, &start.run, StartOutcome::Unknown);
+    let (scheduler, _) = unanswered_start(now);
     assert_eq!(scheduler.job(&job_id(1)).expect("job").state, JobState::Pending);
     assert_eq!(scheduler.waiting().values().sum::<u32>(), 1);
 }
@@ -131,10 +129,7 @@
 #[test]
 fn unanswered_start_that_runs_is_kept() {
     let now = Instant::now();
-    let mut scheduler = scheduler(now, 1, 8);
-    scheduler.submit(now, now, record(1, vec![step(1, 1, 100)]), None);
-    let start = starts(scheduler.decide(now, WALL, true)).remove(0);
-    scheduler.start_answered(now, &start.target.worker, &start.run, StartOutcome::Unknown);
+    let (mut scheduler, start) = unanswered_start(now);
     scheduler.decide(now + MS, WALL, true);
     report(&mut scheduler, now + MS * 2, 0, &[&start], &[]);
     let orders = scheduler.decide(now + MS * 700, WALL, true);
@@ -150,10 +145,7 @@
 #[test]
 fn unanswered_start_is_settled_by_a_stop() {
     let now = Instant::now();
-    let mut scheduler = scheduler(now, 1, 8);
-    scheduler.submit(now, now, record(1, vec![step(1, 1, 100)]), None);
-    let start = starts(scheduler.decide(now, WALL, true)).remove(0);
-    scheduler.start_answered(now, &start.target.worker, &start.run, StartOutcome::Unknown);
+    let (mut scheduler, start) = unanswered_start(now);
     scheduler.decide(now + MS, WALL, true);
     report(&mut scheduler, now + MS * 2, 0, &[], &[]);
     let orders = scheduler.decide(now + MS * 3, WALL, true);
@@ -223,12 +215,7 @@
     let now = Instant::now();
     let until = now + MS * 5_000;
     let settling = SettlingState::new([worker_id(1)].into(), until);
-    let mut scheduler = PoolScheduler::new(
-        crate::setup::pool(),
-        DutyTerm::new(2),
-        SchedulerRules::default(),
-        settling,
-    );
+    let mut scheduler = empty_scheduler(2, settling);
     scheduler.set_worker(now, entry(0, 8));
     scheduler.submit(
         now,
@@ -239,7 +226,7 @@
     scheduler.submit(now, now, record(2, vec![step(1, 1, 100)]), None);
     scheduler.decide(now, WALL, true);
     report(&mut scheduler, now, 0, &[], &[]);
-    let jobs = |started: &[figloft::dispatch::order::StartOrder]| -> Vec<_> {
+    let jobs = |started: &[StartOrder]| -> Vec<_> {
         started
             .iter()
             .map(|start| start.run.task.step.job.clone())
@@ -326,7 +313,7 @@
     lasting.may_miss = 1;
     scheduler.submit(now, now, record(1, vec![lasting]), None);
     let started = start_all(&mut scheduler, now);
-    let number = |start: &figloft::dispatch::order::StartOrder| {
+    let number = |start: &StartOrder| {
         (0..3)
             .find(|number| worker_id(*number) == start.target.worker)
             .expect("worker")
--- a/tests/pool_decisions/setup.rs
+++ b/tests/pool_decisions/setup.rs
@@ -74,14 +74,14 @@
     }
 }
 
+/// A scheduler of a term that knows no worker.
+pub fn empty_scheduler(term: u64, settling: SettlingState) -> PoolScheduler {
+    PoolScheduler::new(pool(), DutyTerm::new(term), SchedulerRules::default(), settling)
+}
+
 /// A scheduler with workers that have been looked at.
 pub fn scheduler(now: Instant, workers: usize, cores: u64) -> PoolScheduler {
-    let mut scheduler = PoolScheduler::new(
-        pool(),
-        DutyTerm::new(1),
-        SchedulerRules::default(),
-        SettlingState::default(),
-    );
+    let mut scheduler = empty_scheduler(1, SettlingState::default());
     for number in 0..workers {
         scheduler.set_worker(now, entry(number, cores));
     }
--- a/tests/pool_decisions/world.rs
+++ b/tests/pool_decisions/world.rs
@@ -8,18 +8,17 @@
 use figloft::dispatch::job_spec::StepSpec;
 use figloft::dispatch::order::{LookFault, LookOrder, Order, StartOrder, StartOutcome, StopOutcome, TaskRun};
 use figloft::dispatch::pool_scheduler::PoolScheduler;
-use figloft::dispatch::scheduler_rules::SchedulerRules;
 use figloft::dispatch::settling::SettlingState;
 use figloft::dispatch::task_id::TaskId;
 use figloft::dispatch::worker_entry::WorkerEntry;
 use figloft::dispatch::worker_report::{EndedRow, RunEnd, RunningRow, WorkerReport};
-use figloft::model::id::{DutyTerm, RunNumber, WorkerId};
+use figloft::model::id::{RunNumber, WorkerId};
 use figloft::model::resource::ResourceSet;
 use figloft::model::unix_time::UnixMillis;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::setup::{WALL, entry, job_id, pool, record, step};
+use crate::setup::{WALL, empty_scheduler, entry, job_id, record, step};
 
 const TICK_MS: u64 = 20;
 /// Faults come in this time; the rest of the play is calm.
@@ -419,8 +418,7 @@
     }
 
     fn play(mut self) {
-        let rules = SchedulerRules::default();
-        let mut scheduler = PoolScheduler::new(pool(), DutyTerm::new(1), rules, SettlingState::default());
+        let mut scheduler = empty_scheduler(1, SettlingState::default());
         for worker in &self.workers {
             scheduler.set_worker(self.now(), worker.entry.clone());
         }
