Start early due jobs on time and adopt job logs through the HTTP store

submit left next_due at the later due time of an earlier submission; it is now the minimum. list_sessions skipped a session's keys with '~', which the store rejects; it now uses '0', which follows '/'.

--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -212,6 +212,9 @@
             self.inflow.record_submission(now, age, &job.record.spec);
         }
         let is_done = job.is_done();
+        if let Some(due) = job.next_due() {
+            self.next_due = self.next_due.map(|known| known.min(due));
+        }
         self.jobs.insert(id.clone(), job);
         if is_done {
             self.end_job(&id, JobState::Completed, "all tasks were done before this term");
--- a/src/process/job_adoption.rs
+++ b/src/process/job_adoption.rs
@@ -149,8 +149,8 @@
         };
         let name = found.key.split('/').nth(1).unwrap_or_default();
         sessions.push(name.parse()?);
-        // `~` sorts after the digits of batch numbers and after `owner`.
-        after = format!("jobs/{name}/~");
+        // `0` follows `/`, so this sorts after all keys of the session. The store accepts it as a key.
+        after = format!("jobs/{name}0");
     }
 }
 
