Keep one malformed record or panic from ending a leader

Causes found by reading and by extreme values: durations of an operator's wave or route beyond what Duration holds panic; a job with a huge estimate, demand or number of due occurrences overflows or takes unbounded memory in the leader of its pool, and then in each next one; a malformed key under report/, plan/ or pr/ ends the leadership or keeps a new leader reading forever; a leader whose task panics keeps its role without acting.

Durations are bounded when decoded, jobs are checked when submitted, malformed keys are skipped with a log line like malformed values, and a panic ends the leadership, which is then claimed again.

--- a/src/dispatch/job_spec.rs
+++ b/src/dispatch/job_spec.rs
@@ -16,6 +16,17 @@
 /// Maximum number of steps of a job.
 pub const MAX_STEPS: usize = 256;
 
+/// Maximum number of tasks in all occurrences of a scheduled job. Those that are due start together, however
+/// long ago they were due.
+pub const MAX_SCHEDULED_TASKS: u64 = 100_000;
+
+/// Upper bound of estimates, intervals and other durations of jobs and settings, so that sums and multiples of
+/// them cannot overflow.
+pub const MAX_DURATION: Duration = Duration::from_hours(366 * 24);
+
+/// Maximum amount of one resource that a task may need, in the unit of the resource.
+pub const MAX_TASK_DEMAND: u64 = 1_000_000_000;
+
 /// A job as submitted by a client.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -45,7 +56,7 @@
     /// Due time of an occurrence, counted from 0.
     pub fn due(&self, occurrence: u32) -> UnixMillis {
         let offset = self.interval.as_millis() as u64 * u64::from(occurrence);
-        UnixMillis::new(self.first.get() + offset)
+        UnixMillis::new(self.first.get().saturating_add(offset))
     }
 }
 
@@ -153,7 +164,33 @@
         if tasks > MAX_TASKS {
             return refuse(format!("a job has at most {MAX_TASKS} tasks, not {tasks}"));
         }
+        let schedule = self.schedule.unwrap_or(JobSchedule {
+            first: UnixMillis::default(),
+            interval: Duration::ZERO,
+            count: 1,
+        });
+        let scheduled = tasks * u64::from(schedule.count);
+        if schedule.count > 1 && scheduled > MAX_SCHEDULED_TASKS {
+            return refuse(format!(
+                "a scheduled job has at most {MAX_SCHEDULED_TASKS} tasks in all, not {scheduled}"
+            ));
+        }
+        let limit_ms = MAX_DURATION.as_millis();
+        if schedule.interval > MAX_DURATION {
+            return refuse(format!(
+                "the interval of a scheduled job is at most {limit_ms} ms"
+            ));
+        }
         for (number, step) in self.steps.iter().enumerate() {
+            let demand = step.demand.cores.get().max(step.demand.memory.get());
+            if demand > MAX_TASK_DEMAND {
+                return refuse(format!(
+                    "a task of step {number} needs more than {MAX_TASK_DEMAND}"
+                ));
+            }
+            if step.estimate > MAX_DURATION {
+                return refuse(format!("the estimate of step {number} exceeds {limit_ms} ms"));
+            }
             if step.tasks == 0 {
                 return refuse(format!("step {number} has no tasks"));
             }
--- a/src/node/fleet_leader.rs
+++ b/src/node/fleet_leader.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use serde::de::DeserializeOwned;
 use slog::{Logger, info, o, warn};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
@@ -70,8 +71,7 @@
 /// Leads the fleet until another session takes over or the process stops. Returns the reason for the end.
 ///
 /// # Errors
-/// The store's error if a transaction cannot succeed, `bad_request` if the key of a report contains no valid
-/// pool name, `internal` if a record cannot be encoded.
+/// The store's error if a transaction cannot succeed, `internal` if a record cannot be encoded.
 pub async fn run(context: NodeContext, claim: RoleClaim) -> Result<&'static str> {
     let log = context.log.new(o!("duty" => "fleet", "term" => claim.term.get()));
     let (plans, waves) = node_context::read_with_retries(&log, || read_records(&context)).await;
@@ -128,10 +128,7 @@
         .range(store_keys::PLAN_PREFIX, STORE_TIMEOUT)
         .await?;
     for item in &items {
-        let pool = PoolId::new(store_keys::last_segment(&item.key))?;
-        if let Some(plan) = pool_records::decode_record(context, Some(item)) {
-            plans.insert(pool, plan);
-        }
+        plans.extend(decode_pool_record(context, item));
     }
     let mut waves = BTreeMap::new();
     let (items, _) = context
@@ -147,6 +144,17 @@
     Ok((plans, waves))
 }
 
+/// Decodes the record of the pool that its key names. `None` if either is malformed, which is logged.
+fn decode_pool_record<T: DeserializeOwned>(context: &NodeContext, item: &StoreItem) -> Option<(PoolId, T)> {
+    match PoolId::new(store_keys::last_segment(&item.key)) {
+        Ok(pool) => Some((pool, pool_records::decode_record(context, Some(item))?)),
+        Err(error) => {
+            warn!(context.log, "record ignored"; "key" => &*item.key, "error" => %error);
+            None
+        }
+    }
+}
+
 impl FleetLeader {
     async fn run(&mut self, receiver: &mut mpsc::UnboundedReceiver<FleetEvent>) -> Result<&'static str> {
         let mut config = self.context.config.clone();
@@ -183,8 +191,7 @@
         match event {
             FleetEvent::Reports(update) => {
                 for item in update.into_items() {
-                    let pool = PoolId::new(store_keys::last_segment(&item.key))?;
-                    if let Some(report) = pool_records::decode_record(&self.context, Some(&item)) {
+                    if let Some((pool, report)) = decode_pool_record(&self.context, &item) {
                         self.planner.set_report(pool, report);
                     }
                 }
--- a/src/node/leader_election.rs
+++ b/src/node/leader_election.rs
@@ -13,7 +13,7 @@
 use slog::{info, warn};
 use tokio::sync::mpsc;
 
-use crate::error::Result;
+use crate::error::{Error, ErrorKind, Result};
 use crate::model::id::{LeaderTerm, LeaseId, PoolId, StoreRevision, WriteNonce};
 use crate::node::fenced_writer::{RoleClaim, TermRecord};
 use crate::node::fleet_leader;
@@ -218,13 +218,18 @@
         self.led.insert(Arc::clone(&role));
         let (context, sender) = (self.context.clone(), self.sender.clone());
         tokio::spawn(async move {
+            let leading = context.clone();
             let pool = role.strip_prefix(POOL_ROLE_PREFIX).map(PoolId::new);
-            let reason = match pool {
-                Some(Ok(pool)) => pool_leader::run(context.clone(), pool, claim).await,
-                Some(Err(error)) => Err(error),
-                None => fleet_leader::run(context.clone(), claim).await,
-            };
-            match reason {
+            // A panic ends this leadership only; the role is then claimed again with a higher term.
+            let task = tokio::spawn(async move {
+                match pool {
+                    Some(Ok(pool)) => pool_leader::run(leading, pool, claim).await,
+                    Some(Err(error)) => Err(error),
+                    None => fleet_leader::run(leading, claim).await,
+                }
+            });
+            let panicked = |error| Err(Error::new(ErrorKind::Internal, format!("leader task: {error}")));
+            match task.await.unwrap_or_else(panicked) {
                 Ok(reason) => info!(context.log, "duty ended"; "duty" => &*role, "reason" => %reason),
                 Err(error) => warn!(context.log, "duty failed"; "duty" => &*role, "error" => %error),
             }
--- a/src/node/pool_records.rs
+++ b/src/node/pool_records.rs
@@ -28,7 +28,7 @@
 /// Reads the records of a pool.
 ///
 /// # Errors
-/// The store's error, or `bad_request` if the key of a progress record contains no valid job name.
+/// The store's error.
 pub async fn read(context: &NodeContext, pool: &PoolId) -> Result<PoolRecords> {
     let (items, _) = context
         .store
@@ -36,9 +36,11 @@
         .await?;
     let mut records = PoolRecords::default();
     for item in &items {
-        let job = JobId::new(store_keys::last_segment(&item.key))?;
-        if let Some(progress) = decode_record(context, Some(item)) {
-            records.progress.insert(job, progress);
+        match JobId::new(store_keys::last_segment(&item.key)) {
+            Ok(job) => records
+                .progress
+                .extend(decode_record(context, Some(item)).map(|progress| (job, progress))),
+            Err(error) => warn!(context.log, "record ignored"; "key" => &*item.key, "error" => %error),
         }
     }
     let report = context
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 
 use crate::dispatch::job_record::{AdviceRule, QueueRule};
+use crate::dispatch::job_spec::MAX_DURATION;
 use crate::dispatch::site_config::{OrganisationConfig, PoolConfig, QueueConfig, SiteConfig};
 use crate::error::{Error, ErrorKind, Result};
 use crate::model::id::{ConfigVersion, OrganisationId, PoolId, QueueId};
@@ -17,6 +18,9 @@
 /// Maximum number of attempts of a task, if its queue sets none.
 const DEFAULT_MAX_ATTEMPTS: u32 = 3;
 
+/// Upper bound of the factor from the estimated run time of a job to its objective.
+const MAX_SLACK_FACTOR: f64 = 1_000.0;
+
 #[derive(Debug, Deserialize)]
 struct WireConfig {
     version: u64,
@@ -145,7 +149,10 @@
 }
 
 fn decode_route(route: WireRoute) -> Result<QueueConfig> {
-    let millis = |value: f64| Duration::from_secs_f64(value.max(0.0) / 1_000.0);
+    let millis = |value: f64| {
+        let duration = Duration::try_from_secs_f64(value.max(0.0) / 1_000.0);
+        duration.unwrap_or(MAX_DURATION).min(MAX_DURATION)
+    };
     let advice = route.advice.map(|advice| AdviceRule {
         base_latency: millis(advice.decide_ms),
         latency_per_worker: millis(advice.each_ms),
@@ -157,12 +164,12 @@
         path_prefix: route.prefix,
         pool: PoolId::new(route.service)?,
         is_public: route.public,
-        timeout: Duration::from_millis(route.timeout_ms),
+        timeout: Duration::from_millis(route.timeout_ms).min(MAX_DURATION),
         rule: QueueRule {
             priority: route.priority,
             max_attempts: route.max_attempts.unwrap_or(DEFAULT_MAX_ATTEMPTS),
-            slack_factor: route.slack_factor.unwrap_or(1.0),
-            target_latency: Duration::from_millis(route.target_latency_ms),
+            slack_factor: route.slack_factor.unwrap_or(1.0).clamp(1.0, MAX_SLACK_FACTOR),
+            target_latency: Duration::from_millis(route.target_latency_ms).min(MAX_DURATION),
             advice,
         },
     })
--- a/src/platform/maintenance_wave.rs
+++ b/src/platform/maintenance_wave.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::dispatch::fleet_planner::WaveNumber;
+use crate::dispatch::job_spec::MAX_DURATION;
 use crate::dispatch::wave_plan::WaveRequest;
 use crate::error::{Error, ErrorKind, Result};
 use crate::model::id::InstanceId;
@@ -40,7 +41,9 @@
     let instances: Result<BTreeSet<InstanceId>> = wire.machines.into_iter().map(InstanceId::new).collect();
     let request = WaveRequest {
         instances: instances?,
-        duration: Duration::from_secs_f64(wire.duration_s.max(0.0)),
+        duration: Duration::try_from_secs_f64(wire.duration_s.max(0.0))
+            .unwrap_or(MAX_DURATION)
+            .min(MAX_DURATION),
         max_down: wire.cap.max(1),
     };
     Ok((wire.wave, request))
