Limit starts to a part of the link and shorten reports

Reports leave out fields that are zero or false (half the size, readable by earlier builds) and are urgent only from 1/64 of the pool's capacity.

Tests replay the turn on a link of 2 Mbit/s (narrow_link).

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 pub mod job_record;
 pub mod job_spec;
 pub mod job_state;
+pub mod link_budget;
 pub mod millis;
 pub mod placement;
 pub mod pool_plan;
--- a/src/dispatch/pool_plan.rs
+++ b/src/dispatch/pool_plan.rs
@@ -10,6 +10,10 @@
 /// A change of the ready work by more than this part (1/4) of a worker's CPU capacity is reported at once.
 const SIGNIFICANT_PART: u64 = 4;
 
+/// Smaller changes than this part (1/64) of the pool's CPU capacity are not reported at once: a report lists
+/// all workers, and in a large pool some change always exceeds a part of one worker.
+const SIGNIFICANT_POOL_PART: u64 = 64;
+
 /// Instructions of the fleet leader to a pool leader.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -35,17 +39,35 @@
 #[serde(default)]
 pub struct WorkerUsage {
     /// Number of runs that are, or may be, on the worker.
+    #[serde(skip_serializing_if = "is_zero")]
     pub runs: u32,
     /// Number of long-running runs among them.
-    #[serde(rename = "lasting")]
+    #[serde(rename = "lasting", skip_serializing_if = "is_zero")]
     pub long_running: u32,
     /// Whether the plan in force evacuates the worker and the worker has reported its runs.
-    #[serde(rename = "is_closing")]
+    #[serde(rename = "is_closing", skip_serializing_if = "is_false")]
     pub is_evacuating: bool,
     /// Whether the worker accepts work: listed, responding, and neither draining nor being evacuated.
+    #[serde(skip_serializing_if = "is_false")]
     pub is_usable: bool,
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+fn is_zero(count: &u32) -> bool {
+    *count == 0
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+fn is_false(flag: &bool) -> bool {
+    !*flag
+}
+
 /// Report of a pool leader to the fleet leader, also read by the next leader of the pool.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -83,7 +105,7 @@
 
     /// Whether the change from `old` has to be reported to the fleet leader at once: the plan in force or the
     /// state of a worker changed, the ready work changed by more than 1/4 of a worker's CPU capacity, or the
-    /// used or forecast CPU by more than one worker's.
+    /// used or forecast CPU by more than one worker's. In a large pool the changes have to be larger.
     pub fn is_significant_change(&self, old: &Self) -> bool {
         let has_new_state = self.plan != old.plan
             || self.workers.len() != old.workers.len()
@@ -96,7 +118,10 @@
         let expected = |report: &Self| report.inflow.plus(&report.remaining).cores.get();
         let expected = expected(self).abs_diff(expected(old));
         let used = self.used.cores.get().abs_diff(old.used.cores.get());
-        has_new_state || ready > per_worker / SIGNIFICANT_PART || used > per_worker || expected > per_worker
+        let pool_part = self.capacity.cores.get() / SIGNIFICANT_POOL_PART;
+        let worker = per_worker.max(pool_part);
+        let worker_part = (per_worker / SIGNIFICANT_PART).max(pool_part);
+        has_new_state || ready > worker_part || used > worker || expected > worker
     }
 }
 
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -23,6 +23,7 @@
 use crate::dispatch::inflow_forecast::InflowForecast;
 use crate::dispatch::job_record::{JobProgress, JobRecord, JobState};
 use crate::dispatch::job_state::{JobRun, TaskState};
+use crate::dispatch::link_budget::LinkBudget;
 use crate::dispatch::pool_plan::PoolPlan;
 use crate::dispatch::scheduler_timing::SchedulerTiming;
 use crate::dispatch::site_config::{OrganisationConfig, SiteConfig};
@@ -89,6 +90,7 @@
     usage: BTreeMap<OrganisationId, ResourceSet>,
     takeover: TakeoverState,
     rate_limiter: RateLimiter,
+    start_budget: LinkBudget,
     inflow: InflowForecast,
     work_average: WorkAverage,
     advice: BTreeMap<StepId, StepAdvice>,
@@ -124,6 +126,7 @@
             usage: BTreeMap::new(),
             takeover,
             rate_limiter: RateLimiter::default(),
+            start_budget: LinkBudget::default(),
             inflow: InflowForecast::default(),
             work_average: WorkAverage::default(),
             advice: BTreeMap::new(),
@@ -138,6 +141,13 @@
         }
     }
 
+    /// Limits the start commands to a part of the instance's link.
+    #[must_use]
+    pub fn with_start_budget(mut self, budget: LinkBudget) -> Self {
+        self.start_budget = budget;
+        self
+    }
+
     /// Whether a worker has rejected a command because it has seen a newer leader. The scheduler then issues
     /// no more commands.
     pub fn is_fenced(&self) -> bool {
@@ -440,6 +450,9 @@
         if let Some(at) = self.takeover.deadline().filter(|at| *at > now) {
             consider(at);
         }
+        if let Some(at) = self.start_budget.next_room() {
+            consider(at);
+        }
         if let Some(due) = self.next_due {
             consider(now + Duration::from_millis(due.get().saturating_sub(wall_time.get())));
         }
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -23,6 +23,9 @@
 /// Upper bound of the starts chosen in one pass; the remaining tasks start in the following passes.
 const MAX_STARTS: usize = 96;
 
+/// Size of a start command without payload and checkpoint: the request's head and its other fields.
+const START_OVERHEAD_BYTES: usize = 350;
+
 /// Upper bound of the workers named in one request for advice; the cost of a request grows with their number.
 const MAX_ADVICE_WORKERS: usize = 30;
 
@@ -63,12 +66,12 @@
         let first = commands.len();
         let mut unplaceable = UnplaceableDemands::default();
         for key in &ready {
-            if commands.len() - first >= MAX_STARTS {
+            if commands.len() - first >= MAX_STARTS || !self.start_budget.has_room(now) {
                 break;
             }
             self.start_step(now, key.step(), &mut unplaceable, commands);
         }
-        if commands.len() - first < MAX_STARTS {
+        if commands.len() - first < MAX_STARTS && self.start_budget.has_room(now) {
             self.start_speculative_copies(now, commands);
         }
     }
@@ -134,7 +137,8 @@
         }
         for index in waiting {
             let task = step.task(index);
-            if !self.is_within_limit(organisation.as_ref(), &spec.demand) {
+            let is_allowed = self.is_within_limit(organisation.as_ref(), &spec.demand);
+            if !is_allowed || !self.start_budget.has_room(now) {
                 return;
             }
             let Some(worker) = self.choose_worker(now, &task, &spec, has_advice) else {
@@ -308,6 +312,8 @@
             placed_at: now,
         });
         let checkpoint = Arc::clone(&state.checkpoint);
+        self.start_budget
+            .spend(payload.len() + checkpoint.len() + START_OVERHEAD_BYTES);
         let placed = PlacedRun {
             checkpoint: Arc::clone(&checkpoint),
             deadline_ms,
--- a/src/node/pool_leader.rs
+++ b/src/node/pool_leader.rs
@@ -9,6 +9,7 @@
 
 use crate::dispatch::command::PoolCommand;
 use crate::dispatch::job_record::{JobProgress, JobRecord};
+use crate::dispatch::link_budget::LinkBudget;
 use crate::dispatch::pool_plan::PoolReport;
 use crate::dispatch::pool_scheduler::PoolScheduler;
 use crate::dispatch::takeover::TakeoverState;
@@ -137,7 +138,13 @@
         let timing = context.settings.timing;
         let former: BTreeSet<WorkerId> = records.report.workers.keys().cloned().collect();
         let takeover = TakeoverState::from_former_leader(now, former, timing.lease);
-        let mut scheduler = PoolScheduler::new(pool.clone(), claim.term, timing, takeover);
+        let budget = context
+            .settings
+            .link_rate
+            .map(LinkBudget::new)
+            .unwrap_or_default();
+        let mut scheduler =
+            PoolScheduler::new(pool.clone(), claim.term, timing, takeover).with_start_budget(budget);
         scheduler.set_plan(records.plan);
         let executor = CommandExecutor::new(context.clone(), claim.term, log.clone());
         Self {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -9,6 +9,7 @@
 
 use crate::dispatch::scheduler_timing::{DEFAULT_LEASE, SchedulerTiming};
 use crate::error::{Error, ErrorKind, Result};
+use crate::model::amount::ByteCount;
 use crate::model::id::ZoneId;
 
 /// Environment variable that holds the path of the settings file.
@@ -17,6 +18,8 @@
 /// Fraction of the platform's maximum lease that is requested if it is shorter than [`DEFAULT_LEASE`].
 const LEASE_FRACTION: f64 = 0.95;
 
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
+
 /// Settings of the node that this process runs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct NodeSettings {
@@ -41,6 +44,8 @@
     pub min_store_lease: Duration,
     /// Processor share of the node. With a smaller share it claims leadership later.
     pub cpu_share: f64,
+    /// Bytes per second of the node's link; absent if the platform names no limit.
+    pub link_rate: Option<ByteCount>,
     /// Time between SIGTERM and SIGKILL.
     pub grace_period: Duration,
     /// Time for which callers may read the state of a finished job.
@@ -75,11 +80,16 @@
 #[serde(rename_all = "kebab-case", default)]
 struct InstanceLimits {
     cpu_share: f64,
+    /// Rate of the link in megabits per second.
+    link_mbps: Option<f64>,
 }
 
 impl Default for InstanceLimits {
     fn default() -> Self {
-        Self { cpu_share: 0.25 }
+        Self {
+            cpu_share: 0.25,
+            link_mbps: None,
+        }
     }
 }
 
@@ -130,6 +140,19 @@
     }
 }
 
+fn link_rate(megabits_per_second: f64) -> ByteCount {
+    ByteCount::new((megabits_per_second * BYTES_PER_MEGABIT) as u64)
+}
+
+fn duration(name: &str, seconds: f64) -> Result<Duration> {
+    Duration::try_from_secs_f64(seconds).map_err(|error| {
+        Error::new(
+            ErrorKind::BadRecord,
+            format!("bounds.{name} of {seconds} s: {error}"),
+        )
+    })
+}
+
 impl NodeSettings {
     /// Reads and decodes a settings file.
     ///
@@ -168,8 +191,9 @@
             advice_address: file.advice,
             min_store_lease: Duration::from_millis(file.platform.ttl_min_ms),
             cpu_share: file.limits.cpu_share,
-            grace_period: Duration::from_secs_f64(bounds.grace_s),
-            retention: Duration::from_secs_f64(bounds.status_s),
+            link_rate: file.limits.link_mbps.filter(|rate| *rate > 0.0).map(link_rate),
+            grace_period: duration("grace-s", bounds.grace_s)?,
+            retention: duration("status_s", bounds.status_s)?,
             timing,
         })
     }
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -5,6 +5,8 @@
 mod flush;
 mod forecast;
 mod load;
+mod malformed;
+mod narrow_link;
 mod scheduler;
 mod setup;
 mod simulation;
