--- a/src/node/pool_leader.rs
+++ b/src/node/pool_leader.rs
@@ -38,6 +38,9 @@
 /// Minimum time between two reports when a change is urgent.
 const URGENT_REPORT_INTERVAL: Duration = Duration::from_millis(80);
 
+/// Minimum time between two checks for an urgent change, each of which reads all jobs and workers.
+const REPORT_CHECK_INTERVAL: Duration = Duration::from_millis(40);
+
 /// Minimum time between two reports when no change is urgent.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -82,6 +85,7 @@
     has_flush_backlog: bool,
     last_report: Option<PoolReport>,
     last_report_at: Instant,
+    next_report_check: Instant,
     published_counts: Option<(LeaseId, BTreeMap<QueueId, u32>)>,
     is_publishing_counts: bool,
     next_counts_at: Instant,
@@ -160,6 +164,7 @@
             has_flush_backlog: false,
             last_report: None,
             last_report_at: now,
+            next_report_check: now,
             published_counts: None,
             is_publishing_counts: false,
             next_counts_at: now,
@@ -235,7 +240,7 @@
         loop {
             let now = self.context.clock.now();
             self.next_flush = now;
-            self.flush(now, self.due_report(now))?;
+            self.flush(now)?;
             if !self.writer.is_writing() {
                 return Ok("the process stops");
             }
@@ -257,7 +262,7 @@
                 WriterOutcome::Stored => {
                     self.scheduler.confirm_flush();
                     if self.has_flush_backlog {
-                        self.flush(now, None)?;
+                        self.flush(now)?;
                     }
                 }
                 WriterOutcome::Resumed => {}
@@ -423,9 +428,7 @@
             info!(self.log, "{}", note.decision; "job" => job, "worker" => worker, "inputs" => note.inputs);
         }
         self.request_retention_lease(now);
-        if !self.writer.is_writing() && now >= self.next_flush {
-            self.flush(now, self.due_report(now))?;
-        }
+        self.flush(now)?;
         self.publish_waiting_counts(now, valid_lease);
         self.context
             .metrics
@@ -452,9 +455,12 @@
         });
     }
 
-    fn flush(&mut self, now: Instant, report: Option<PoolReport>) -> Result<()> {
-        let has_content = self.scheduler.has_changes() || report.is_some();
-        if self.writer.is_writing() || now < self.next_flush || !has_content {
+    fn flush(&mut self, now: Instant) -> Result<()> {
+        if self.writer.is_writing() || now < self.next_flush {
+            return Ok(());
+        }
+        let report = self.due_report(now);
+        if !self.scheduler.has_changes() && report.is_none() {
             return Ok(());
         }
         let batch = self
@@ -475,14 +481,15 @@
         self.writer.write(write)
     }
 
-    fn due_report(&self, now: Instant) -> Option<PoolReport> {
+    fn due_report(&mut self, now: Instant) -> Option<PoolReport> {
         let age = now.saturating_duration_since(self.last_report_at);
         let Some(old) = &self.last_report else {
             return Some(self.scheduler.report(now));
         };
-        if age < URGENT_REPORT_INTERVAL {
+        if age < URGENT_REPORT_INTERVAL || now < self.next_report_check {
             return None;
         }
+        self.next_report_check = now + REPORT_CHECK_INTERVAL;
         let report = self.scheduler.report(now);
         let is_due = report.is_significant_change(old) || (age >= REPORT_INTERVAL && report != *old);
         is_due.then_some(report)
