Place finite tasks by an index of free cores

Each start looked at all workers of the pool, up to 1,100 during a turn.

Finite tasks are placed through an index by free cores, built once a pass; the test compares it with the look at all workers on random pools.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 pub mod ended_jobs;
 pub mod fleet_planner;
 pub mod flush_queue;
+pub mod free_index;
 pub mod inflow_forecast;
 pub mod job_record;
 pub mod job_spec;
--- a/src/dispatch/placement.rs
+++ b/src/dispatch/placement.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use crate::dispatch::free_index::FreeIndex;
 use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::task_id::{StepId, TaskId};
 use crate::dispatch::worker_state::WorkerState;
@@ -91,6 +92,49 @@
     Some(best.entry.id.clone())
 }
 
+/// Chooses the best candidate for a finite task among the indexed workers: the same worker as [`choose_worker`],
+/// without a look at all workers.
+pub fn choose_indexed_worker(
+    now: Instant,
+    workers: &BTreeMap<WorkerId, WorkerState>,
+    index: &FreeIndex,
+    request: &PlacementRequest<'_>,
+) -> Option<WorkerId> {
+    let min_cores = request.spec.reserved().cores.get();
+    let find = |is_slow: bool, is_avoided: bool, is_on_rack: bool| {
+        let mut candidates = index
+            .fullest_first(is_slow, min_cores)
+            .filter(|id| request.avoided.contains(*id) == is_avoided)
+            .filter_map(|id| workers.get(id));
+        candidates.find(|worker| {
+            let has_rack = || is_on_preferred_rack(worker, request);
+            (!is_on_rack || has_rack()) && is_candidate(now, worker, request)
+        })
+    };
+    let find_unreliable = |is_on_rack: bool| {
+        let avoided = (!request.avoided.is_empty()).then(|| find(false, true, is_on_rack));
+        let slow = [find(true, false, is_on_rack), find(true, true, is_on_rack)];
+        let candidates = slow.into_iter().chain(avoided).flatten();
+        candidates.min_by_key(|worker| (worker.free().cores, worker.entry.id.clone()))
+    };
+    let racks: &[bool] = if request.preferred_rack.is_some() {
+        &[true, false]
+    } else {
+        &[false]
+    };
+    let reliable = racks
+        .iter()
+        .find_map(|is_on_rack| find(false, false, *is_on_rack));
+    let best = reliable.or_else(|| racks.iter().find_map(|is_on_rack| find_unreliable(*is_on_rack)));
+    best.map(|worker| worker.entry.id.clone())
+}
+
+fn is_on_preferred_rack(worker: &WorkerState, request: &PlacementRequest<'_>) -> bool {
+    request
+        .preferred_rack
+        .is_none_or(|rack| worker.entry.rack().is_some_and(|own| &**own == rack))
+}
+
 /// Counts the tasks of a step on each rack.
 fn count_racks<'a>(workers: &'a BTreeMap<WorkerId, WorkerState>, step: &StepId) -> BTreeMap<&'a str, u64> {
     let mut racks = BTreeMap::new();
@@ -104,9 +148,7 @@
 
 fn rank(worker: &WorkerState, request: &PlacementRequest<'_>, racks: &BTreeMap<&str, u64>) -> PlacementRank {
     let is_unreliable = worker.health.is_slow() || request.avoided.contains(&worker.entry.id);
-    let is_off_rack = request
-        .preferred_rack
-        .is_some_and(|rack| worker.entry.rack().is_none_or(|own| &**own != rack));
+    let is_off_rack = !is_on_preferred_rack(worker, request);
     let free = worker.free().cores.get();
     let (crowd_rank, free_rank) = if request.spec.is_long_running {
         (long_running_rank(worker, request.spec), u64::MAX - free)
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -20,6 +20,7 @@
 use crate::dispatch::command::{PoolCommand, RunId};
 use crate::dispatch::ended_jobs::EndedJobs;
 use crate::dispatch::flush_queue::FlushQueue;
+use crate::dispatch::free_index::FreeIndex;
 use crate::dispatch::inflow_forecast::InflowForecast;
 use crate::dispatch::job_record::{JobProgress, JobRecord, JobState};
 use crate::dispatch::job_state::{JobRun, TaskState};
@@ -84,6 +85,8 @@
     timing: SchedulerTiming,
     jobs: BTreeMap<JobId, JobRun>,
     workers: BTreeMap<WorkerId, WorkerState>,
+    /// Workers that may take tasks in the present pass.
+    free_index: FreeIndex,
     plan: PoolPlan,
     organisations: BTreeMap<OrganisationId, OrganisationConfig>,
     /// Demand of the runs of each organisation, which counts against its limit.
@@ -121,6 +124,7 @@
             timing,
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
+            free_index: FreeIndex::default(),
             plan: PoolPlan::default(),
             organisations: BTreeMap::new(),
             usage: BTreeMap::new(),
@@ -352,6 +356,7 @@
         let Some(placed) = worker.remove_run(&run.task, run.number) else {
             return;
         };
+        self.free_index.update(worker);
         self.release_usage(&placed);
         let checkpoint = Arc::clone(&placed.checkpoint);
         if let Some(task) = self.task_mut(&run.task) {
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::dispatch::command::{PoolCommand, RunId, StartCommand};
+use crate::dispatch::free_index::FreeIndex;
 use crate::dispatch::job_record::JobState;
 use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::job_state::{JobRun, TaskCopy};
@@ -63,6 +64,11 @@
     pub(super) fn issue_starts(&mut self, now: Instant, commands: &mut Vec<PoolCommand>) {
         let mut ready = self.ready_steps(now);
         ready.sort_unstable();
+        let usable = self
+            .workers
+            .values()
+            .filter(|worker| worker.is_usable(now) && !self.plan.evacuating.contains(&worker.entry.id));
+        self.free_index = FreeIndex::new(usable);
         let first = commands.len();
         let mut unplaceable = UnplaceableDemands::default();
         for key in &ready {
@@ -74,6 +80,7 @@
         if commands.len() - first < MAX_STARTS && self.start_budget.has_room(now) {
             self.start_speculative_copies(now, commands);
         }
+        self.free_index = FreeIndex::default();
     }
 
     /// Collects the keys of the ready steps that have tasks waiting for a start.
@@ -250,7 +257,11 @@
             preferred_rack: rack.as_deref(),
             allowed,
         };
-        placement::choose_worker(now, &self.workers, &request)
+        if spec.is_long_running {
+            placement::choose_worker(now, &self.workers, &request)
+        } else {
+            placement::choose_indexed_worker(now, &self.workers, &self.free_index, &request)
+        }
     }
 
     /// Returns the rack of the first existing copy, or else the rack with the most free processor cores.
@@ -320,6 +331,7 @@
             ..PlacedRun::new(now, run, RunPhase::Starting, spec, organisation.cloned())
         };
         worker.add_run(task.clone(), placed);
+        self.free_index.update(worker);
         if let Some(organisation) = organisation {
             let usage = self.usage.entry(organisation.clone()).or_default();
             *usage = usage.plus(&spec.demand);
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -7,6 +7,7 @@
 mod load;
 mod malformed;
 mod narrow_link;
+mod placement;
 mod scheduler;
 mod setup;
 mod simulation;
