Pace polls by the number of busy workers and the processor

A worker with short tasks answers a poll whenever a run ends, so that 300 busy workers are polled 2,800 times a second, as often as tasks start, on a leader that is bound by its processor. Polls now take at most 40 % of it; the interval stays 60 ms on small pools and is at most 240 ms.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 pub mod link_budget;
 pub mod millis;
 pub mod placement;
+pub mod poll_pace;
 pub mod pool_plan;
 pub mod pool_scheduler;
 pub mod pool_size;
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -25,6 +25,7 @@
 use crate::dispatch::job_record::{JobProgress, JobRecord, JobState};
 use crate::dispatch::job_state::{JobRun, TaskState};
 use crate::dispatch::link_budget::LinkBudget;
+use crate::dispatch::poll_pace::{MIN_POLL_INTERVAL, PollPace};
 use crate::dispatch::pool_plan::PoolPlan;
 use crate::dispatch::scheduler_timing::SchedulerTiming;
 use crate::dispatch::site_config::{OrganisationConfig, SiteConfig};
@@ -45,10 +46,6 @@
 /// Longest time for which a worker may hold back its answer to a poll until a run ends.
 pub const POLL_WAIT: Duration = Duration::from_secs(1);
 
-/// Pause between the answer to a poll and the next poll, so that one answer lists runs that end shortly after
-/// each other.
-pub const POLL_INTERVAL: Duration = Duration::from_millis(60);
-
 /// Pause before the advice service is asked again about a step.
 const ADVICE_RETRY: Duration = Duration::from_millis(300);
 
@@ -94,6 +91,7 @@
     takeover: TakeoverState,
     rate_limiter: RateLimiter,
     start_budget: LinkBudget,
+    poll_pace: PollPace,
     inflow: InflowForecast,
     work_average: WorkAverage,
     advice: BTreeMap<StepId, StepAdvice>,
@@ -131,6 +129,7 @@
             takeover,
             rate_limiter: RateLimiter::default(),
             start_budget: LinkBudget::default(),
+            poll_pace: PollPace::default(),
             inflow: InflowForecast::default(),
             work_average: WorkAverage::default(),
             advice: BTreeMap::new(),
@@ -152,6 +151,13 @@
         self
     }
 
+    /// Limits the polls to a part of the instance's processor.
+    #[must_use]
+    pub fn with_poll_pace(mut self, pace: PollPace) -> Self {
+        self.poll_pace = pace;
+        self
+    }
+
     /// Whether a worker has rejected a command because it has seen a newer leader. The scheduler then issues
     /// no more commands.
     pub fn is_fenced(&self) -> bool {
@@ -401,7 +407,7 @@
         self.issue_stops(now, &mut commands);
         if is_leadership_valid {
             self.start_due_occurrences(now, wall_time);
-            let previous_stops_end = now + self.timing.stop_timeout + POLL_WAIT + POLL_INTERVAL;
+            let previous_stops_end = now + self.timing.stop_timeout + POLL_WAIT + MIN_POLL_INTERVAL;
             let evacuate_after = *self.evacuate_after.get_or_insert(previous_stops_end);
             if now >= evacuate_after {
                 self.evacuate(now);
--- a/src/dispatch/pool_scheduler/command_outcomes.rs
+++ b/src/dispatch/pool_scheduler/command_outcomes.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::dispatch::command::{AdviceAnswer, PollError, RunId, StartOutcome, StopOutcome};
-use crate::dispatch::pool_scheduler::{ADVICE_RETRY, POLL_INTERVAL, PoolScheduler};
+use crate::dispatch::pool_scheduler::{ADVICE_RETRY, PoolScheduler};
 use crate::dispatch::task_id::StepId;
 use crate::dispatch::worker_state::RunPhase;
 use crate::model::id::WorkerId;
@@ -28,7 +28,7 @@
         };
         worker.starts_in_flight = worker.starts_in_flight.saturating_sub(1);
         if worker.poll.next_at.is_none() {
-            worker.poll.next_at = Some(now + POLL_INTERVAL);
+            worker.poll.next_at = Some(now + self.poll_pace.interval());
         }
         match outcome {
             StartOutcome::Unknown | StartOutcome::NotSent => worker.health.record_timeout(now),
--- a/src/dispatch/pool_scheduler/worker_commands.rs
+++ b/src/dispatch/pool_scheduler/worker_commands.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use crate::dispatch::command::{PollCommand, PoolCommand};
-use crate::dispatch::pool_scheduler::{POLL_INTERVAL, POLL_WAIT, PoolScheduler, run_id};
+use crate::dispatch::poll_pace::MIN_POLL_INTERVAL;
+use crate::dispatch::pool_scheduler::{POLL_WAIT, PoolScheduler, run_id};
 use crate::dispatch::worker_state::RunPhase;
 
 /// Shortest time before a stop is sent again.
@@ -44,7 +45,7 @@
     }
 
     pub(super) fn issue_stops(&mut self, now: Instant, commands: &mut Vec<PoolCommand>) {
-        let retry = STOP_RETRY.max(self.timing.stop_timeout + POLL_INTERVAL);
+        let retry = STOP_RETRY.max(self.timing.stop_timeout + MIN_POLL_INTERVAL);
         for worker in self.workers.values_mut() {
             let target = worker.target();
             for (task, run) in &mut worker.runs {
@@ -88,6 +89,8 @@
     ) {
         let durable_change = self.last_durable_change();
         let lease = self.timing.lease;
+        let busy = self.workers.values().filter(|worker| !worker.runs.is_empty());
+        self.poll_pace.set_busy_workers(busy.count() as u32);
         for worker in self.workers.values_mut() {
             // An unreachable worker without runs is polled as well; otherwise it would never become usable
             // again.
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -6,9 +6,7 @@
 use crate::dispatch::command::RunId;
 use crate::dispatch::job_record::JobState;
 use crate::dispatch::job_state::{JobRun, TaskCopy};
-use crate::dispatch::pool_scheduler::{
-    MAX_MISSING_POLLS, POLL_INTERVAL, PoolScheduler, request_stops, run_id,
-};
+use crate::dispatch::pool_scheduler::{MAX_MISSING_POLLS, PoolScheduler, request_stops, run_id};
 use crate::dispatch::task_id::TaskId;
 use crate::dispatch::worker_report::{ActiveRun, EndedRun, RunOutcome, WorkerReport};
 use crate::dispatch::worker_state::{OutcomeLog, PlacedRun, RunPhase};
@@ -29,7 +27,7 @@
             return;
         };
         worker.poll.sent_at = None;
-        worker.poll.next_at = Some(now + POLL_INTERVAL);
+        worker.poll.next_at = Some(now + self.poll_pace.interval());
         let is_outdated = report.incarnation.is_some() && report.incarnation < worker.incarnation;
         if is_outdated {
             return;
--- a/src/node/pool_leader.rs
+++ b/src/node/pool_leader.rs
@@ -10,6 +10,7 @@
 use crate::dispatch::command::PoolCommand;
 use crate::dispatch::job_record::{JobProgress, JobRecord};
 use crate::dispatch::link_budget::LinkBudget;
+use crate::dispatch::poll_pace::PollPace;
 use crate::dispatch::pool_plan::PoolReport;
 use crate::dispatch::pool_scheduler::PoolScheduler;
 use crate::dispatch::takeover::TakeoverState;
@@ -147,8 +148,9 @@
             .link_rate
             .map(LinkBudget::new)
             .unwrap_or_default();
-        let mut scheduler =
-            PoolScheduler::new(pool.clone(), claim.term, timing, takeover).with_start_budget(budget);
+        let mut scheduler = PoolScheduler::new(pool.clone(), claim.term, timing, takeover)
+            .with_start_budget(budget)
+            .with_poll_pace(PollPace::new(context.settings.cpu_share));
         scheduler.set_plan(records.plan);
         let executor = CommandExecutor::new(context.clone(), claim.term, log.clone());
         Self {
--- a/tests/pool_decisions/flush.rs
+++ b/tests/pool_decisions/flush.rs
@@ -6,6 +6,7 @@
 use figloft::dispatch::command::StartCommand;
 use figloft::dispatch::flush_queue::FlushQueue;
 use figloft::dispatch::job_spec::StepSpec;
+use figloft::dispatch::poll_pace::{MIN_POLL_INTERVAL, PollPace};
 use figloft::dispatch::pool_scheduler::{FlushBatch, JobWrite, PoolScheduler};
 use figloft::dispatch::worker_report::RunOutcome;
 use figloft::model::id::JobId;
@@ -144,3 +145,20 @@
         "an end was stored {worst:?} after it was known"
     );
 }
+
+/// Replays a turn on 268 workers with short tasks, which answer a poll whenever a run ends. Guards against polls
+/// that take the processor of a leader with half a core: at most 1,700 a second, and 60 ms apart on small pools.
+#[test]
+fn polls_leave_processor_time_for_starts() {
+    let mut pace = PollPace::new(0.5);
+    pace.set_busy_workers(268);
+    assert!(268.0 / pace.interval().as_secs_f64() <= 1_700.0);
+    pace.set_busy_workers(12);
+    assert_eq!(pace.interval(), MIN_POLL_INTERVAL);
+    let mut narrow = PollPace::new(0.12);
+    narrow.set_busy_workers(1_100);
+    assert!(
+        narrow.interval() <= MS * 250,
+        "ends are known within a quarter of a second"
+    );
+}
--- a/tests/pool_decisions/placement.rs
+++ b/tests/pool_decisions/placement.rs
@@ -9,7 +9,7 @@
 use figloft::dispatch::task_id::StepId;
 use figloft::dispatch::worker_report::WorkerReport;
 use figloft::dispatch::worker_state::{PlacedRun, RunPhase, WorkerState};
-use figloft::model::id::{RunNumber, WorkerId};
+use figloft::model::id::RunNumber;
 use figloft::model::unix_time::UnixMillis;
 use proptest::prelude::*;
 
@@ -59,7 +59,7 @@
         let mut workers = BTreeMap::new();
         let (mut avoided, mut evacuating) = (BTreeSet::new(), BTreeSet::new());
         for (number, (used, is_slow, is_avoided, is_evacuating)) in pool.into_iter().enumerate() {
-            let id: WorkerId = worker_id(number);
+            let id = worker_id(number);
             workers.insert(id.clone(), worker(number, now, used, is_slow));
             if is_avoided && number % 3 == 0 {
                 avoided.insert(id.clone());
