Extrapolate a rise of submissions to the end of the lead time

The rise is now extrapolated over the lag of the averages and the lead time.

Test: a steady rise is forecast within 20 % (fails before).

--- a/src/dispatch/inflow_forecast.rs
+++ b/src/dispatch/inflow_forecast.rs
@@ -15,7 +15,8 @@
 /// Time constant of the fast average.
 const FAST_WINDOW: Duration = Duration::from_millis(600);
 
-/// Time constant of the slow average; the difference of the two averages is the trend.
+/// Time constant of the slow average. On a steady rise the averages lag behind the rate by their time constants,
+/// so that their difference is the rise within the difference of the time constants.
 const SLOW_WINDOW: Duration = Duration::from_millis(1_800);
 
 /// Minimum difference of the averages that counts as a trend, in standard deviations of the fast one.
@@ -47,12 +48,15 @@
     }
 
     /// The slow average while the difference is within the noise, since a few large jobs in close succession
-    /// are no trend. Otherwise the fast average, increased by the trend if it rises.
+    /// are no trend. Otherwise the fast average; if it rises, it is extrapolated to the end of the lead time.
+    /// Capacity that is idle for a second costs far less than jobs that are late for lack of it.
     fn forecast(&self) -> f64 {
         let noise = self.variance.sqrt() * TREND_THRESHOLD;
         let difference = self.fast - self.slow;
         if difference > noise {
-            self.fast + (difference - noise)
+            let lag = SLOW_WINDOW.saturating_sub(FAST_WINDOW);
+            let horizon = FAST_WINDOW + work_forecast::MOVE_LEAD_TIME;
+            self.fast + (difference - noise) * horizon.div_duration_f64(lag)
         } else if difference < -noise {
             self.fast
         } else {
--- a/tests/pool_decisions/forecast.rs
+++ b/tests/pool_decisions/forecast.rs
@@ -95,3 +95,30 @@
     // After 2 s the second step runs, and both first steps have ended.
     assert_eq!(report.remaining.cores.get(), 24_000);
 }
+
+/// Replays the start of a turn on the large site: submissions rise by 110 a second each second, and a moved instance
+/// takes work after 2 s. Guards against a pool that lags behind the rise by a third of the need all the way up.
+#[test]
+fn steady_rise_is_forecast_for_the_end_of_the_lead_time() {
+    const RISE: f64 = 110.0;
+    let begin = Instant::now();
+    let mut forecast = InflowForecast::default();
+    let mut due = 0.0;
+    for tick in 0..400_u32 {
+        let seconds = f64::from(tick) / 100.0;
+        due += RISE * seconds / 100.0;
+        let now = begin + MS * 10 * tick;
+        while due >= 1.0 {
+            due -= 1.0;
+            forecast.record_submission(now, Duration::ZERO, &usual_job());
+        }
+        if tick >= 250 && tick % 50 == 0 {
+            let need = RISE * (seconds + 2.0) * 40.0;
+            let asked = cores(&forecast, now);
+            assert!(
+                asked > 0.8 * need && asked < 1.2 * need,
+                "{asked} of {need} cores at {seconds} s"
+            );
+        }
+    }
+}
