Do not send moves and maintenance under a lease that has run out

A leader decides under a valid lease, and each request then runs in a task of its own: hundreds of them wait for the processor during a turn, and a pause in between outlasts the lease. The machine API need not compare fencing tokens (409 fence only where required), so that the request would take effect beside the next leader's.

Each request checks the lease again just before it is sent; a new lease does not revive it.

--- a/src/node/fleet_leader.rs
+++ b/src/node/fleet_leader.rs
@@ -18,6 +18,7 @@
 use crate::model::id::{InstanceId, PoolId};
 use crate::node::fenced_writer::{RoleClaim, WriterEvent};
 use crate::node::node_context::{self, NodeContext, STORE_TIMEOUT};
+use crate::node::node_lease::LeaseGuard;
 use crate::node::pool_records;
 use crate::node::prefix_watcher::{self, PrefixUpdate};
 use crate::node::store_keys;
@@ -254,13 +255,17 @@
             return Ok(());
         }
         self.request_instance_list(now);
+        let (status, clock) = (self.context.lease.clone(), Arc::clone(&self.context.clock));
+        let guard = LeaseGuard::new(valid_lease, status, clock);
         for command in self.planner.decide(now) {
             match command {
                 FleetCommand::PublishPlan(..) | FleetCommand::StoreWave(..) => {
                     self.unwritten.push_back(command);
                 }
-                FleetCommand::StartMaintenance(instance, number) => self.start_maintenance(instance, number),
-                FleetCommand::MoveInstance(instance, pool) => self.start_move(instance, pool),
+                FleetCommand::StartMaintenance(instance, number) => {
+                    self.start_maintenance(instance, number, guard.clone());
+                }
+                FleetCommand::MoveInstance(instance, pool) => self.start_move(instance, pool, guard.clone()),
             }
         }
         self.log_pool_sizes(now);
@@ -305,25 +310,35 @@
         });
     }
 
-    fn start_maintenance(&self, instance: InstanceId, number: WaveNumber) {
+    // The machine API may not compare fencing tokens, so that a request must not be sent after the lease under which
+    // it was decided.
+    fn start_maintenance(&self, instance: InstanceId, number: WaveNumber, guard: LeaseGuard) {
         let Some(client) = self.client.clone() else {
             return;
         };
         let sender = self.sender.clone();
         tokio::spawn(async move {
-            let outcome = client.start_maintenance(&instance, number).await;
+            let outcome = if guard.is_valid() {
+                client.start_maintenance(&instance, number).await
+            } else {
+                InstanceOutcome::Refused
+            };
             // The receiver is dropped only when the leadership has ended.
             let _ = sender.send(FleetEvent::Maintenance(instance, number, outcome));
         });
     }
 
-    fn start_move(&self, instance: InstanceId, pool: PoolId) {
+    fn start_move(&self, instance: InstanceId, pool: PoolId, guard: LeaseGuard) {
         let Some(client) = self.client.clone() else {
             return;
         };
         let sender = self.sender.clone();
         tokio::spawn(async move {
-            let outcome = client.move_instance(&instance, &pool).await;
+            let outcome = if guard.is_valid() {
+                client.move_instance(&instance, &pool).await
+            } else {
+                InstanceOutcome::Refused
+            };
             // The receiver is dropped only when the leadership has ended.
             let _ = sender.send(FleetEvent::Moved(instance, pool, outcome));
         });
--- a/src/node/node_lease.rs
+++ b/src/node/node_lease.rs
@@ -42,6 +42,27 @@
     }
 }
 
+/// Tells whether the lease under which an action was decided is still certainly valid when it is carried out. The
+/// process may have been paused or delayed in between.
+#[derive(Debug, Clone)]
+pub struct LeaseGuard {
+    lease: Option<LeaseId>,
+    status: watch::Receiver<LeaseStatus>,
+    clock: SharedClock,
+}
+
+impl LeaseGuard {
+    /// Guard for an action that is decided under `lease`.
+    pub fn new(lease: Option<LeaseId>, status: watch::Receiver<LeaseStatus>, clock: SharedClock) -> Self {
+        Self { lease, status, clock }
+    }
+
+    /// Whether the action may be carried out.
+    pub fn is_valid(&self) -> bool {
+        self.lease.is_some() && self.status.borrow().valid_lease(&self.clock) == self.lease
+    }
+}
+
 /// Acquires and renews the lease until `stop` becomes true, then revokes it. `min_ttl` is the shortest time to
 /// live that the store grants.
 pub async fn maintain(
