Acknowledge ends of an ended job once its end is stored

Ends that change nothing are now acknowledged when the newest change of their job is stored. Test: end_after_the_end_of_its_job_is_acknowledged_when_that_is_stored fails before and passes.

--- a/src/dispatch/job_state.rs
+++ b/src/dispatch/job_state.rs
@@ -141,6 +141,8 @@
     pub is_over_rate: bool,
     /// Number of the oldest change for which no write has started.
     pub oldest_unsaved_change: Option<u64>,
+    /// Number of the newest change; 0 if there was none in this term.
+    pub last_change: u64,
     /// Time at which the job was accepted.
     pub accepted_at: Instant,
 }
@@ -176,6 +178,7 @@
             is_recovered: false,
             is_over_rate: false,
             oldest_unsaved_change: None,
+            last_change: 0,
             accepted_at,
         }
     }
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -276,8 +276,8 @@
     fn mark_state_changed(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.has_unsaved_state = true;
-            self.changes
-                .record_change(id, &mut job.oldest_unsaved_change, job.state.is_final());
+            let oldest = &mut job.oldest_unsaved_change;
+            job.last_change = self.changes.record_change(id, oldest, job.state.is_final());
         }
     }
 
@@ -287,8 +287,9 @@
             return 0;
         };
         job.has_unsaved_progress = true;
-        self.changes
-            .record_change(id, &mut job.oldest_unsaved_change, job.state.is_final())
+        let oldest = &mut job.oldest_unsaved_change;
+        job.last_change = self.changes.record_change(id, oldest, job.state.is_final());
+        job.last_change
     }
 
     fn note(
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -143,6 +143,7 @@
             return 0;
         };
         let is_over = job.state.is_final();
+        let last_change = job.last_change;
         let max_attempts = job.record.rule.max_attempts.max(1) as usize;
         let Some(spec) = job.record.spec.steps.get(row.task.step.step as usize).cloned() else {
             return 0;
@@ -157,7 +158,9 @@
             .retain(|copy| copy.worker != *worker_id || copy.run != row.run);
         task.last_run = task.last_run.max(row.run);
         if task.is_done || is_over {
-            return 0;
+            // The outcome changes nothing, provided that the end of the task or job is stored. Acknowledged before
+            // that, it would be unknown to the next leader, which would run the task again.
+            return last_change;
         }
         if !row.checkpoint.is_empty() {
             task.checkpoint = Arc::clone(&row.checkpoint);
--- a/tests/pool_decisions/flush.rs
+++ b/tests/pool_decisions/flush.rs
@@ -3,15 +3,15 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use figloft::dispatch::command::StartCommand;
+use figloft::dispatch::command::{PoolCommand, StartCommand};
 use figloft::dispatch::flush_queue::FlushQueue;
 use figloft::dispatch::job_spec::StepSpec;
 use figloft::dispatch::poll_pace::{MIN_POLL_INTERVAL, PollPace};
 use figloft::dispatch::pool_scheduler::{FlushBatch, JobWrite, PoolScheduler};
 use figloft::dispatch::worker_report::RunOutcome;
-use figloft::model::id::JobId;
+use figloft::model::id::{JobId, WorkerId};
 
-use crate::setup::{WALL, job_id, record, report, scheduler, start_all, step};
+use crate::setup::{WALL, job_id, record, report, scheduler, start_all, step, worker_id};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -162,3 +162,47 @@
         "ends are known within a quarter of a second"
     );
 }
+
+/// Acknowledgement in the poll of a worker that is due within the next second.
+fn acknowledged(scheduler: &mut PoolScheduler, now: Instant, worker: &WorkerId) -> Option<u64> {
+    let polls = scheduler.decide(now + MS * 1_000, WALL, true);
+    polls.into_iter().find_map(|command| match command {
+        PoolCommand::Poll(poll) if poll.target.worker == *worker => Some(poll.acknowledged),
+        _ => None,
+    })
+}
+
+/// Guards against running a task again whose end was acknowledged: a task of a job ends as done just after another
+/// task, on another worker, has failed the job. The leader is lost before the end of the job is stored, and the next
+/// leader, which knows neither, starts the task again.
+#[test]
+fn end_after_the_end_of_its_job_is_acknowledged_when_that_is_stored() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 2, 1);
+    let mut job = record(1, vec![step(2, 1, 100)]);
+    job.rule.max_attempts = 1;
+    scheduler.submit(now, now, job, None);
+    let starts = start_all(&mut scheduler, now);
+    let number = |start: &StartCommand| usize::from(start.target.worker != worker_id(0));
+    scheduler.take_flush(WALL, MAX_ENTRIES);
+    scheduler.confirm_flush();
+    scheduler.decide(now + MS * 100, WALL, true);
+    report(
+        &mut scheduler,
+        now,
+        number(&starts[0]),
+        &[],
+        &[(1, &starts[0], RunOutcome::Failed)],
+    );
+    let end = [(1, &starts[1], RunOutcome::Done)];
+    report(&mut scheduler, now, number(&starts[1]), &[], &end);
+    let worker = &starts[1].target.worker;
+    let early = acknowledged(&mut scheduler, now, worker);
+    assert!(
+        early.is_none_or(|sequence| sequence == 0),
+        "the failure of the job is not stored"
+    );
+    scheduler.take_flush(WALL, MAX_ENTRIES);
+    scheduler.confirm_flush();
+    assert_eq!(acknowledged(&mut scheduler, now + MS * 2_000, worker), Some(1));
+}
