Name the searches of the index and split the checks of a job

Reading as a newcomer: the calls with three flags become named searches, the checks of a step move to the step.

--- a/src/dispatch/free_index.rs
+++ b/src/dispatch/free_index.rs
@@ -50,6 +50,11 @@
         self.insert(worker);
     }
 
+    /// Whether a worker is indexed.
+    pub fn contains(&self, id: &WorkerId) -> bool {
+        self.positions.contains_key(id)
+    }
+
     /// Workers with at least `min_cores` free thousandths of a core, the fullest first. `is_slow` selects the slow
     /// ones or the others.
     pub fn fullest_first(&self, is_slow: bool, min_cores: u64) -> impl Iterator<Item = &WorkerId> {
--- a/src/dispatch/job_spec.rs
+++ b/src/dispatch/job_spec.rs
@@ -145,6 +145,27 @@
         }
         reserved
     }
+
+    /// Validates the step with this number.
+    fn check(&self, number: usize) -> Result<()> {
+        let refuse = |message: String| Err(Error::new(ErrorKind::BadRequest, message));
+        if self.tasks == 0 {
+            return refuse(format!("step {number} has no tasks"));
+        }
+        if self.depends_on.iter().any(|before| *before as usize >= number) {
+            return refuse(format!("step {number} may depend on earlier steps only"));
+        }
+        if self.demand.cores.get().max(self.demand.memory.get()) > MAX_TASK_DEMAND {
+            return refuse(format!(
+                "a task of step {number} needs more than {MAX_TASK_DEMAND} thousandths of a core or MiB"
+            ));
+        }
+        if self.estimate > MAX_DURATION {
+            let max_ms = MAX_DURATION.as_millis();
+            return refuse(format!("the estimate of step {number} exceeds {max_ms} ms"));
+        }
+        Ok(())
+    }
 }
 
 impl JobSpec {
@@ -164,40 +185,21 @@
         if tasks > MAX_TASKS {
             return refuse(format!("a job has at most {MAX_TASKS} tasks, not {tasks}"));
         }
-        let schedule = self.schedule.unwrap_or(JobSchedule {
-            first: UnixMillis::default(),
-            interval: Duration::ZERO,
-            count: 1,
-        });
-        let scheduled = tasks * u64::from(schedule.count);
-        if schedule.count > 1 && scheduled > MAX_SCHEDULED_TASKS {
-            return refuse(format!(
-                "a scheduled job has at most {MAX_SCHEDULED_TASKS} tasks in all, not {scheduled}"
-            ));
-        }
-        let limit_ms = MAX_DURATION.as_millis();
-        if schedule.interval > MAX_DURATION {
-            return refuse(format!(
-                "the interval of a scheduled job is at most {limit_ms} ms"
-            ));
-        }
-        for (number, step) in self.steps.iter().enumerate() {
-            let demand = step.demand.cores.get().max(step.demand.memory.get());
-            if demand > MAX_TASK_DEMAND {
+        if let Some(schedule) = &self.schedule {
+            let scheduled = tasks * u64::from(schedule.count);
+            if scheduled > MAX_SCHEDULED_TASKS {
                 return refuse(format!(
-                    "a task of step {number} needs more than {MAX_TASK_DEMAND}"
+                    "a scheduled job has at most {MAX_SCHEDULED_TASKS} tasks in all, not {scheduled}"
                 ));
             }
-            if step.estimate > MAX_DURATION {
-                return refuse(format!("the estimate of step {number} exceeds {limit_ms} ms"));
-            }
-            if step.tasks == 0 {
-                return refuse(format!("step {number} has no tasks"));
-            }
-            if step.depends_on.iter().any(|before| *before as usize >= number) {
-                return refuse(format!("step {number} may depend on earlier steps only"));
+            if schedule.interval > MAX_DURATION {
+                let max_ms = MAX_DURATION.as_millis();
+                return refuse(format!("the interval of a scheduled job is at most {max_ms} ms"));
             }
         }
+        for (number, step) in self.steps.iter().enumerate() {
+            step.check(number)?;
+        }
         Ok(())
     }
 
--- a/src/dispatch/link_budget.rs
+++ b/src/dispatch/link_budget.rs
@@ -52,7 +52,7 @@
         }
     }
 
-    /// Time at which a command may be sent again; absent if it may be sent at the last refill already.
+    /// Time at which a command may be sent again; absent if there is room.
     pub fn next_room(&self) -> Option<Instant> {
         let rate = self.rate.filter(|rate| *rate > 0.0 && self.available <= 0.0)?;
         let wait = Duration::from_secs_f64((1.0 - self.available) / rate);
--- a/src/dispatch/placement.rs
+++ b/src/dispatch/placement.rs
@@ -101,34 +101,38 @@
     request: &PlacementRequest<'_>,
 ) -> Option<WorkerId> {
     let min_cores = request.spec.reserved().cores.get();
-    let find = |is_slow: bool, is_avoided: bool, is_on_rack: bool| {
-        let mut candidates = index
-            .fullest_first(is_slow, min_cores)
-            .filter(|id| request.avoided.contains(*id) == is_avoided)
-            .filter_map(|id| workers.get(id));
-        candidates.find(|worker| {
-            let has_rack = || is_on_preferred_rack(worker, request);
-            (!is_on_rack || has_rack()) && is_candidate(now, worker, request)
-        })
+    let candidate = |id: &WorkerId, is_on_rack: bool| {
+        let worker = workers.get(id)?;
+        let has_rack = !is_on_rack || is_on_preferred_rack(worker, request);
+        (has_rack && is_candidate(now, worker, request)).then_some(worker)
+    };
+    let find_reliable = |is_on_rack: bool| {
+        let mut ids = index
+            .fullest_first(false, min_cores)
+            .filter(|id| !request.avoided.contains(*id));
+        ids.find_map(|id| candidate(id, is_on_rack))
     };
     let find_unreliable = |is_on_rack: bool| {
-        let avoided = (!request.avoided.is_empty()).then(|| find(false, true, is_on_rack));
-        let slow = [find(true, false, is_on_rack), find(true, true, is_on_rack)];
-        let candidates = slow.into_iter().chain(avoided).flatten();
+        let slow = index
+            .fullest_first(true, min_cores)
+            .find_map(|id| candidate(id, is_on_rack));
+        let avoided = request.avoided.iter().filter(|id| index.contains(id));
+        let avoided = avoided.filter_map(|id| candidate(id, is_on_rack));
+        let candidates = slow.into_iter().chain(avoided);
         candidates.min_by_key(|worker| (worker.free().cores, worker.entry.id.clone()))
     };
+    // With a preferred rack its workers are tried first, then all.
     let racks: &[bool] = if request.preferred_rack.is_some() {
         &[true, false]
     } else {
         &[false]
     };
-    let reliable = racks
-        .iter()
-        .find_map(|is_on_rack| find(false, false, *is_on_rack));
+    let reliable = racks.iter().find_map(|is_on_rack| find_reliable(*is_on_rack));
     let best = reliable.or_else(|| racks.iter().find_map(|is_on_rack| find_unreliable(*is_on_rack)));
     best.map(|worker| worker.entry.id.clone())
 }
 
+/// Whether a worker is on the preferred rack, or none is preferred.
 fn is_on_preferred_rack(worker: &WorkerState, request: &PlacementRequest<'_>) -> bool {
     request
         .preferred_rack
--- a/tests/pool_decisions/flush.rs
+++ b/tests/pool_decisions/flush.rs
@@ -132,7 +132,10 @@
                 .map(|start| (now + TASK, start)),
         );
         scheduler.confirm_flush();
-        assert!(scheduler.waiting_change_count() <= 250, "changes of a second wait at {tick}");
+        assert!(
+            scheduler.waiting_change_count() <= 250,
+            "changes of a second wait at {tick}"
+        );
         for write in scheduler.take_flush(WALL, MAX_ENTRIES).jobs {
             if let Some(at) = ended_at.get(&write.job).filter(|_| !write.deletes.is_empty()) {
                 worst = worst.max(now.duration_since(*at));
