--- a/src/node/leader_election.rs
+++ b/src/node/leader_election.rs
@@ -218,14 +218,14 @@
         self.led.insert(Arc::clone(&role));
         let (context, sender) = (self.context.clone(), self.sender.clone());
         tokio::spawn(async move {
-            let leading = context.clone();
+            let leader_context = context.clone();
             let pool = role.strip_prefix(POOL_ROLE_PREFIX).map(PoolId::new);
             // A panic ends this leadership only; the role is then claimed again with a higher term.
             let task = tokio::spawn(async move {
                 match pool {
-                    Some(Ok(pool)) => pool_leader::run(leading, pool, claim).await,
+                    Some(Ok(pool)) => pool_leader::run(leader_context, pool, claim).await,
                     Some(Err(error)) => Err(error),
-                    None => fleet_leader::run(leading, claim).await,
+                    None => fleet_leader::run(leader_context, claim).await,
                 }
             });
             let panicked = |error| Err(Error::new(ErrorKind::Internal, format!("leader task: {error}")));
