Log how runs are lost with their workers, and which worker follows on an instance

Entries of workers name their instance; a new worker on the instance of a known one proves that the former process has ended.

No change of logic.

--- a/src/dispatch/job_state.rs
+++ b/src/dispatch/job_state.rs
@@ -39,6 +39,8 @@
     pub ready_at: Option<Instant>,
     /// Highest run number used so far.
     pub last_run: RunNumber,
+    /// Number of runs that ended with their worker in this term.
+    pub lost_runs: u32,
 }
 
 impl TaskState {
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -2,7 +2,7 @@
 //!
 //! `command_outcomes` handles the outcomes of commands and `worker_reports` the reports of workers.
 //! `task_starts` chooses the tasks to start, `evacuation` moves tasks off workers, and `worker_commands`
-//! issues stops, speeds and polls. `demand_report` reports demand and capacity to the fleet leader, and
+//! issues stops, speeds and polls. `worker_losses` follows runs that end with their worker. `demand_report` reports demand and capacity to the fleet leader, and
 //! `progress_flush` collects the changes that have to be stored.
 
 mod command_outcomes;
@@ -11,6 +11,7 @@
 mod progress_flush;
 mod task_starts;
 mod worker_commands;
+mod worker_losses;
 mod worker_reports;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -37,7 +38,7 @@
 use crate::dispatch::worker_entry::WorkerEntry;
 use crate::dispatch::worker_state::{PlacedRun, WorkerState};
 
-use crate::model::id::{JobId, LeaderTerm, OrganisationId, PoolId, WorkerId};
+use crate::model::id::{InstanceId, JobId, LeaderTerm, OrganisationId, PoolId, WorkerId};
 use crate::model::resource::ResourceSet;
 use crate::model::unix_time::UnixMillis;
 
@@ -82,6 +83,10 @@
     timing: SchedulerTiming,
     jobs: BTreeMap<JobId, JobRun>,
     workers: BTreeMap<WorkerId, WorkerState>,
+    /// Latest worker of this pool on each instance.
+    workers_by_instance: BTreeMap<InstanceId, WorkerId>,
+    /// Largest number of runs that one task lost with its workers in this term.
+    most_losses: u32,
     /// Workers that may take tasks in the present pass.
     free_index: FreeIndex,
     plan: PoolPlan,
@@ -122,6 +127,8 @@
             timing,
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
+            workers_by_instance: BTreeMap::new(),
+            most_losses: 0,
             free_index: FreeIndex::default(),
             plan: PoolPlan::default(),
             organisations: BTreeMap::new(),
@@ -174,6 +181,11 @@
         self.jobs.get(job)
     }
 
+    /// Largest number of runs that one task lost with its workers in this term.
+    pub fn most_losses(&self) -> u32 {
+        self.most_losses
+    }
+
     /// All workers known in this term, with those that have left the list.
     pub fn workers(&self) -> &BTreeMap<WorkerId, WorkerState> {
         &self.workers
@@ -316,6 +328,9 @@
             return;
         }
         let id = entry.id.clone();
+        if let Some(instance) = &entry.instance {
+            self.workers_by_instance.insert(instance.clone(), id.clone());
+        }
         let Some(worker) = self.workers.get_mut(&id) else {
             self.workers.insert(id.clone(), WorkerState::new(entry));
             return;
@@ -355,14 +370,16 @@
     }
 
     /// Removes a run that has not started or has ended, so that its task may start again. If the lease of the
-    /// run has expired, its last checkpoint is kept.
-    fn drop_run(&mut self, now: Instant, worker_id: &WorkerId, run: &RunId, is_expired: bool) {
-        let Some(worker) = self.workers.get_mut(worker_id) else {
-            return;
-        };
-        let Some(placed) = worker.remove_run(&run.task, run.number) else {
-            return;
-        };
+    /// run has expired, its last checkpoint is kept. Returns the run, if it was on the worker.
+    fn drop_run(
+        &mut self,
+        now: Instant,
+        worker_id: &WorkerId,
+        run: &RunId,
+        is_expired: bool,
+    ) -> Option<PlacedRun> {
+        let worker = self.workers.get_mut(worker_id)?;
+        let placed = worker.remove_run(&run.task, run.number)?;
         self.free_index.update(worker);
         self.release_usage(&placed);
         let checkpoint = Arc::clone(&placed.checkpoint);
@@ -376,6 +393,7 @@
                 task.ready_at = None;
             }
         }
+        Some(placed)
     }
 
     fn release_usage(&mut self, placed: &PlacedRun) {
--- a/src/dispatch/pool_scheduler/command_outcomes.rs
+++ b/src/dispatch/pool_scheduler/command_outcomes.rs
@@ -133,6 +133,7 @@
             worker.is_listed = false;
         }
         if worker.poll.failures == 1 {
+            worker.lost_at = Some(now);
             let inputs = format!("{error}; {} runs on it", worker.runs.len());
             self.note("worker lost", None, Some(worker_id.clone()), inputs);
         }
--- a/src/dispatch/pool_scheduler/worker_commands.rs
+++ b/src/dispatch/pool_scheduler/worker_commands.rs
@@ -33,7 +33,9 @@
             expired.extend(ended.map(|(task, run)| (id.clone(), run_id(task, run))));
         }
         for (worker, run) in expired {
-            self.drop_run(now, &worker, &run, true);
+            if let Some(placed) = self.drop_run(now, &worker, &run, true) {
+                self.note_lost_run(&worker, &run, &placed, "lease expired without an answer");
+            }
             let inputs = format!("run {} of task {}", run.number, run.task);
             self.note(
                 "lease ended",
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -34,6 +34,7 @@
         }
         let is_regained = worker.poll.failures > 0;
         worker.poll.failures = 0;
+        let lost_at = worker.lost_at.take();
         worker.lease.observe_clock(now, report.clock_ms);
         worker.health.record_answer();
         let is_first = !worker.has_reported;
@@ -48,7 +49,11 @@
                 "worker regained",
                 None,
                 Some(worker_id.clone()),
-                format!("{} runs listed", report.running.len()),
+                format!(
+                    "{} runs listed, lost for {} ms",
+                    report.running.len(),
+                    lost_at.map_or(0, |at| now.saturating_duration_since(at).as_millis())
+                ),
             );
         }
         let mut ended = report.ended;
@@ -387,6 +392,7 @@
             return;
         };
         let mut ended = Vec::new();
+        let mut lost = Vec::new();
         for (task, placed) in &mut worker.runs {
             let is_listed = running
                 .iter()
@@ -399,7 +405,7 @@
                 continue;
             }
             if placed.is_unconfirmed {
-                ended.push(run_id(task, placed));
+                lost.push(run_id(task, placed));
                 continue;
             }
             let is_stopped = placed.stop_acknowledged_at.is_some_and(|at| at <= sent_at);
@@ -419,5 +425,10 @@
         for run in ended {
             self.drop_run(now, worker_id, &run, true);
         }
+        for run in lost {
+            if let Some(placed) = self.drop_run(now, worker_id, &run, true) {
+                self.note_lost_run(worker_id, &run, &placed, "process restarted");
+            }
+        }
     }
 }
--- a/src/dispatch/worker_entry.rs
+++ b/src/dispatch/worker_entry.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::model::id::{PoolId, WorkerId, ZoneId};
+use crate::model::id::{InstanceId, PoolId, WorkerId, ZoneId};
 use crate::model::resource::ResourceSet;
 use crate::model::unix_time::UnixMillis;
 
@@ -12,6 +12,9 @@
 pub struct WorkerEntry {
     /// Stays the same across restarts of the worker process.
     pub id: WorkerId,
+    /// Instance on which the worker runs, absent if the worker does not publish it. A worker that crashed may
+    /// return under another id on the same instance.
+    pub instance: Option<InstanceId>,
     /// Pool to which the worker's instance belongs.
     pub pool: PoolId,
     /// Address for commands.
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -231,6 +231,8 @@
     pub outcomes: OutcomeLog,
     /// State of the polling.
     pub poll: PollState,
+    /// Time at which the first of the present failed polls was noticed; absent if the worker responds.
+    pub lost_at: Option<Instant>,
     /// Whether the worker has responded to a poll in this term.
     pub has_reported: bool,
     /// Failure history and backoff.
@@ -255,6 +257,7 @@
             used: ResourceSet::default(),
             outcomes: OutcomeLog::default(),
             poll: PollState::default(),
+            lost_at: None,
             has_reported: false,
             health: WorkerHealth::default(),
             full_until: None,
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -23,6 +23,7 @@
     command_times: HistogramVec,
     decisions: IntCounterVec,
     jobs: IntGaugeVec,
+    most_losses: IntGaugeVec,
     in_flight: IntGauge,
     store_calls: IntCounterVec,
 }
@@ -57,6 +58,11 @@
     pub fn new(registry: Registry) -> Result<Self> {
         let jobs = Opts::new("figloft_pool_jobs", "Jobs of the pools held here.");
         let jobs = register(&registry, IntGaugeVec::new(jobs, &["pool"]))?;
+        let most_losses = Opts::new(
+            "figloft_most_lost_runs_of_a_task",
+            "Largest number of runs that one task of the pool lost with its workers in this term.",
+        );
+        let most_losses = register(&registry, IntGaugeVec::new(most_losses, &["pool"]))?;
         let in_flight = IntGauge::new(
             "figloft_calls_in_flight",
             "Calls of callers that are not answered.",
@@ -100,6 +106,7 @@
                 &["decision"],
             )?,
             jobs,
+            most_losses,
             registry,
         })
     }
@@ -149,6 +156,11 @@
             .set(i64::try_from(jobs).unwrap_or(i64::MAX));
     }
 
+    /// Sets the largest number of runs that one task of a pool lost with its workers.
+    pub fn set_most_losses(&self, pool: &str, runs: u32) {
+        self.most_losses.with_label_values(&[pool]).set(i64::from(runs));
+    }
+
     /// Renders all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/src/node/pool_leader.rs
+++ b/src/node/pool_leader.rs
@@ -375,7 +375,11 @@
     /// Updates a worker from its entry. A worker whose entry is malformed or names another pool is removed.
     /// Returns the worker if it belongs to this pool.
     fn handle_worker_entry(&mut self, item: &StoreItem) -> Option<WorkerId> {
-        match discovery::decode_worker_entry(&item.key, &item.value) {
+        let entry = discovery::decode_worker_entry(&item.key, &item.value);
+        if let Ok(entry) = &entry {
+            self.scheduler.observe_successor(self.context.clock.now(), entry);
+        }
+        match entry {
             Ok(entry) if entry.pool == self.pool => {
                 let id = entry.id.clone();
                 if !self.scheduler.workers().contains_key(&id) {
@@ -435,6 +439,9 @@
         self.context
             .metrics
             .set_job_count(self.pool.as_str(), self.scheduler.job_count());
+        self.context
+            .metrics
+            .set_most_losses(self.pool.as_str(), self.scheduler.most_losses());
         Ok(())
     }
 
--- a/src/platform/discovery.rs
+++ b/src/platform/discovery.rs
@@ -8,7 +8,7 @@
 use crate::dispatch::worker_entry::WorkerEntry;
 use crate::error::{Error, ErrorKind, Result};
 use crate::model::amount::{AcceleratorCount, MemoryMib, MilliCores};
-use crate::model::id::{PoolId, WorkerId, ZoneId};
+use crate::model::id::{InstanceId, PoolId, WorkerId, ZoneId};
 use crate::model::resource::ResourceSet;
 use crate::model::unix_time::UnixMillis;
 use crate::platform::store::WORKER_PREFIX;
@@ -43,6 +43,9 @@
     capacity: WireResources,
     #[serde(default)]
     labels: Vec<Arc<str>>,
+    /// Instance on which the worker runs.
+    #[serde(default)]
+    machine: Option<Arc<str>>,
     /// Start of the worker's process in Unix milliseconds, which identifies its incarnation.
     #[serde(default)]
     born: Option<u64>,
@@ -80,6 +83,7 @@
     };
     Ok(WorkerEntry {
         id: parse_worker_id(key)?,
+        instance: wire.machine.map(InstanceId::new).transpose()?,
         pool: PoolId::new(wire.service)?,
         address: wire.address,
         zone: ZoneId::new(wire.zone)?,
--- a/tests/pool_decisions/setup.rs
+++ b/tests/pool_decisions/setup.rs
@@ -12,7 +12,7 @@
 use figloft::dispatch::worker_entry::WorkerEntry;
 use figloft::dispatch::worker_report::{ActiveRun, EndedRun, RunOutcome, WorkerReport};
 use figloft::model::amount::{MemoryMib, MilliCores};
-use figloft::model::id::{JobId, LeaderTerm, PoolId, QueueId, WorkerId, ZoneId};
+use figloft::model::id::{InstanceId, JobId, LeaderTerm, PoolId, QueueId, WorkerId, ZoneId};
 use figloft::model::resource::ResourceSet;
 use figloft::model::unix_time::UnixMillis;
 
@@ -26,6 +26,10 @@
     WorkerId::new(format!("i-{number}")).expect("worker")
 }
 
+pub fn instance_id(number: usize) -> InstanceId {
+    InstanceId::new(format!("m-{number}")).expect("instance")
+}
+
 pub fn job_id(number: usize) -> JobId {
     JobId::new(format!("{number:016x}")).expect("job")
 }
@@ -33,6 +37,7 @@
 pub fn entry(number: usize, cores: u64) -> WorkerEntry {
     WorkerEntry {
         id: worker_id(number),
+        instance: Some(instance_id(number)),
         pool: pool(),
         address: format!("127.0.0.1:{}", 9_000 + number).parse().expect("address"),
         zone: ZoneId::new("zone-a").expect("zone"),
