--- /dev/null
+++ b/tests/pool_decisions/crash_world.rs
@@ -0,0 +1,279 @@
+//! A pool on a virtual clock whose workers crash: under the tasks named as deadly, or on command. Progress is
+//! stored, so that a new leader can take over.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use figloft::dispatch::command::{PollError, PoolCommand, StartCommand, StartOutcome, StopOutcome};
+use figloft::dispatch::job_record::{JobProgress, JobRecord, JobState, JobSummary};
+use figloft::dispatch::pool_scheduler::PoolScheduler;
+use figloft::dispatch::takeover::TakeoverState;
+use figloft::dispatch::task_id::TaskId;
+use figloft::dispatch::worker_report::{EndedRun, RunOutcome, WorkerReport};
+use figloft::model::id::{JobId, WorkerId};
+use figloft::model::unix_time::UnixMillis;
+
+use crate::setup::{WALL, empty_scheduler, entry, running_row};
+
+const TICK: Duration = Duration::from_millis(10);
+
+/// Time after which a crashed worker is back.
+const RESTART: Duration = Duration::from_millis(3_300);
+
+struct CrashingWorker {
+    entry: figloft::dispatch::worker_entry::WorkerEntry,
+    runs: Vec<(StartCommand, Instant)>,
+    ended: Vec<EndedRun>,
+    sequence: u64,
+    back_at: Option<Instant>,
+    cut_until: Option<Instant>,
+    crash_at: Option<Instant>,
+}
+
+pub struct CrashWorld {
+    pub now: Instant,
+    pub scheduler: PoolScheduler,
+    pub deadly: BTreeSet<TaskId>,
+    /// Run time of the tasks that are not deadly.
+    pub run_time: Duration,
+    /// Whether a crashed worker returns under its old id.
+    pub keeps_id: bool,
+    /// Whether the store accepts writes.
+    pub is_storing: bool,
+    pub starts: BTreeMap<TaskId, u32>,
+    /// Crashes that each task caused or was hit by.
+    pub crashes: BTreeMap<TaskId, u32>,
+    pub summaries: BTreeMap<JobId, JobSummary>,
+    pub notes: Vec<String>,
+    workers: Vec<CrashingWorker>,
+    records: BTreeMap<JobId, JobRecord>,
+    progress: BTreeMap<JobId, JobProgress>,
+    term: u64,
+    begin: Instant,
+}
+
+impl CrashWorld {
+    pub fn new(workers: usize, cores: u64) -> Self {
+        let workers = (0..workers).map(|number| CrashingWorker {
+            entry: entry(number, cores),
+            runs: Vec::new(),
+            ended: Vec::new(),
+            sequence: 0,
+            back_at: None,
+            cut_until: None,
+            crash_at: None,
+        });
+        let now = Instant::now();
+        let mut world = Self {
+            now,
+            scheduler: empty_scheduler(1, TakeoverState::default()),
+            deadly: BTreeSet::new(),
+            run_time: Duration::from_secs(1),
+            keeps_id: false,
+            is_storing: true,
+            starts: BTreeMap::new(),
+            crashes: BTreeMap::new(),
+            summaries: BTreeMap::new(),
+            notes: Vec::new(),
+            workers: workers.collect(),
+            records: BTreeMap::new(),
+            progress: BTreeMap::new(),
+            term: 1,
+            begin: now,
+        };
+        world.announce_workers();
+        world.run(Duration::from_millis(100));
+        world
+    }
+
+    pub fn submit(&mut self, record: JobRecord) {
+        self.records.insert(record.id.clone(), record.clone());
+        self.scheduler.submit(self.now, self.now, record, None);
+    }
+
+    pub fn state(&self, job: &JobId) -> Option<JobState> {
+        self.summaries.get(job).map(|summary| summary.state)
+    }
+
+    /// Instances on which a run of the task is active.
+    pub fn places(&self, task: &TaskId) -> Vec<usize> {
+        let runs_it = |worker: &CrashingWorker| worker.runs.iter().any(|(start, _)| start.run.task == *task);
+        (0..self.workers.len())
+            .filter(|number| runs_it(&self.workers[*number]))
+            .collect()
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += TICK;
+            self.advance_workers();
+            let commands = self.scheduler.decide(self.now, WALL, true);
+            for command in commands {
+                self.execute(command);
+            }
+            let notes = self.scheduler.take_notes();
+            self.notes.extend(
+                notes
+                    .into_iter()
+                    .map(|note| format!("{}: {}", note.decision, note.inputs)),
+            );
+            self.flush();
+        }
+    }
+
+    /// Ends the worker's process with all runs; it is back after a few seconds.
+    pub fn crash(&mut self, number: usize) {
+        let worker = &mut self.workers[number];
+        for (start, _) in worker.runs.drain(..) {
+            *self.crashes.entry(start.run.task).or_default() += 1;
+        }
+        worker.ended.clear();
+        worker.crash_at = None;
+        worker.back_at = Some(self.now + RESTART);
+    }
+
+    /// Cuts the worker off from the leader; its runs go on until their lease expires.
+    pub fn cut(&mut self, number: usize, time: Duration) {
+        self.workers[number].cut_until = Some(self.now + time);
+    }
+
+    /// Replaces the leader by one that knows what is stored.
+    pub fn take_over(&mut self) {
+        self.term += 1;
+        let former = self.scheduler.workers().keys().cloned().collect();
+        let lease = Duration::from_millis(4_500);
+        let takeover = TakeoverState::from_former_leader(self.now, former, lease);
+        self.scheduler = empty_scheduler(self.term, takeover);
+        self.announce_workers();
+        let unstarted = JobProgress::default();
+        for (id, record) in &self.records {
+            if !self.state(id).is_some_and(JobState::is_final) {
+                let progress = self.progress.get(id).unwrap_or(&unstarted);
+                self.scheduler
+                    .submit(self.now, self.now, record.clone(), Some(progress));
+            }
+        }
+    }
+
+    fn announce_workers(&mut self) {
+        for worker in self.workers.iter().filter(|worker| worker.back_at.is_none()) {
+            self.scheduler.observe_successor(self.now, &worker.entry);
+            self.scheduler.expect_worker(&worker.entry.id);
+            self.scheduler.set_worker(self.now, worker.entry.clone());
+        }
+    }
+
+    fn advance_workers(&mut self) {
+        for number in 0..self.workers.len() {
+            let now = self.now;
+            if self.workers[number].crash_at.is_some_and(|at| at <= now) {
+                self.crash(number);
+            }
+            let worker = &mut self.workers[number];
+            worker.cut_until = worker.cut_until.filter(|until| *until > now);
+            let (run_time, sequence, ended) = (self.run_time, &mut worker.sequence, &mut worker.ended);
+            worker.runs.retain(|(start, started)| {
+                let is_active = now < *started + run_time;
+                if !is_active {
+                    *sequence += 1;
+                    ended.push(EndedRun {
+                        sequence: *sequence,
+                        task: start.run.task.clone(),
+                        run: start.run.number,
+                        outcome: RunOutcome::Done,
+                        checkpoint: "".into(),
+                    });
+                }
+                is_active
+            });
+            if worker.back_at.is_some_and(|at| at <= now) {
+                worker.back_at = None;
+                worker.sequence = 0;
+                let former = worker.entry.id.clone();
+                let life = worker.entry.incarnation.map_or(1, UnixMillis::get) + 1;
+                worker.entry.incarnation = Some(UnixMillis::new(life));
+                if !self.keeps_id {
+                    worker.entry.id = WorkerId::new(format!("i-{number}-{life}")).expect("worker");
+                }
+                let entry = worker.entry.clone();
+                self.scheduler.observe_successor(now, &entry);
+                if !self.keeps_id {
+                    self.scheduler.remove_worker(&former);
+                }
+                self.scheduler.set_worker(now, entry);
+            }
+        }
+    }
+
+    fn execute(&mut self, command: PoolCommand) {
+        let now = self.now;
+        let target = match &command {
+            PoolCommand::Start(start) => start.target.worker.clone(),
+            PoolCommand::Stop(target, _) | PoolCommand::SetSpeed(target, ..) => target.worker.clone(),
+            PoolCommand::Poll(poll) => poll.target.worker.clone(),
+            PoolCommand::RequestAdvice(..) => return,
+        };
+        let reachable = self.workers.iter_mut().find(|worker| {
+            worker.entry.id == target && worker.back_at.is_none() && worker.cut_until.is_none()
+        });
+        match command {
+            PoolCommand::Start(start) => {
+                let outcome = match reachable {
+                    None => StartOutcome::NotSent,
+                    Some(worker) => {
+                        *self.starts.entry(start.run.task.clone()).or_default() += 1;
+                        if self.deadly.contains(&start.run.task) {
+                            worker.crash_at = Some(now + TICK);
+                        }
+                        worker.runs.push((start.clone(), now));
+                        StartOutcome::Started
+                    }
+                };
+                self.scheduler
+                    .handle_start_outcome(now, &target, &start.run, outcome);
+            }
+            PoolCommand::Stop(_, run) => {
+                let outcome = if let Some(worker) = reachable {
+                    worker.runs.retain(|(start, _)| start.run != run);
+                    StopOutcome::Taken
+                } else {
+                    StopOutcome::Unknown
+                };
+                self.scheduler.handle_stop_outcome(now, &target, &run, outcome);
+            }
+            PoolCommand::Poll(poll) => match reachable {
+                None => {
+                    let error = PollError::NoAnswer("connection refused".into());
+                    self.scheduler.handle_poll_error(now, &target, &error);
+                }
+                Some(worker) => {
+                    worker.ended.retain(|row| row.sequence > poll.acknowledged);
+                    let report = WorkerReport {
+                        clock_ms: 5_000 + now.saturating_duration_since(self.begin).as_millis() as u64,
+                        incarnation: worker.entry.incarnation,
+                        running: worker.runs.iter().map(|(start, _)| running_row(start)).collect(),
+                        ended: worker.ended.clone(),
+                    };
+                    self.scheduler.handle_poll_report(now, &target, now, report);
+                }
+            },
+            PoolCommand::SetSpeed(..) | PoolCommand::RequestAdvice(..) => {}
+        }
+    }
+
+    fn flush(&mut self) {
+        if !self.is_storing || !self.scheduler.has_changes() {
+            return;
+        }
+        for write in self.scheduler.take_flush(WALL, 1_000).jobs {
+            if let Some(progress) = write.progress {
+                self.progress.insert(write.job.clone(), progress);
+            }
+            if let Some(summary) = write.summary {
+                self.summaries.insert(write.job, summary);
+            }
+        }
+        self.scheduler.confirm_flush();
+    }
+}
--- /dev/null
+++ b/tests/pool_decisions/crashes.rs
@@ -0,0 +1,80 @@
+//! Tasks that crash the workers on which they start, and innocent tasks beside them.
+
+use std::time::Duration;
+
+use figloft::dispatch::job_record::{JobRecord, JobState};
+use figloft::dispatch::job_spec::StepSpec;
+use figloft::dispatch::task_id::{StepId, TaskId};
+
+use crate::crash_world::CrashWorld;
+use crate::setup::{job_id, record, step};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Starts of a task after which it must have been given up: the third crash may be followed by two starts.
+const MAX_STARTS: u32 = 5;
+
+fn task(job: usize, step: u32, index: u32) -> TaskId {
+    StepId::new(job_id(job), 0, step).task(index)
+}
+
+/// Job whose first task crashes its workers.
+fn deadly_job(world: &mut CrashWorld, number: usize, steps: Vec<StepSpec>) -> JobRecord {
+    world.deadly.insert(task(number, 0, 0));
+    record(number, steps)
+}
+
+/// Guards against a task that crashes server after server: runs that were lost with their worker left no trace on
+/// their task, which was started without end.
+#[test]
+fn task_that_crashes_its_workers_is_given_up() {
+    let mut world = CrashWorld::new(8, 32);
+    let job = deadly_job(&mut world, 1, vec![step(4, 2, 500)]);
+    world.submit(job);
+    world.run(SECOND * 40);
+    assert_eq!(world.state(&job_id(1)), Some(JobState::Failed));
+    assert!(world.starts[&task(1, 0, 0)] <= MAX_STARTS, "{:?}", world.starts);
+}
+
+/// Guards against crashes that are counted in memory only: each new leader started the task from the beginning.
+#[test]
+fn crashes_of_a_task_outlive_the_leader() {
+    let mut world = CrashWorld::new(8, 32);
+    let job = deadly_job(&mut world, 1, vec![step(4, 2, 500)]);
+    world.submit(job);
+    for _ in 0..12 {
+        world.run(SECOND * 4);
+        world.take_over();
+    }
+    world.run(SECOND * 10);
+    assert_eq!(world.state(&job_id(1)), Some(JobState::Failed));
+    assert!(world.starts[&task(1, 0, 0)] <= MAX_STARTS, "{:?}", world.starts);
+}
+
+/// Guards against giving up an innocent task: two workers crashed under it for other reasons, a third one was
+/// cut off, and the pool lost a whole rack.
+#[test]
+fn ordinary_crashes_give_up_no_task() {
+    let mut world = CrashWorld::new(8, 32);
+    world.run_time = SECOND * 3;
+    for number in 1..=6 {
+        world.submit(record(number, vec![step(6, 3, 3_000)]));
+    }
+    world.run(SECOND);
+    let first = world.places(&task(1, 0, 0));
+    first.iter().for_each(|number| world.crash(*number));
+    world.run(SECOND * 6);
+    (4..8).for_each(|number| world.crash(number));
+    world.cut(0, SECOND * 7);
+    world.run(SECOND * 3);
+    let second = world.places(&task(1, 0, 0));
+    second.iter().for_each(|number| world.crash(*number));
+    world.run(SECOND * 40);
+    for number in 1..=6 {
+        assert_eq!(
+            world.state(&job_id(number)),
+            Some(JobState::Completed),
+            "job {number}"
+        );
+    }
+}
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -1,5 +1,7 @@
 //! Decisions of a pool's scheduler and of the fleet planner, tested without I/O.
 
+mod crash_world;
+mod crashes;
 mod features;
 mod fleet;
 mod flush;
