--- a/src/dispatch/job_record.rs
+++ b/src/dispatch/job_record.rs
@@ -9,6 +9,7 @@
 
 use crate::dispatch::job_spec::JobSpec;
 use crate::dispatch::millis;
+use crate::dispatch::run_loss::LossHistory;
 use crate::model::id::{JobId, OrganisationId, PoolId, QueueId, RunNumber};
 use crate::model::unix_time::UnixMillis;
 
@@ -52,6 +53,9 @@
     /// Time at which the job reached a final state, absent before that.
     #[serde(rename = "ended", default, skip_serializing_if = "Option::is_none")]
     pub ended_at: Option<UnixMillis>,
+    /// Why the job failed; absent in any other state.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub reason: Option<Arc<str>>,
 }
 
 /// Latency of the external service that advises where a step may run, and validity of its advice.
@@ -121,6 +125,9 @@
     /// Latest checkpoint of each task that is not completed.
     #[serde(rename = "saved", skip_serializing_if = "BTreeMap::is_empty")]
     pub checkpoints: BTreeMap<u32, Arc<str>>,
+    /// Runs of each task that is not completed that were lost with their worker, or may be.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub losses: BTreeMap<u32, LossHistory>,
 }
 
 /// Progress of a job by occurrence and step.
--- a/src/dispatch/job_state.rs
+++ b/src/dispatch/job_state.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::dispatch::command::RunId;
 use crate::dispatch::job_record::{JobProgress, JobRecord, JobState, JobSummary, StepProgress};
 use crate::dispatch::job_spec::StepSpec;
+use crate::dispatch::run_loss::{LossHistory, RunLoss};
 use crate::dispatch::task_id::StepId;
 use crate::model::id::{RunNumber, WorkerId};
 use crate::model::unix_time::UnixMillis;
@@ -39,8 +41,10 @@
     pub ready_at: Option<Instant>,
     /// Highest run number used so far.
     pub last_run: RunNumber,
-    /// Number of runs that ended with their worker in this term.
-    pub lost_runs: u32,
+    /// Runs that were lost with their worker.
+    pub losses: LossHistory,
+    /// Time since which the task waits for an isolated worker; absent if it does not.
+    pub suspect_since: Option<Instant>,
 }
 
 impl TaskState {
@@ -48,6 +52,11 @@
     pub fn is_waiting(&self, now: Instant) -> bool {
         !self.is_done && self.copies.is_empty() && self.ready_at.is_none_or(|at| at <= now)
     }
+
+    /// Whether the task may crash the workers on which it starts.
+    pub fn is_suspect(&self) -> bool {
+        !self.is_done && self.losses.is_suspect()
+    }
 }
 
 /// State of one step in one occurrence of a job.
@@ -68,6 +77,7 @@
                 task.is_done = progress.done.contains(&index);
                 task.failures = progress.failures.get(&index).cloned().unwrap_or_default();
                 task.checkpoint = progress.checkpoints.get(&index).cloned().unwrap_or_default();
+                task.losses = progress.losses.get(&index).cloned().unwrap_or_default();
             }
         }
         let unfinished = tasks.iter().filter(|task| !task.is_done).count();
@@ -88,6 +98,9 @@
             if !task.checkpoint.is_empty() {
                 progress.checkpoints.insert(index, Arc::clone(&task.checkpoint));
             }
+            if !task.losses.is_empty() {
+                progress.losses.insert(index, task.losses.clone());
+            }
         }
         progress
     }
@@ -129,6 +142,8 @@
     pub occurrences: BTreeMap<u32, JobOccurrence>,
     /// State as shown to clients.
     pub state: JobState,
+    /// Why the job ended; absent before that.
+    pub end_reason: Option<Arc<str>>,
     /// Whether the client has cancelled the job. The stored cancellation is then deleted with the job.
     pub is_cancelled: bool,
     /// Whether `state` has changed since it was last stored.
@@ -173,6 +188,7 @@
             objective,
             occurrences,
             state: JobState::Pending,
+            end_reason: None,
             is_cancelled: false,
             has_unsaved_state: false,
             has_unsaved_progress: false,
@@ -256,9 +272,34 @@
             queue: self.record.queue.clone(),
             state: self.state,
             ended_at: self.state.is_final().then_some(wall_time),
+            reason: self.end_reason.clone().filter(|_| self.state == JobState::Failed),
         }
     }
 
+    /// Whether a task may crash the workers on which it starts.
+    pub fn has_suspects(&self) -> bool {
+        let steps = self.occurrences.values().flat_map(|occurrence| &occurrence.steps);
+        !self.state.is_final() && steps.flat_map(|step| &step.tasks).any(TaskState::is_suspect)
+    }
+
+    /// Recorded losses of all tasks.
+    pub fn recorded_losses(&self) -> impl Iterator<Item = (RunId, RunLoss)> {
+        let steps = self.occurrences.iter().flat_map(|(number, occurrence)| {
+            let steps = (0_u32..).zip(&occurrence.steps);
+            steps.map(|(step, state)| (StepId::new(self.record.id.clone(), *number, step), state))
+        });
+        steps.flat_map(|(step, state)| {
+            let tasks = (0_u32..).zip(&state.tasks);
+            tasks.flat_map(move |(index, task)| {
+                let id = step.task(index);
+                task.losses.iter().map(move |(number, loss)| {
+                    let task = id.clone();
+                    (RunId { task, number }, loss.clone())
+                })
+            })
+        })
+    }
+
     /// Whether the job counts as waiting: it has no schedule, and no task has started.
     pub fn is_waiting(&self) -> bool {
         self.state == JobState::Pending && self.record.spec.schedule.is_none()
--- a/src/dispatch/placement.rs
+++ b/src/dispatch/placement.rs
@@ -69,6 +69,10 @@
         && worker.starts_in_flight < MAX_PENDING_STARTS
         && worker.free().covers(&request.spec.reserved())
         && !request.evacuating.contains(id)
+        && worker
+            .isolated_for
+            .as_ref()
+            .is_none_or(|job| *job == request.task.step.job)
         && !worker.runs.contains_key(request.task)
         && request.allowed.is_none_or(|allowed| allowed.contains_key(id))
         && max_per_worker.is_none_or(|max| worker.count_step(&request.task.step) < max)
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -2,12 +2,14 @@
 //!
 //! `command_outcomes` handles the outcomes of commands and `worker_reports` the reports of workers.
 //! `task_starts` chooses the tasks to start, `evacuation` moves tasks off workers, and `worker_commands`
-//! issues stops, speeds and polls. `worker_losses` follows runs that end with their worker. `demand_report` reports demand and capacity to the fleet leader, and
+//! issues stops, speeds and polls. `worker_losses` records runs that end with their worker and gives up tasks that
+//! crash workers; `isolation` starts suspects alone. `demand_report` reports demand and capacity to the fleet leader, and
 //! `progress_flush` collects the changes that have to be stored.
 
 mod command_outcomes;
 mod demand_report;
 mod evacuation;
+mod isolation;
 mod progress_flush;
 mod task_starts;
 mod worker_commands;
@@ -23,11 +25,14 @@
 use crate::dispatch::flush_queue::FlushQueue;
 use crate::dispatch::free_index::FreeIndex;
 use crate::dispatch::inflow_forecast::InflowForecast;
+use crate::dispatch::instance_workers::InstanceWorkers;
 use crate::dispatch::job_record::{JobProgress, JobRecord, JobState};
 use crate::dispatch::job_state::{JobRun, TaskState};
 use crate::dispatch::link_budget::LinkBudget;
+use crate::dispatch::open_losses::OpenLosses;
 use crate::dispatch::poll_pace::{MIN_POLL_INTERVAL, PollPace};
 use crate::dispatch::pool_plan::PoolPlan;
+use crate::dispatch::pool_scheduler::isolation::{IsolatedJob, PlannedStart};
 use crate::dispatch::scheduler_timing::SchedulerTiming;
 use crate::dispatch::site_config::{OrganisationConfig, SiteConfig};
 use crate::dispatch::takeover::TakeoverState;
@@ -38,7 +43,7 @@
 use crate::dispatch::worker_entry::WorkerEntry;
 use crate::dispatch::worker_state::{PlacedRun, WorkerState};
 
-use crate::model::id::{InstanceId, JobId, LeaderTerm, OrganisationId, PoolId, WorkerId};
+use crate::model::id::{JobId, LeaderTerm, OrganisationId, PoolId, WorkerId};
 use crate::model::resource::ResourceSet;
 use crate::model::unix_time::UnixMillis;
 
@@ -83,9 +88,13 @@
     timing: SchedulerTiming,
     jobs: BTreeMap<JobId, JobRun>,
     workers: BTreeMap<WorkerId, WorkerState>,
-    /// Latest worker of this pool on each instance.
-    workers_by_instance: BTreeMap<InstanceId, WorkerId>,
-    /// Largest number of runs that one task lost with its workers in this term.
+    instance_workers: InstanceWorkers,
+    open_losses: OpenLosses,
+    /// Jobs with suspects that have a worker for themselves.
+    isolated: BTreeMap<JobId, IsolatedJob>,
+    /// Starts of suspects that are being stored before they are sent.
+    planned_starts: BTreeMap<TaskId, PlannedStart>,
+    /// Largest number of losses on record of one task in this term.
     most_losses: u32,
     /// Workers that may take tasks in the present pass.
     free_index: FreeIndex,
@@ -127,7 +136,10 @@
             timing,
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
-            workers_by_instance: BTreeMap::new(),
+            instance_workers: InstanceWorkers::default(),
+            open_losses: OpenLosses::default(),
+            isolated: BTreeMap::new(),
+            planned_starts: BTreeMap::new(),
             most_losses: 0,
             free_index: FreeIndex::default(),
             plan: PoolPlan::default(),
@@ -181,7 +193,7 @@
         self.jobs.get(job)
     }
 
-    /// Largest number of runs that one task lost with its workers in this term.
+    /// Largest number of losses on record of one task in this term.
     pub fn most_losses(&self) -> u32 {
         self.most_losses
     }
@@ -245,6 +257,7 @@
         if is_done {
             self.end_job(&id, JobState::Completed, "all tasks were done before this term");
         }
+        self.open_recorded_losses(&id);
     }
 
     /// Cancels a job. If the job is not known, its stored cancellation will be deleted.
@@ -266,6 +279,7 @@
             return;
         };
         job.state = state;
+        job.end_reason = Some(reason.into());
         for (number, occurrence) in &job.occurrences {
             for (step, state) in occurrence.steps.iter().enumerate() {
                 for (index, task) in state.tasks.iter().enumerate() {
@@ -280,6 +294,7 @@
         }
         let inputs = format!("{state}: {reason}");
         self.advice.retain(|step, _| step.job != *id);
+        self.release_isolation(id);
         self.note("job ended", Some(id.clone()), None, inputs);
         self.mark_state_changed(id);
     }
@@ -328,9 +343,6 @@
             return;
         }
         let id = entry.id.clone();
-        if let Some(instance) = &entry.instance {
-            self.workers_by_instance.insert(instance.clone(), id.clone());
-        }
         let Some(worker) = self.workers.get_mut(&id) else {
             self.workers.insert(id.clone(), WorkerState::new(entry));
             return;
@@ -382,6 +394,9 @@
         let placed = worker.remove_run(&run.task, run.number)?;
         self.free_index.update(worker);
         self.release_usage(&placed);
+        if !is_expired {
+            self.forget_loss(worker_id, run);
+        }
         let checkpoint = Arc::clone(&placed.checkpoint);
         if let Some(task) = self.task_mut(&run.task) {
             task.copies
@@ -431,6 +446,7 @@
             if now >= evacuate_after {
                 self.evacuate(now);
             }
+            self.review_isolated_jobs(now);
             self.issue_starts(now, &mut commands);
             self.issue_speeds(&mut commands);
         }
--- /dev/null
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -0,0 +1,357 @@
+//! Isolates suspects: tasks under which a worker crashed start again without runs of other jobs beside them.
+//!
+//! A crash of a shared worker points at all its young runs. While a suspect has a worker for its job alone, a further
+//! crash can only be its own fault or chance, and costs no other job its runs. The start is stored before it is sent,
+//! so that a crash under it is known to the next leader. Other tasks of a finite step wait until the suspects are
+//! cleared: they would be wasted if the job fails.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use crate::dispatch::command::{PoolCommand, RunId};
+use crate::dispatch::job_spec::StepSpec;
+use crate::dispatch::job_state::{JobRun, TaskState};
+use crate::dispatch::placement::{self, PlacementRequest};
+use crate::dispatch::pool_scheduler::PoolScheduler;
+use crate::dispatch::run_loss::{LossState, MAX_SUSPECT_AGE, RunLoss};
+use crate::dispatch::task_id::{StepId, TaskId};
+use crate::dispatch::worker_state::{PlacedRun, RunPhase, WorkerState};
+use crate::model::id::{JobId, RunNumber, WorkerId};
+
+/// Part of the usable workers (1/2) that may be isolated at the same time, so that a wave of crashes leaves room for
+/// other work.
+const MAX_ISOLATED_PART: usize = 2;
+
+/// Part of the usable workers (1/4) that may be isolated when other jobs have to leave the next one first.
+const MAX_RESERVED_PART: usize = 4;
+
+/// Time after which a suspect with a single loss starts beside other jobs if no worker could be isolated.
+const MAX_ISOLATION_WAIT: Duration = Duration::from_secs(2);
+
+/// Time after which a worker that still runs other jobs is exchanged for another one.
+const MAX_RESERVATION: Duration = Duration::from_secs(5);
+
+/// Start that is stored before it is sent.
+#[derive(Debug, Clone)]
+pub(super) struct PlannedStart {
+    run: RunNumber,
+    /// Change with which the start is stored.
+    change: u64,
+}
+
+/// Job that has a worker for itself.
+#[derive(Debug, Clone)]
+pub(super) struct IsolatedJob {
+    worker: WorkerId,
+    since: Instant,
+}
+
+impl PoolScheduler {
+    /// Starts the waiting suspects of a step on the isolated worker of their job. Returns whether other tasks of the
+    /// step may start.
+    pub(super) fn start_suspects(
+        &mut self,
+        now: Instant,
+        step: &StepId,
+        commands: &mut Vec<PoolCommand>,
+    ) -> bool {
+        let Some((job, state)) = self
+            .jobs
+            .get(&step.job)
+            .and_then(|job| Some((job, job.step(step)?)))
+        else {
+            return false;
+        };
+        let spec = &job.record.spec.steps[step.step as usize];
+        if spec.is_gang || !state.tasks.iter().any(TaskState::is_suspect) {
+            return true;
+        }
+        let spec = spec.clone();
+        let organisation = job.record.organisation.clone();
+        let has_advice = job.record.rule.advice.is_some();
+        let waiting: Vec<TaskId> = (0_u32..)
+            .zip(&state.tasks)
+            .filter(|(_, task)| task.is_suspect() && task.is_waiting(now))
+            .map(|(index, _)| step.task(index))
+            .collect();
+        for task in waiting {
+            let is_allowed = self.is_within_limit(organisation.as_ref(), &spec.demand);
+            if !is_allowed || !self.start_budget.has_room(now) {
+                break;
+            }
+            if has_advice && !self.ensure_tickets(now, step, &spec, commands) {
+                break;
+            }
+            let Some(worker) = self.choose_worker_for_suspect(now, &task, &spec, has_advice) else {
+                continue;
+            };
+            if let Some(run) = self.stored_start(&task, &worker) {
+                self.place_task(now, &worker, &task, run, &spec, organisation.as_ref(), commands);
+            }
+        }
+        spec.is_long_running
+    }
+
+    /// Worker on which a suspect may start: the isolated one of its job. After some time without one, a suspect with a
+    /// single loss starts beside other jobs.
+    pub(super) fn choose_worker_for_suspect(
+        &mut self,
+        now: Instant,
+        task: &TaskId,
+        spec: &StepSpec,
+        has_advice: bool,
+    ) -> Option<WorkerId> {
+        if let Some(worker) = self.isolated_worker(now, task, spec, has_advice) {
+            return Some(worker);
+        }
+        let state = self.task_mut(task)?;
+        let since = *state.suspect_since.get_or_insert(now);
+        let has_waited = now.saturating_duration_since(since) >= MAX_ISOLATION_WAIT;
+        if state.losses.lost_runs() > 1 || !has_waited {
+            return None;
+        }
+        self.choose_worker(now, task, spec, has_advice)
+    }
+
+    /// Worker that the job has for itself and that can take the task now. Chooses one if the job has none, and
+    /// reserves one that other jobs will leave if none is free of them.
+    fn isolated_worker(
+        &mut self,
+        now: Instant,
+        task: &TaskId,
+        spec: &StepSpec,
+        has_advice: bool,
+    ) -> Option<WorkerId> {
+        let job = &task.step.job;
+        if let Some(isolated) = self.isolated.get(job) {
+            let worker = isolated.worker.clone();
+            let state = self.workers.get(&worker);
+            let is_free = state.is_some_and(|state| is_free_of_other_jobs(now, state, job));
+            let is_overdue = now.saturating_duration_since(isolated.since) > MAX_RESERVATION;
+            if !is_free && is_overdue {
+                self.release_isolation(&job.clone());
+            }
+            let can_take = is_free && self.can_take_suspect(now, &worker, task, spec, has_advice);
+            return can_take.then_some(worker);
+        }
+        let usable = self
+            .workers
+            .values()
+            .filter(|worker| worker.is_usable(now))
+            .count();
+        if self.isolated.len() >= (usable / MAX_ISOLATED_PART).max(1) {
+            return None;
+        }
+        let (is_free, worker) = self.find_isolated_worker(now, task, spec, has_advice)?;
+        if !is_free && self.isolated.len() >= (usable / MAX_RESERVED_PART).max(1) {
+            return None;
+        }
+        if let Some(state) = self.workers.get_mut(&worker) {
+            state.isolated_for = Some(job.clone());
+        }
+        let isolated = IsolatedJob {
+            worker: worker.clone(),
+            since: now,
+        };
+        self.isolated.insert(job.clone(), isolated);
+        let inputs = format!("task {task}, the worker is free of other jobs: {is_free}");
+        self.note("job isolated", Some(job.clone()), Some(worker.clone()), inputs);
+        is_free.then_some(worker)
+    }
+
+    /// Finds a worker for a suspect, and whether other jobs have left it already. Instances that crashed under the
+    /// task are the last choice: an unstable instance would be mistaken for a faulty task.
+    fn find_isolated_worker(
+        &self,
+        now: Instant,
+        task: &TaskId,
+        spec: &StepSpec,
+        has_advice: bool,
+    ) -> Option<(bool, WorkerId)> {
+        let state = self.jobs.get(&task.step.job)?.step(&task.step)?;
+        let losses = &state.tasks.get(task.index as usize)?.losses;
+        let has_crashed = |worker: &WorkerState| {
+            let instance = worker.entry.instance.as_ref();
+            losses.crashes().any(|loss| loss.instance.as_ref() == instance)
+        };
+        let mut candidates = Vec::new();
+        for (id, worker) in &self.workers {
+            let is_free = is_free_of_other_jobs(now, worker, &task.step.job);
+            let long_running = worker.runs.values().filter(|run| run.is_long_running);
+            let age = |run: &PlacedRun| now.saturating_duration_since(run.placed_at);
+            // Other jobs leave a worker when their finite runs end.
+            let can_become_free = long_running.clone().all(|run| age(run) >= MAX_SUSPECT_AGE);
+            let can_take = if is_free {
+                self.can_take_suspect(now, id, task, spec, has_advice)
+            } else {
+                let is_open = worker.is_usable(now) && worker.isolated_for.is_none();
+                can_become_free && is_open && self.is_admitted(worker, task, spec, has_advice)
+            };
+            if can_take {
+                candidates.push((
+                    has_crashed(worker),
+                    !is_free,
+                    long_running.count(),
+                    worker.runs.len(),
+                    id,
+                ));
+            }
+        }
+        let (_, is_busy, .., id) = candidates.into_iter().min()?;
+        Some((!is_busy, id.clone()))
+    }
+
+    /// Whether the plan, the label and the advice admit the task on the worker.
+    fn is_admitted(&self, worker: &WorkerState, task: &TaskId, spec: &StepSpec, has_advice: bool) -> bool {
+        let id = &worker.entry.id;
+        let advice = self.advice.get(&task.step).filter(|_| has_advice);
+        placement::is_eligible(worker, spec)
+            && !self.plan.evacuating.contains(id)
+            && advice.is_none_or(|advice| advice.tickets.contains_key(id))
+    }
+
+    fn can_take_suspect(
+        &self,
+        now: Instant,
+        worker: &WorkerId,
+        task: &TaskId,
+        spec: &StepSpec,
+        has_advice: bool,
+    ) -> bool {
+        let advice = self.advice.get(&task.step).filter(|_| has_advice);
+        let request = PlacementRequest {
+            task,
+            spec,
+            avoided: &BTreeSet::new(),
+            evacuating: &self.plan.evacuating,
+            maintenance_due: &self.plan.maintenance_due,
+            preferred_rack: None,
+            allowed: advice.map(|advice| &advice.tickets),
+        };
+        let worker = self.workers.get(worker);
+        worker.is_some_and(|worker| placement::is_candidate(now, worker, &request))
+    }
+
+    /// Run number of a start that is stored and may be sent. Stores the start first if that has not been done for this
+    /// process of the worker.
+    fn stored_start(&mut self, task: &TaskId, worker_id: &WorkerId) -> Option<RunNumber> {
+        let durable = self.last_durable_change();
+        let incarnation = self.workers.get(worker_id)?.incarnation;
+        if let Some(planned) = self.planned_starts.get(task).cloned() {
+            let loss = self.task_mut(task)?.losses.get_mut(planned.run);
+            if loss.is_some_and(|loss| loss.worker == *worker_id && loss.incarnation == incarnation) {
+                if planned.change > durable {
+                    return None;
+                }
+                self.planned_starts.remove(task);
+                return Some(planned.run);
+            }
+            self.forget_planned_start(task);
+        }
+        let run = self.next_run_number(task);
+        let change = self.record_start(task, worker_id, run);
+        self.planned_starts
+            .insert(task.clone(), PlannedStart { run, change });
+        None
+    }
+
+    /// Records the start of a suspect and returns the change with which it is stored.
+    pub(super) fn record_start(&mut self, task: &TaskId, worker_id: &WorkerId, run: RunNumber) -> u64 {
+        let Some(worker) = self.workers.get(worker_id) else {
+            return 0;
+        };
+        let loss = RunLoss {
+            worker: worker_id.clone(),
+            instance: worker.entry.instance.clone(),
+            incarnation: worker.incarnation,
+            state: LossState::Started,
+            active_for: Duration::ZERO,
+            is_isolated: worker.isolated_for.as_ref() == Some(&task.step.job),
+            is_mass_loss: false,
+        };
+        if let Some(state) = self.task_mut(task) {
+            state.last_run = run;
+            state.losses.insert(run, loss);
+        }
+        self.mark_progress_changed(&task.step.job)
+    }
+
+    /// Forgets a start that was stored and not sent.
+    fn forget_planned_start(&mut self, task: &TaskId) {
+        if let Some(planned) = self.planned_starts.remove(task) {
+            if let Some(state) = self.task_mut(task) {
+                state.losses.remove_unless_crashed(planned.run);
+            }
+            self.mark_progress_changed(&task.step.job);
+        }
+    }
+
+    /// Clears suspects whose runs have been active long enough, and releases workers whose job needs them no longer.
+    pub(super) fn review_isolated_jobs(&mut self, now: Instant) {
+        let jobs: Vec<JobId> = self.isolated.keys().cloned().collect();
+        for id in jobs {
+            self.clear_suspects(now, &id);
+            let Some(isolated) = self.isolated.get(&id) else {
+                continue;
+            };
+            let worker = self.workers.get(&isolated.worker);
+            let has_runs = worker.is_some_and(|worker| worker.runs.keys().any(|task| task.step.job == id));
+            let is_open = worker.is_some_and(|worker| worker.is_usable(now))
+                && !self.plan.evacuating.contains(&isolated.worker);
+            let has_suspects = self.jobs.get(&id).is_some_and(JobRun::has_suspects);
+            if !has_suspects || (!is_open && !has_runs) {
+                self.release_isolation(&id);
+            }
+        }
+    }
+
+    /// Forgets the losses of tasks whose present run has outlasted them.
+    fn clear_suspects(&mut self, now: Instant, id: &JobId) {
+        let mut cleared: Vec<RunId> = Vec::new();
+        for worker in self.workers.values().filter(|worker| worker.poll.failures == 0) {
+            let runs = worker.runs.iter().filter(|(task, _)| task.step.job == *id);
+            for (task, run) in runs.filter(|(_, run)| run.phase == RunPhase::Running && !run.must_stop) {
+                let step = self.jobs.get(id).and_then(|job| job.step(&task.step));
+                let state = step.and_then(|step| step.tasks.get(task.index as usize));
+                let active_for = now.saturating_duration_since(run.placed_at);
+                if state.is_some_and(|state| state.is_suspect() && active_for >= state.losses.clearing_time())
+                {
+                    cleared.push(RunId {
+                        task: task.clone(),
+                        number: run.run,
+                    });
+                }
+            }
+        }
+        for run in cleared {
+            if let Some(task) = self.task_mut(&run.task) {
+                task.losses.clear();
+            }
+            self.mark_progress_changed(id);
+            let inputs = format!("run {} of task {} outlasted its losses", run.number, run.task);
+            self.note("suspect cleared", Some(id.clone()), None, inputs);
+        }
+    }
+
+    /// Opens the worker of an isolated job to other jobs. Starts of the job that were stored and not sent are
+    /// forgotten.
+    pub(super) fn release_isolation(&mut self, id: &JobId) {
+        if let Some(isolated) = self.isolated.remove(id)
+            && let Some(worker) = self.workers.get_mut(&isolated.worker)
+        {
+            worker.isolated_for = None;
+        }
+        let planned = self.planned_starts.keys().filter(|task| task.step.job == *id);
+        let planned: Vec<TaskId> = planned.cloned().collect();
+        for task in planned {
+            self.forget_planned_start(&task);
+        }
+    }
+}
+
+/// Whether no run of another job on the worker would be a suspect if it crashed.
+fn is_free_of_other_jobs(now: Instant, worker: &WorkerState, job: &JobId) -> bool {
+    worker.runs.iter().all(|(task, run)| {
+        task.step.job == *job || now.saturating_duration_since(run.placed_at) >= MAX_SUSPECT_AGE
+    })
+}
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -64,12 +64,14 @@
     pub(super) fn issue_starts(&mut self, now: Instant, commands: &mut Vec<PoolCommand>) {
         let mut ready = self.ready_steps(now);
         ready.sort_unstable();
-        let usable = self
-            .workers
-            .values()
-            .filter(|worker| worker.is_usable(now) && !self.plan.evacuating.contains(&worker.entry.id));
+        let usable = self.workers.values().filter(|worker| {
+            let is_open = worker.isolated_for.is_none() && !self.plan.evacuating.contains(&worker.entry.id);
+            is_open && worker.is_usable(now)
+        });
         self.free_index = FreeIndex::new(usable);
         let first = commands.len();
+        // Before the steps that share workers, which would take the room that suspects need for themselves.
+        ready.retain(|key| self.start_suspects(now, key.step(), commands));
         let mut unplaceable = UnplaceableDemands::default();
         for key in &ready {
             if commands.len() - first >= MAX_STARTS || !self.start_budget.has_room(now) {
@@ -128,7 +130,7 @@
         };
         let waiting: Vec<u32> = (0..)
             .zip(&state.tasks)
-            .filter(|(_, task)| task.is_waiting(now))
+            .filter(|(_, task)| task.is_waiting(now) && (spec.is_gang || !task.is_suspect()))
             .map(|(index, _)| index)
             .collect();
         if spec.is_gang && waiting.len() < state.tasks.len() {
@@ -182,10 +184,14 @@
         let mut placed: Vec<(WorkerId, RunId)> = Vec::new();
         for index in members {
             let task = step.task(*index);
-            let worker = self
-                .is_within_limit(organisation, &spec.demand)
-                .then(|| self.choose_worker(now, &task, spec, has_advice))
-                .flatten();
+            let is_suspect = self.task_mut(&task).is_some_and(|task| task.is_suspect());
+            let worker = if !self.is_within_limit(organisation, &spec.demand) {
+                None
+            } else if is_suspect {
+                self.choose_worker_for_suspect(now, &task, spec, has_advice)
+            } else {
+                self.choose_worker(now, &task, spec, has_advice)
+            };
             let Some(worker) = worker else {
                 for (worker, run) in placed {
                     if let Some(state) = self.workers.get_mut(&worker) {
@@ -195,6 +201,9 @@
                 }
                 return;
             };
+            if is_suspect {
+                self.record_start(&task, &worker, run);
+            }
             self.place_task(now, &worker, &task, run, spec, organisation, &mut gang);
             placed.push((worker, RunId { task, number: run }));
         }
@@ -202,7 +211,7 @@
     }
 
     /// Returns a run number above all that were used for the task.
-    fn next_run_number(&self, task: &TaskId) -> RunNumber {
+    pub(super) fn next_run_number(&self, task: &TaskId) -> RunNumber {
         let base = (self.term.get().saturating_sub(1)) * RUNS_PER_TERM;
         let job = self.jobs.get(&task.step.job);
         let state = job.and_then(|job| job.step(&task.step)?.tasks.get(task.index as usize));
@@ -211,7 +220,11 @@
     }
 
     /// Whether another `demand` fits within the organisation's limit on this pool.
-    fn is_within_limit(&self, organisation: Option<&OrganisationId>, demand: &ResourceSet) -> bool {
+    pub(super) fn is_within_limit(
+        &self,
+        organisation: Option<&OrganisationId>,
+        demand: &ResourceSet,
+    ) -> bool {
         let Some(organisation) = organisation else {
             return true;
         };
@@ -283,7 +296,7 @@
         clippy::too_many_arguments,
         reason = "a start consists of these independent parts"
     )]
-    fn place_task(
+    pub(super) fn place_task(
         &mut self,
         now: Instant,
         worker_id: &WorkerId,
@@ -317,6 +330,7 @@
             return;
         };
         state.last_run = run;
+        state.suspect_since = None;
         state.copies.push(TaskCopy {
             worker: worker_id.clone(),
             run,
@@ -350,7 +364,7 @@
     }
 
     /// Whether valid tickets for the step are available; requests them if not.
-    fn ensure_tickets(
+    pub(super) fn ensure_tickets(
         &mut self,
         now: Instant,
         step: &StepId,
--- a/src/dispatch/pool_scheduler/worker_losses.rs
+++ b/src/dispatch/pool_scheduler/worker_losses.rs
@@ -1,49 +1,271 @@
-//! Follows workers whose process has ended: which runs were lost with them, and what is known of the cause.
+//! Records runs that are lost with their worker, finds out whether the worker's process has ended, and gives up
+//! tasks that crash their workers.
+//!
+//! A worker that does not answer may have crashed or may only be out of reach. Its young runs are recorded as
+//! missing at once, so that the next leader knows of them too. They count as crashed when a later process is seen on
+//! the worker's instance, and are forgotten when the same process answers again.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::dispatch::command::RunId;
-use crate::dispatch::pool_scheduler::PoolScheduler;
+use crate::dispatch::job_record::JobState;
+use crate::dispatch::job_state::TaskState;
+use crate::dispatch::pool_scheduler::{PoolScheduler, run_id};
+use crate::dispatch::run_loss::{LossState, MAX_SUSPECT_AGE, RunLoss};
+use crate::dispatch::task_id::TaskId;
 use crate::dispatch::worker_entry::WorkerEntry;
 use crate::dispatch::worker_state::PlacedRun;
-use crate::model::id::WorkerId;
+use crate::model::id::{JobId, WorkerId};
+
+/// Time within which losses of several workers count as one event; the longest pause between two polls is 240 ms.
+const MASS_LOSS_WINDOW: Duration = Duration::from_millis(250);
+
+/// Workers of one rack, or least number of workers of a pool, whose loss within the window is a mass loss.
+const MIN_MASS_LOSS: usize = 3;
+
+/// Part of the pool's workers (1/5) whose loss within the window is a mass loss.
+const MASS_LOSS_PART: usize = 5;
 
 impl PoolScheduler {
-    /// Handles an entry of any pool. If it names the instance of a known worker under another id, the process of
-    /// that worker has ended.
-    pub fn observe_successor(&mut self, now: Instant, entry: &WorkerEntry) {
+    /// Handles a worker's entry, of any pool. A new process on an instance proves that the former one has ended.
+    pub fn observe_entry(&mut self, now: Instant, entry: &WorkerEntry) {
+        let former = self.instance_workers.observe(entry);
+        if let Some(former) = former {
+            self.lose_replaced_worker(now, &former, entry);
+        }
         let Some(instance) = &entry.instance else {
             return;
         };
-        let Some(former_id) = self.workers_by_instance.get(instance).cloned() else {
+        for worker in self.open_losses.on_instance(instance) {
+            self.settle_open_losses(&worker);
+        }
+    }
+
+    /// Ends all runs of a worker whose instance runs another worker now.
+    fn lose_replaced_worker(&mut self, now: Instant, worker_id: &WorkerId, successor: &WorkerEntry) {
+        let Some(worker) = self.workers.get(worker_id) else {
             return;
         };
-        if former_id == entry.id {
+        if worker.runs.is_empty() && worker.lost_at.is_none() {
+            // The usual case of an evacuated instance that was moved.
             return;
         }
-        let Some(former) = self.workers.get(&former_id) else {
+        let silent_ms = worker
+            .lost_at
+            .map_or(0, |at| now.saturating_duration_since(at).as_millis());
+        let inputs = format!(
+            "worker {} of pool {} runs on its instance; {} runs of the former process, lost for {silent_ms} ms",
+            successor.id,
+            successor.pool,
+            worker.runs.len(),
+        );
+        let runs: Vec<RunId> = worker.runs.iter().map(|(task, run)| run_id(task, run)).collect();
+        self.note("worker replaced", None, Some(worker_id.clone()), inputs);
+        for run in &runs {
+            self.record_loss(now, worker_id, run);
+        }
+        for run in &runs {
+            self.lose_run(now, worker_id, run, "process replaced");
+        }
+    }
+
+    /// Records the runs of a worker that stopped answering.
+    pub(super) fn record_missing_runs(&mut self, now: Instant, worker_id: &WorkerId) {
+        let Some(worker) = self.workers.get(worker_id) else {
             return;
         };
-        if former.incarnation >= entry.incarnation {
-            // An entry of an earlier process that is read late.
+        let runs: Vec<RunId> = worker.runs.iter().map(|(task, run)| run_id(task, run)).collect();
+        for run in &runs {
+            self.record_loss(now, worker_id, run);
+        }
+    }
+
+    /// Records a run as missing, unless its worker is leaving as planned or the run is too old to be a suspect.
+    fn record_loss(&mut self, now: Instant, worker_id: &WorkerId, run: &RunId) {
+        let Some(worker) = self.workers.get(worker_id) else {
+            return;
+        };
+        let Some(placed) = worker.runs.get(&run.task) else {
+            return;
+        };
+        let is_leaving = worker.entry.is_draining || self.plan.evacuating.contains(worker_id);
+        let lost_at = worker.lost_at.unwrap_or(now);
+        let age = |placed: &PlacedRun| lost_at.saturating_duration_since(placed.placed_at);
+        if is_leaving || age(placed) >= MAX_SUSPECT_AGE {
             return;
         }
-        self.workers_by_instance.remove(instance);
-        if former.runs.is_empty() && former.lost_at.is_none() {
-            // The usual case of an evacuated instance that was moved.
+        let is_other_suspect = |(task, placed): (&TaskId, &PlacedRun)| {
+            task.step.job != run.task.step.job && age(placed) < MAX_SUSPECT_AGE
+        };
+        let loss = RunLoss {
+            worker: worker_id.clone(),
+            instance: worker.entry.instance.clone(),
+            incarnation: placed.incarnation,
+            state: LossState::Missing,
+            active_for: age(placed),
+            is_isolated: !worker.runs.iter().any(is_other_suspect),
+            is_mass_loss: false,
+        };
+        let instance = loss.instance.clone();
+        let Some(task) = self.open_task_mut(&run.task) else {
+            return;
+        };
+        let known = task.losses.get_mut(run.number);
+        if known.is_some_and(|known| known.state != LossState::Started) {
             return;
         }
-        let silent_ms = former
-            .lost_at
-            .map(|at| now.saturating_duration_since(at).as_millis());
-        let inputs = format!(
-            "instance {instance} runs worker {} of pool {}; {} runs of the former process, lost for {} ms",
-            entry.id,
-            entry.pool,
-            former.runs.len(),
-            silent_ms.map_or_else(|| "?".to_owned(), |millis| millis.to_string()),
+        task.losses.insert(run.number, loss);
+        self.open_losses.insert(worker_id, instance.as_ref(), run.clone());
+        self.mark_progress_changed(&run.task.step.job);
+    }
+
+    /// Removes a run whose worker's process has ended and counts the crash against its task.
+    pub(super) fn lose_run(&mut self, now: Instant, worker_id: &WorkerId, run: &RunId, cause: &str) {
+        self.record_loss(now, worker_id, run);
+        if let Some(placed) = self.drop_run(now, worker_id, run, true) {
+            self.note_lost_run(worker_id, run, &placed, cause);
+        }
+        self.count_crash(worker_id, run);
+    }
+
+    /// Settles the open losses of a worker as far as possible.
+    pub(super) fn settle_open_losses(&mut self, worker_id: &WorkerId) {
+        for run in self.open_losses.of_worker(worker_id) {
+            self.settle_loss(worker_id, &run);
+        }
+    }
+
+    /// Settles a recorded loss: under an earlier process of the worker it counts as a crash; if the same process has
+    /// answered since, it is forgotten unless the run is still active.
+    pub(super) fn settle_loss(&mut self, worker_id: &WorkerId, run: &RunId) {
+        let worker = self.workers.get(worker_id);
+        let placed = worker.and_then(|worker| worker.runs.get(&run.task));
+        let is_placed = placed.is_some_and(|placed| placed.run == run.number);
+        let has_answered = worker.is_some_and(|worker| worker.has_reported && worker.poll.failures == 0);
+        let incarnation = worker.and_then(|worker| worker.incarnation);
+        let loss = self
+            .task_mut(&run.task)
+            .and_then(|task| task.losses.get_mut(run.number));
+        let Some(loss) = loss.cloned() else {
+            self.open_losses.remove(worker_id, run);
+            return;
+        };
+        let is_gone = incarnation > loss.incarnation || self.instance_workers.has_replaced(&loss);
+        if is_gone && !is_placed {
+            self.count_crash(worker_id, run);
+        } else if !is_gone && has_answered && is_placed {
+            self.open_losses.remove(worker_id, run);
+            self.set_loss_state(run, LossState::Started);
+        } else if !is_gone && has_answered {
+            self.forget_loss(worker_id, run);
+        }
+    }
+
+    fn set_loss_state(&mut self, run: &RunId, state: LossState) {
+        if let Some(loss) = self
+            .task_mut(&run.task)
+            .and_then(|task| task.losses.get_mut(run.number))
+        {
+            loss.state = state;
+            self.mark_progress_changed(&run.task.step.job);
+        }
+    }
+
+    /// Removes the record of a run that was not lost with its worker.
+    pub(super) fn forget_loss(&mut self, worker_id: &WorkerId, run: &RunId) {
+        self.open_losses.remove(worker_id, run);
+        let task = self.task_mut(&run.task);
+        if task.is_some_and(|task| task.losses.remove_unless_crashed(run.number)) {
+            self.mark_progress_changed(&run.task.step.job);
+        }
+    }
+
+    /// Counts a recorded loss as a crash and gives the task up if it has crashed too many workers.
+    fn count_crash(&mut self, worker_id: &WorkerId, run: &RunId) {
+        self.open_losses.remove(worker_id, run);
+        let is_mass_loss = self.is_mass_loss(worker_id);
+        let Some(task) = self.open_task_mut(&run.task) else {
+            return;
+        };
+        let Some(loss) = task.losses.get_mut(run.number) else {
+            return;
+        };
+        if loss.state == LossState::Crashed {
+            return;
+        }
+        loss.state = LossState::Crashed;
+        loss.is_mass_loss = is_mass_loss;
+        self.mark_progress_changed(&run.task.step.job);
+        self.give_up_faulty_task(&run.task);
+    }
+
+    /// Ends the job of a task that has crashed too many workers.
+    pub(super) fn give_up_faulty_task(&mut self, task_id: &TaskId) {
+        let Some(task) = self.open_task_mut(task_id).filter(|task| task.losses.is_faulty()) else {
+            return;
+        };
+        let workers: Vec<&str> = task.losses.crashes().map(|loss| loss.worker.as_str()).collect();
+        let reason = format!(
+            "task {task_id} was given up: {} workers crashed under it ({})",
+            workers.len(),
+            workers.join(", ")
         );
-        self.note("worker replaced", None, Some(former_id), inputs);
+        let job = task_id.step.job.clone();
+        self.note("task given up", Some(job.clone()), None, reason.clone());
+        self.end_job(&job, JobState::Failed, &reason);
+    }
+
+    /// Whether many workers were lost together with this one. Workers that hold an isolated job do not count: they
+    /// are expected to crash.
+    fn is_mass_loss(&self, worker_id: &WorkerId) -> bool {
+        let Some(worker) = self.workers.get(worker_id) else {
+            return false;
+        };
+        let Some(lost_at) = worker.lost_at else {
+            return false;
+        };
+        let lost_together = self.workers.values().filter(|other| {
+            let distance = other
+                .lost_at
+                .map(|at| at.max(lost_at).saturating_duration_since(at.min(lost_at)));
+            let is_expected = other.was_isolated && other.entry.id != *worker_id;
+            distance.is_some_and(|distance| distance <= MASS_LOSS_WINDOW) && !is_expected
+        });
+        let on_rack = lost_together
+            .clone()
+            .filter(|other| other.entry.rack() == worker.entry.rack());
+        let in_pool = self.workers.values().filter(|worker| worker.is_listed).count();
+        on_rack.count() >= MIN_MASS_LOSS
+            || lost_together.count() >= MIN_MASS_LOSS.max(in_pool / MASS_LOSS_PART)
+    }
+
+    /// Prepares the losses that were recorded in earlier terms for a job that is taken over.
+    pub(super) fn open_recorded_losses(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let recorded: Vec<(RunId, RunLoss)> = job.recorded_losses().collect();
+        for (run, loss) in &recorded {
+            if loss.state != LossState::Crashed {
+                self.open_losses
+                    .insert(&loss.worker, loss.instance.as_ref(), run.clone());
+                if self.instance_workers.has_replaced(loss) {
+                    self.settle_open_losses(&loss.worker);
+                }
+            }
+        }
+        for (run, _) in &recorded {
+            self.give_up_faulty_task(&run.task);
+        }
+    }
+
+    /// State of a task that has not ended and whose job has not ended.
+    fn open_task_mut(&mut self, task: &TaskId) -> Option<&mut TaskState> {
+        let job = self.jobs.get(&task.step.job)?;
+        if job.state.is_final() {
+            return None;
+        }
+        self.task_mut(task).filter(|state| !state.is_done)
     }
 
     /// Logs a run that ended with its worker, together with what tells a faulty task from its neighbours.
@@ -57,13 +279,10 @@
         let lost_at = self.workers.get(worker_id).and_then(|worker| worker.lost_at);
         let active_ms = lost_at.map(|at| at.saturating_duration_since(placed.placed_at).as_millis());
         let others = self.workers.get(worker_id).map_or(0, |worker| worker.runs.len());
-        let earlier = self.task_mut(&run.task).map_or(0, |task| {
-            task.lost_runs += 1;
-            task.lost_runs - 1
-        });
-        self.most_losses = self.most_losses.max(earlier + 1);
+        let lost = self.task_mut(&run.task).map_or(0, |task| task.losses.lost_runs());
+        self.most_losses = self.most_losses.max(lost as u32);
         let inputs = format!(
-            "run {} of task {}, {cause}, active for {} ms, {others} runs beside it, lost {earlier} times before",
+            "run {} of task {}, {cause}, active for {} ms, {others} runs beside it, {lost} losses of the task on record",
             run.number,
             run.task,
             active_ms.map_or_else(|| "?".to_owned(), |millis| millis.to_string()),
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -70,6 +70,7 @@
             self.handle_running(now, worker_id, row);
         }
         self.resolve_missing(now, worker_id, sent_at, report.clock_ms, &report.running);
+        self.settle_open_losses(worker_id);
         self.stop_stalled(now, worker_id);
         if let Some(worker) = self.workers.get_mut(worker_id) {
             let latency_ratio = worker.worst_latency_ratio();
@@ -148,7 +149,6 @@
             return 0;
         };
         let is_over = job.state.is_final();
-        let last_change = job.last_change;
         let max_attempts = job.record.rule.max_attempts.max(1) as usize;
         let Some(spec) = job.record.spec.steps.get(row.task.step.step as usize).cloned() else {
             return 0;
@@ -162,6 +162,21 @@
         task.copies
             .retain(|copy| copy.worker != *worker_id || copy.run != row.run);
         task.last_run = task.last_run.max(row.run);
+        let run = RunId {
+            task: row.task.clone(),
+            number: row.run,
+        };
+        self.forget_loss(worker_id, &run);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return 0;
+        };
+        let last_change = job.last_change;
+        let Some(step) = job.step_mut(&row.task.step) else {
+            return 0;
+        };
+        let Some(task) = step.tasks.get_mut(row.task.index as usize) else {
+            return 0;
+        };
         if task.is_done || is_over {
             // The outcome changes nothing, provided that the end of the task or job is stored. Acknowledged before
             // that, it would be unknown to the next leader, which would run the task again.
@@ -243,6 +258,7 @@
             && placed.run == row.run
         {
             placed.missed_polls = 0;
+            placed.incarnation = worker.incarnation;
             placed.observe_progress(now, row.progress_percent);
             placed.load = row.load;
             if !row.checkpoint.is_empty() {
@@ -424,11 +440,10 @@
         }
         for run in ended {
             self.drop_run(now, worker_id, &run, true);
+            self.settle_loss(worker_id, &run);
         }
         for run in lost {
-            if let Some(placed) = self.drop_run(now, worker_id, &run, true) {
-                self.note_lost_run(worker_id, &run, &placed, "process restarted");
-            }
+            self.lose_run(now, worker_id, &run, "process restarted");
         }
     }
 }
--- /dev/null
+++ b/src/dispatch/run_loss.rs
@@ -0,0 +1,183 @@
+//! Runs that were lost with their worker, as evidence that their task crashes workers.
+//!
+//! A worker that crashes cannot tell which of its runs was the cause. A single crash therefore proves nothing about
+//! any of them: it may have been another run, or none. A task is given up only after several workers crashed under
+//! it, at least twice while no run of another job could be the cause.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::dispatch::millis;
+use crate::model::id::{InstanceId, RunNumber, WorkerId};
+use crate::model::unix_time::UnixMillis;
+
+/// Age from which a run is no suspect when its worker is lost: a task that crashes the workers on which it starts
+/// would have done so before.
+pub const MAX_SUSPECT_AGE: Duration = Duration::from_secs(10);
+
+/// Age below which one crash makes a task a suspect. The loss is noticed up to 240 ms after the crash, which is the
+/// longest pause between two polls.
+const EARLY_CRASH_AGE: Duration = Duration::from_millis(500);
+
+/// Age below which two crashes make a task a suspect.
+const REPEATED_CRASH_AGE: Duration = Duration::from_secs(2);
+
+/// Lost runs of any age that make a task a suspect.
+const MAX_LOST_RUNS: usize = 3;
+
+/// Crashes under a task that are needed to give it up.
+const MIN_CRASHES: usize = 3;
+
+/// Instances that have to crash while the task was isolated there, so that neither a run of another job nor one
+/// unstable instance can be the cause.
+const MIN_ISOLATED_INSTANCES: usize = 2;
+
+/// Crashes after which a task is given up even if it was never isolated.
+const MAX_CRASHES: usize = 5;
+
+/// Shortest time for which an isolated run has to be active to show that its task is not the cause.
+const MIN_CLEARING_TIME: Duration = Duration::from_secs(2);
+
+/// Factor from the longest time that a lost run was active to the time that clears its task.
+const CLEARING_FACTOR: u32 = 2;
+
+/// What is known of a run and its worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LossState {
+    /// The run is being started, or active. Recorded before the start of a suspect, so that a crash under it is not
+    /// forgotten if the leader is lost too.
+    Started,
+    /// The worker does not answer. Its process may have ended, or only the path to it.
+    Missing,
+    /// The process of the worker has ended.
+    Crashed,
+}
+
+/// A run that was, or may have been, lost with its worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunLoss {
+    /// Worker on which the run was started.
+    pub worker: WorkerId,
+    /// Instance of the worker; a later worker on it proves that the process has ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub instance: Option<InstanceId>,
+    /// Start time of the worker's process.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<UnixMillis>,
+    /// What is known of the run.
+    pub state: LossState,
+    /// Time from the start command until the loss of the worker was noticed; zero before that.
+    #[serde(with = "millis")]
+    pub active_for: Duration,
+    /// Whether no run of another job on the worker was young enough to be a suspect.
+    pub is_isolated: bool,
+    /// Whether many workers were lost at the same time, which one task cannot cause.
+    #[serde(default)]
+    pub is_mass_loss: bool,
+}
+
+impl RunLoss {
+    /// Whether the run was a prime suspect when its worker was lost.
+    fn is_early(&self) -> bool {
+        self.active_for < EARLY_CRASH_AGE && !self.is_mass_loss
+    }
+}
+
+/// Losses of the runs of one task, by run number: a loss that is seen again, or by another leader, is the same loss.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct LossHistory {
+    losses: BTreeMap<RunNumber, RunLoss>,
+}
+
+impl LossHistory {
+    /// Whether nothing is recorded.
+    pub fn is_empty(&self) -> bool {
+        self.losses.is_empty()
+    }
+
+    /// All records.
+    pub fn iter(&self) -> impl Iterator<Item = (RunNumber, &RunLoss)> {
+        self.losses.iter().map(|(run, loss)| (*run, loss))
+    }
+
+    /// Record of a run, for changes.
+    pub fn get_mut(&mut self, run: RunNumber) -> Option<&mut RunLoss> {
+        self.losses.get_mut(&run)
+    }
+
+    /// Adds or replaces the record of a run.
+    pub fn insert(&mut self, run: RunNumber, loss: RunLoss) {
+        self.losses.insert(run, loss);
+    }
+
+    /// Removes the record of a run that turned out not to be lost. Returns whether there was one.
+    pub fn remove_unless_crashed(&mut self, run: RunNumber) -> bool {
+        let is_removable = self
+            .losses
+            .get(&run)
+            .is_some_and(|loss| loss.state != LossState::Crashed);
+        if is_removable {
+            self.losses.remove(&run);
+        }
+        is_removable
+    }
+
+    /// Forgets all losses, because a run of the task has outlasted them.
+    pub fn clear(&mut self) {
+        self.losses.clear();
+    }
+
+    /// Crashes of workers under the task.
+    pub fn crashes(&self) -> impl Iterator<Item = &RunLoss> {
+        self.losses
+            .values()
+            .filter(|loss| loss.state == LossState::Crashed)
+    }
+
+    /// Number of lost runs, whether the cause is known or not.
+    pub fn lost_runs(&self) -> usize {
+        let is_lost = |loss: &&RunLoss| loss.state != LossState::Started;
+        self.losses.values().filter(is_lost).count()
+    }
+
+    /// Whether the task has to be given up.
+    pub fn is_faulty(&self) -> bool {
+        let crashes = self.crashes().count();
+        let isolated = self
+            .crashes()
+            .filter(|loss| loss.is_isolated && !loss.is_mass_loss);
+        let instances: BTreeSet<&str> = isolated
+            .map(|loss| match &loss.instance {
+                Some(instance) => instance.as_str(),
+                None => loss.worker.as_str(),
+            })
+            .collect();
+        let is_proved = crashes >= MIN_CRASHES && instances.len() >= MIN_ISOLATED_INSTANCES;
+        is_proved || crashes >= MAX_CRASHES
+    }
+
+    /// Whether the next run has to be isolated from other jobs.
+    pub fn is_suspect(&self) -> bool {
+        let is_repeated = |loss: &&RunLoss| loss.active_for < REPEATED_CRASH_AGE && !loss.is_mass_loss;
+        self.crashes().any(RunLoss::is_early)
+            || self.crashes().filter(is_repeated).count() > 1
+            || self.lost_runs() >= MAX_LOST_RUNS
+    }
+
+    /// Whether the task may have crashed a worker early in a run, as far as is known.
+    pub fn has_early_loss(&self) -> bool {
+        let is_early = |loss: &RunLoss| loss.state != LossState::Started && loss.is_early();
+        self.losses.values().any(is_early)
+    }
+
+    /// Time after which an active run shows that its task does not crash workers.
+    pub fn clearing_time(&self) -> Duration {
+        let longest = self.losses.values().map(|loss| loss.active_for).max();
+        let time = longest.unwrap_or_default() * CLEARING_FACTOR;
+        time.clamp(MIN_CLEARING_TIME, MAX_SUSPECT_AGE)
+    }
+}
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -11,7 +11,7 @@
 use crate::dispatch::worker_entry::WorkerEntry;
 use crate::dispatch::worker_health::WorkerHealth;
 use crate::dispatch::worker_lease::WorkerLease;
-use crate::model::id::{OrganisationId, RunNumber};
+use crate::model::id::{JobId, OrganisationId, RunNumber};
 use crate::model::resource::ResourceSet;
 use crate::model::unix_time::UnixMillis;
 
@@ -49,6 +49,8 @@
     pub run: RunNumber,
     /// Whether the run is known to be on the worker.
     pub phase: RunPhase,
+    /// Start time of the worker's process on which the run was started, absent if unknown.
+    pub incarnation: Option<UnixMillis>,
     /// Resources taken from the worker's capacity.
     pub reserved: ResourceSet,
     /// Resources counted against the limit of the organisation.
@@ -117,6 +119,7 @@
         Self {
             run,
             phase,
+            incarnation: None,
             reserved: spec.reserved(),
             demand: spec.demand,
             organisation,
@@ -233,6 +236,8 @@
     pub poll: PollState,
     /// Time at which the first of the present failed polls was noticed; absent if the worker responds.
     pub lost_at: Option<Instant>,
+    /// Whether a job had the worker for itself at that time.
+    pub was_isolated: bool,
     /// Whether the worker has responded to a poll in this term.
     pub has_reported: bool,
     /// Failure history and backoff.
@@ -243,6 +248,8 @@
     pub starts_in_flight: u32,
     /// Speed of the best-effort tasks.
     pub speed: SpeedControl,
+    /// Job that has the worker for itself; absent if the worker is open to all.
+    pub isolated_for: Option<JobId>,
 }
 
 impl WorkerState {
@@ -258,11 +265,13 @@
             outcomes: OutcomeLog::default(),
             poll: PollState::default(),
             lost_at: None,
+            was_isolated: false,
             has_reported: false,
             health: WorkerHealth::default(),
             full_until: None,
             starts_in_flight: 0,
             speed: SpeedControl::default(),
+            isolated_for: None,
         }
     }
 
@@ -280,7 +289,8 @@
     }
 
     /// Adds a run and reserves its resources.
-    pub fn add_run(&mut self, task: TaskId, run: PlacedRun) {
+    pub fn add_run(&mut self, task: TaskId, mut run: PlacedRun) {
+        run.incarnation = self.incarnation;
         self.used = self.used.plus(&run.reserved);
         self.runs.insert(task, run);
     }
--- a/src/node/pool_leader.rs
+++ b/src/node/pool_leader.rs
@@ -377,7 +377,7 @@
     fn handle_worker_entry(&mut self, item: &StoreItem) -> Option<WorkerId> {
         let entry = discovery::decode_worker_entry(&item.key, &item.value);
         if let Ok(entry) = &entry {
-            self.scheduler.observe_successor(self.context.clock.now(), entry);
+            self.scheduler.observe_entry(self.context.clock.now(), entry);
         }
         match entry {
             Ok(entry) if entry.pool == self.pool => {
--- a/src/request/submission_batcher.rs
+++ b/src/request/submission_batcher.rs
@@ -192,6 +192,7 @@
             queue: record.queue.clone(),
             state: JobState::Pending,
             ended_at: None,
+            reason: None,
         };
         let key = store_keys::summary_key(&record.id);
         if transaction.puts.iter().any(|put| put.key == key) {
--- a/tests/pool_decisions/crash_world.rs
+++ b/tests/pool_decisions/crash_world.rs
@@ -158,7 +158,7 @@
 
     fn announce_workers(&mut self) {
         for worker in self.workers.iter().filter(|worker| worker.back_at.is_none()) {
-            self.scheduler.observe_successor(self.now, &worker.entry);
+            self.scheduler.observe_entry(self.now, &worker.entry);
             self.scheduler.expect_worker(&worker.entry.id);
             self.scheduler.set_worker(self.now, worker.entry.clone());
         }
@@ -197,7 +197,7 @@
                     worker.entry.id = WorkerId::new(format!("i-{number}-{life}")).expect("worker");
                 }
                 let entry = worker.entry.clone();
-                self.scheduler.observe_successor(now, &entry);
+                self.scheduler.observe_entry(now, &entry);
                 if !self.keeps_id {
                     self.scheduler.remove_worker(&former);
                 }
--- a/tests/pool_decisions/crashes.rs
+++ b/tests/pool_decisions/crashes.rs
@@ -62,13 +62,19 @@
     }
     world.run(SECOND);
     let first = world.places(&task(1, 0, 0));
-    first.iter().for_each(|number| world.crash(*number));
+    for number in first {
+        world.crash(number);
+    }
     world.run(SECOND * 6);
-    (4..8).for_each(|number| world.crash(number));
+    for number in 4..8 {
+        world.crash(number);
+    }
     world.cut(0, SECOND * 7);
     world.run(SECOND * 3);
     let second = world.places(&task(1, 0, 0));
-    second.iter().for_each(|number| world.crash(*number));
+    for number in second {
+        world.crash(number);
+    }
     world.run(SECOND * 40);
     for number in 1..=6 {
         assert_eq!(
--- a/tests/pool_decisions/scheduler.rs
+++ b/tests/pool_decisions/scheduler.rs
@@ -16,7 +16,8 @@
 use figloft::model::resource::ResourceSet;
 
 use crate::setup::{
-    WALL, empty_scheduler, entry, job_id, record, report, scheduler, start_all, starts, step, worker_id,
+    WALL, empty_scheduler, entry, job_id, record, report, scheduler, start_all, starts, step, store_changes,
+    worker_id,
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -315,7 +316,10 @@
         ended: Vec::new(),
     };
     scheduler.handle_poll_report(now + MS * 2, &worker_id(0), now + MS, report);
-    let again = starts(scheduler.decide(now + MS * 3, WALL, true));
+    let mut again = starts(scheduler.decide(now + MS * 3, WALL, true));
+    // The process ended early in the run: the next start is stored before it is sent.
+    store_changes(&mut scheduler);
+    again.extend(starts(scheduler.decide(now + MS * 4, WALL, true)));
     assert_eq!(again.len(), 1, "only the run that the new life does not list");
     assert_eq!(again[0].run.task, started[1].run.task);
 }
--- a/tests/pool_decisions/setup.rs
+++ b/tests/pool_decisions/setup.rs
@@ -146,6 +146,14 @@
     starts.collect()
 }
 
+/// Confirms that all changes so far are stored.
+pub fn store_changes(scheduler: &mut PoolScheduler) {
+    while scheduler.has_changes() {
+        scheduler.take_flush(WALL, 28);
+        scheduler.confirm_flush();
+    }
+}
+
 /// Takes one decision and confirms all its starts.
 pub fn start_all(scheduler: &mut PoolScheduler, now: Instant) -> Vec<StartCommand> {
     let started = starts(scheduler.decide(now, WALL, true));
