Start no second copy of a task whose run was lost early

Cause: a run on a silent worker counts as slow. Change: no copy of a task that is a suspect, or that lost a run within 500 ms of its start. Copies of older runs on silent workers go on as before. no_second_copy_of_a_run_lost_early fails without the change (2 starts instead of 1).

--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -438,9 +438,11 @@
             };
             let spec = job.record.spec.steps[task.step.step as usize].clone();
             let organisation = job.record.organisation.clone();
+            // A copy of a task that crashes its workers would only crash the next one.
             let copies = job
                 .step(&task.step)
                 .and_then(|step| step.tasks.get(task.index as usize))
+                .filter(|task| !task.is_suspect() && !task.losses.has_early_loss())
                 .map_or(0, |task| task.copies.len());
             let may_copy = spec.is_speculative && copies == 1 && job.record.rule.advice.is_none();
             if !may_copy || !self.is_within_limit(organisation.as_ref(), &spec.demand) {
--- a/tests/pool_decisions/crashes.rs
+++ b/tests/pool_decisions/crashes.rs
@@ -84,3 +84,15 @@
         );
     }
 }
+
+/// Guards against a second copy that crashes the next worker while the first crash is not known for certain.
+#[test]
+fn no_second_copy_of_a_run_lost_early() {
+    let mut world = CrashWorld::new(8, 32);
+    let mut speculative = step(1, 2, 500);
+    speculative.is_speculative = true;
+    let job = deadly_job(&mut world, 1, vec![speculative]);
+    world.submit(job);
+    world.run(SECOND * 3);
+    assert_eq!(world.starts[&task(1, 0, 0)], 1, "the worker is not back yet");
+}
