Tell callers and operators why a job failed

A job that failed was shown as failed without a cause. The state of a failed job is stored with its reason, which callers read beside it, and each node explains a job from what the store holds at /v1/explain/job/ID of its metrics address, so that 'figloft explain job' works there too. Test: given_up_job_tells_callers_and_operators_why.

--- a/src/node/platform_node.rs
+++ b/src/node/platform_node.rs
@@ -25,6 +25,7 @@
 use crate::platform::http::HttpClient;
 use crate::platform::settings::{NodeSettings, SETTINGS_VARIABLE};
 use crate::platform::store::StoreApiClient;
+use crate::request::explain_api;
 use crate::request::http_server::{self, EntryHandler, RunningServer, ServerLimits};
 use crate::request::queue_api::QueueApi;
 use crate::request::response;
@@ -206,17 +207,23 @@
     })
 }
 
+/// Serves the metrics and the explanations of jobs.
 fn metrics_handler(context: NodeContext) -> EntryHandler {
     Arc::new(move |request| {
-        let response = if request.parts.uri.path() == METRICS_PATH {
+        let context = context.clone();
+        Box::pin(async move {
+            let path = request.parts.uri.path();
+            if let Some(job) = path.strip_prefix(explain_api::EXPLAIN_JOB_PATH) {
+                return explain_api::show_job(&context, job).await;
+            }
+            if path != METRICS_PATH {
+                return response::text_response(StatusCode::NOT_FOUND, "text/plain", "not found\n");
+            }
             match context.metrics.render() {
                 Ok(text) => response::text_response(StatusCode::OK, "text/plain; version=0.0.4", text),
                 Err(error) => response::error_response(&error),
             }
-        } else {
-            response::text_response(StatusCode::NOT_FOUND, "text/plain", "not found\n")
-        };
-        Box::pin(std::future::ready(response))
+        })
     })
 }
 
--- a/src/operator/fleet.rs
+++ b/src/operator/fleet.rs
@@ -439,7 +439,8 @@
     id: &Arc<str>,
 ) -> OperatorResult {
     let id = render::encode(id);
-    let client = client.at_coordinator().await?;
+    // Nodes on the production platform have no coordinator and explain jobs themselves.
+    let client = client.at_coordinator().await.unwrap_or_else(|_| client.clone());
     let answer: ExplainAnswer = client.get(&format!("/v1/explain/{what}/{id}")).await?;
     output.show(&answer, |answer| {
         let mut lines = vec![format!(
--- a/src/platform/caller_protocol.rs
+++ b/src/platform/caller_protocol.rs
@@ -7,7 +7,7 @@
 use http::header;
 use serde::{Deserialize, Serialize};
 
-use crate::dispatch::job_record::JobState;
+use crate::dispatch::job_record::{JobState, JobSummary};
 use crate::dispatch::job_spec::{JobSchedule, JobSpec, StepSpec};
 use crate::error::{Error, ErrorKind, Result};
 use crate::model::amount::{AcceleratorCount, MemoryMib, MilliCores};
@@ -91,8 +91,11 @@
 }
 
 #[derive(Debug, Serialize)]
-struct WireJobState {
+struct WireJobState<'a> {
     state: &'static str,
+    /// Why the job failed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<&'a str>,
 }
 
 #[derive(Debug, Serialize)]
@@ -172,16 +175,19 @@
     value.trim().parse().ok().map(Duration::from_millis)
 }
 
-/// Response body with the state of a job.
-pub fn encode_job_state(state: JobState) -> impl Serialize {
-    let state = match state {
+/// Response body with the state of a job, and the reason if it failed.
+pub fn encode_job_state(summary: &JobSummary) -> impl Serialize {
+    let state = match summary.state {
         JobState::Pending => "pending",
         JobState::Running => "running",
         JobState::Completed => "completed",
         JobState::Failed => "failed",
         JobState::Cancelled => "cancelled",
     };
-    WireJobState { state }
+    WireJobState {
+        state,
+        reason: summary.reason.as_deref(),
+    }
 }
 
 /// Response body with the number of waiting jobs.
--- a/src/request/queue_api.rs
+++ b/src/request/queue_api.rs
@@ -190,7 +190,7 @@
         debug!(self.context.log, "state shown"; "job" => %job, "state" => %summary.state);
         Ok(response::json_response(
             StatusCode::OK,
-            &caller_protocol::encode_job_state(summary.state),
+            &caller_protocol::encode_job_state(&summary),
         ))
     }
 
--- a/tests/pool_decisions/crash_world.rs
+++ b/tests/pool_decisions/crash_world.rs
@@ -47,7 +47,7 @@
     pub notes: Vec<String>,
     workers: Vec<CrashingWorker>,
     records: BTreeMap<JobId, JobRecord>,
-    progress: BTreeMap<JobId, JobProgress>,
+    pub progress: BTreeMap<JobId, JobProgress>,
     term: u64,
     begin: Instant,
 }
--- a/tests/pool_decisions/crashes.rs
+++ b/tests/pool_decisions/crashes.rs
@@ -5,6 +5,8 @@
 use figloft::dispatch::job_record::{JobRecord, JobState};
 use figloft::dispatch::job_spec::StepSpec;
 use figloft::dispatch::task_id::{StepId, TaskId};
+use figloft::platform::caller_protocol;
+use figloft::request::explain_api;
 
 use crate::crash_world::CrashWorld;
 use crate::setup::{job_id, record, step};
@@ -96,3 +98,38 @@
     world.run(SECOND * 3);
     assert_eq!(world.starts[&task(1, 0, 0)], 1, "the worker is not back yet");
 }
+
+/// Guards against a job that fails without telling why: the caller's answer and the explanation name the workers
+/// that crashed.
+#[test]
+fn given_up_job_tells_callers_and_operators_why() {
+    let mut world = CrashWorld::new(8, 32);
+    let job = deadly_job(&mut world, 1, vec![step(4, 2, 500)]);
+    world.submit(job);
+    world.run(SECOND * 6);
+    let running = world.summaries[&job_id(1)].clone();
+    let facts = explain_api::job_facts(&running, world.progress.get(&job_id(1))).join("\n");
+    assert!(facts.contains("task 0.0.0: run 1 was alone on worker"), "{facts}");
+    world.run(SECOND * 34);
+    let failed = &world.summaries[&job_id(1)];
+    let answer = serde_json::to_value(caller_protocol::encode_job_state(failed)).expect("answer");
+    assert_eq!(answer["state"], "failed");
+    let reason = answer["reason"].as_str().expect("reason");
+    assert!(reason.contains("3 workers crashed under it"), "{reason}");
+    let facts = explain_api::job_facts(failed, None).join("\n");
+    assert!(facts.contains(reason), "{facts}");
+    assert_eq!(
+        world
+            .notes
+            .iter()
+            .filter(|note| note.starts_with("task given up"))
+            .count(),
+        1
+    );
+    let answer = serde_json::to_value(caller_protocol::encode_job_state(&running)).expect("answer");
+    assert_eq!(
+        answer,
+        serde_json::json!({"state": "running"}),
+        "other states as before"
+    );
+}
