--- a/src/dispatch/pool_size.rs
+++ b/src/dispatch/pool_size.rs
@@ -337,7 +337,7 @@
 }
 
 /// Number of workers that the demand of a pool requires.
-fn target_workers(report: &PoolReport) -> u32 {
+pub fn target_workers(report: &PoolReport) -> u32 {
     let usable = report.usable_workers();
     let min_workers = report.spread.max(MIN_WORKERS);
     if usable == 0 {
--- a/src/dispatch/site_config.rs
+++ b/src/dispatch/site_config.rs
@@ -32,6 +32,8 @@
 pub struct PoolConfig {
     /// Whether this is the spare pool, whose instances are switched off.
     pub is_spare: bool,
+    /// Whether the workers refuse runs that exceed their capacity. Others start whatever they are told to.
+    pub enforces_capacity: bool,
 }
 
 /// Configuration of an organisation.
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -83,11 +83,15 @@
 }
 
 #[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 struct WireService {
     name: Arc<str>,
     /// Whether the machines of the pool are switched off.
     #[serde(default)]
     spare: bool,
+    /// Whether the runners refuse what exceeds their capacity.
+    #[serde(default)]
+    enforce_capacity: bool,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -131,6 +135,7 @@
     for service in wire.services {
         let pool = PoolConfig {
             is_spare: service.spare,
+            enforces_capacity: service.enforce_capacity,
         };
         config.pools.insert(PoolId::new(service.name)?, pool);
     }
--- a/tests/pool_decisions/fleet.rs
+++ b/tests/pool_decisions/fleet.rs
@@ -192,7 +192,10 @@
     for pool in pools {
         config.pools.insert(pool_id(pool), PoolConfig::default());
     }
-    let spare = PoolConfig { is_spare: true };
+    let spare = PoolConfig {
+        is_spare: true,
+        ..PoolConfig::default()
+    };
     config.pools.insert(pool_id("spare"), spare);
     config
 }
