Start nothing beside runs of unknown size on workers that do not guard their capacity

A run whose job the leader does not know (it ended under the former leader and is being stopped), or a second run of a task, reserved nothing, so that the next start could bring an unguarded worker over its capacity (LIMIT). Such a worker takes no start until it no longer lists the run, and is polled until then. Workers that refuse what does not fit take starts as before. run_of_unknown_size_keeps_its_worker_closed fails before (a 6-core start beside 6 of 8 cores).

--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -100,6 +100,8 @@
     free_index: FreeIndex,
     plan: PoolPlan,
     organisations: BTreeMap<OrganisationId, OrganisationConfig>,
+    /// Whether the workers of the pool start what exceeds their capacity instead of refusing it.
+    is_unguarded: bool,
     /// Demand of the runs of each organisation, which counts against its limit.
     usage: BTreeMap<OrganisationId, ResourceSet>,
     takeover: TakeoverState,
@@ -144,6 +146,7 @@
             free_index: FreeIndex::default(),
             plan: PoolPlan::default(),
             organisations: BTreeMap::new(),
+            is_unguarded: true,
             usage: BTreeMap::new(),
             takeover,
             rate_limiter: RateLimiter::default(),
@@ -211,6 +214,11 @@
     /// Applies the weights and limits of a new configuration.
     pub fn set_config(&mut self, config: &SiteConfig) {
         self.organisations.clone_from(&config.organisations);
+        let pool = config.pools.get(&self.pool).copied().unwrap_or_default();
+        self.is_unguarded = !pool.enforces_capacity;
+        for worker in self.workers.values_mut() {
+            worker.is_unguarded = self.is_unguarded;
+        }
     }
 
     /// Applies a plan of the fleet leader; a plan older than the current one is ignored.
@@ -344,7 +352,9 @@
         }
         let id = entry.id.clone();
         let Some(worker) = self.workers.get_mut(&id) else {
-            self.workers.insert(id.clone(), WorkerState::new(entry));
+            let mut worker = WorkerState::new(entry);
+            worker.is_unguarded = self.is_unguarded;
+            self.workers.insert(id.clone(), worker);
             return;
         };
         worker.is_listed = true;
--- a/src/dispatch/pool_scheduler/worker_commands.rs
+++ b/src/dispatch/pool_scheduler/worker_commands.rs
@@ -97,6 +97,7 @@
             // An unreachable worker without runs is polled as well; otherwise it would never become usable
             // again.
             let has_cause = !worker.runs.is_empty()
+                || worker.unreserved_runs > 0
                 || worker.outcomes.has_ready(durable_change)
                 || (worker.is_listed && (!worker.has_reported || worker.poll.failures > 0));
             let is_due = worker.poll.next_at.is_none_or(|at| at <= now);
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -70,6 +70,7 @@
             self.handle_running(now, worker_id, row);
         }
         self.resolve_missing(now, worker_id, sent_at, report.clock_ms, &report.running);
+        self.count_unreserved(worker_id, &report.running);
         self.settle_open_losses(worker_id);
         self.stop_stalled(now, worker_id);
         if let Some(worker) = self.workers.get_mut(worker_id) {
@@ -78,6 +79,22 @@
         }
     }
 
+    /// Counts the listed runs that reserve nothing.
+    fn count_unreserved(&mut self, worker_id: &WorkerId, running: &[ActiveRun]) {
+        let Some(worker) = self.workers.get(worker_id) else {
+            return;
+        };
+        let is_reserved = |row: &ActiveRun| {
+            let placed = worker.runs.get(&row.task);
+            let is_known = self.jobs.contains_key(&row.task.step.job);
+            is_known && placed.is_some_and(|placed| placed.run == row.run)
+        };
+        let unreserved = running.iter().filter(|row| !is_reserved(row)).count() as u32;
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            worker.unreserved_runs = unreserved;
+        }
+    }
+
     /// Compares the incarnation of a worker's process with the known one. A new incarnation has lost the runs
     /// of the previous one, but may still carry out commands that had no answer.
     pub(super) fn check_incarnation(
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -230,6 +230,11 @@
     pub runs: BTreeMap<TaskId, PlacedRun>,
     /// Resources reserved by `runs`.
     pub used: ResourceSet,
+    /// Number of runs that the worker listed last and that reserve nothing, because their job is not known or another
+    /// run of their task is expected.
+    pub unreserved_runs: u32,
+    /// Whether the worker starts what exceeds its capacity instead of refusing it.
+    pub is_unguarded: bool,
     /// Reported outcomes that await acknowledgement.
     pub outcomes: OutcomeLog,
     /// State of the polling.
@@ -262,6 +267,8 @@
             lease: WorkerLease::default(),
             runs: BTreeMap::new(),
             used: ResourceSet::default(),
+            unreserved_runs: 0,
+            is_unguarded: false,
             outcomes: OutcomeLog::default(),
             poll: PollState::default(),
             lost_at: None,
@@ -324,8 +331,11 @@
     }
 
     /// Whether the worker may get new runs: listed, reporting, not draining, not full and not in backoff. On
-    /// probation it gets one run at a time.
+    /// probation it gets one run at a time, and none beside runs of unknown size unless it refuses what does not fit.
     pub fn is_usable(&self, now: Instant) -> bool {
+        if self.is_unguarded && self.unreserved_runs > 0 {
+            return false;
+        }
         let is_open = self.is_listed && self.has_reported && !self.entry.is_draining;
         let is_full = self.full_until.is_some_and(|until| now < until);
         let is_probation_met = !self.health.is_on_probation() || self.runs.is_empty();
