Ignore entries of earlier processes of a worker

An entry that is read late replaced capacity, address and state of the present process under the same id. late_entry_of_an_earlier_process_changes_nothing fails before.

--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -357,6 +357,10 @@
             self.workers.insert(id.clone(), worker);
             return;
         };
+        if entry.incarnation < worker.entry.incarnation {
+            // An entry of an earlier process that is read late.
+            return;
+        }
         worker.is_listed = true;
         if entry.is_draining && !worker.entry.is_draining {
             let inputs = format!("{} runs on it", worker.runs.len());
