Report changed capacities at once, and ask for instances when none is left

A capacity that shrank reached the plan of the fleet with the next regular report (1 s), and a pool whose workers had no capacity left asked for the minimum only. fleet_learns_of_a_changed_capacity_at_once fails before.

--- a/src/dispatch/pool_plan.rs
+++ b/src/dispatch/pool_plan.rs
@@ -104,7 +104,7 @@
     }
 
     /// Whether the change from `old` has to be reported to the fleet leader at once: the plan in force or the
-    /// state of a worker changed, the ready work changed by more than 1/4 of a worker's CPU capacity, or the
+    /// state of a worker changed, the ready work or the capacity changed by more than 1/4 of a worker's, or the
     /// used or forecast CPU by more than one worker's. In a large pool the changes have to be larger.
     pub fn is_significant_change(&self, old: &Self) -> bool {
         let has_new_state = self.plan != old.plan
@@ -121,7 +121,11 @@
         let pool_part = self.capacity.cores.get() / SIGNIFICANT_POOL_PART;
         let worker = per_worker.max(pool_part);
         let worker_part = (per_worker / SIGNIFICANT_PART).max(pool_part);
-        has_new_state || ready > worker_part || used > worker || expected > worker
+        let capacity = self.capacity.cores.get().abs_diff(old.capacity.cores.get());
+        let memory = self.capacity.memory.get().abs_diff(old.capacity.memory.get());
+        let memory_part = old.capacity.memory.get() / u64::from(old.usable_workers().max(1));
+        let has_new_capacity = capacity > worker_part || memory > (memory_part / SIGNIFICANT_PART).max(1);
+        has_new_state || has_new_capacity || ready > worker_part || used > worker || expected > worker
     }
 }
 
--- a/src/dispatch/pool_size.rs
+++ b/src/dispatch/pool_size.rs
@@ -351,6 +351,9 @@
         let demand = amount(&present).max(amount(&expected));
         if per_worker > 0.0 {
             demand as f64 / per_worker
+        } else if demand > 0 {
+            // The present workers have no capacity left; another one may have.
+            f64::from(usable) + 1.0
         } else {
             0.0
         }
