Test crashing tasks of every kind, their neighbours, lost racks, cuts and late proofs

Gangs, long-running, scheduled and checkpointing tasks are given up in time; neighbours complete; a crash seen late or by a new leader counts once; cuts that heal and planned ends leave no record.

--- a/tests/pool_decisions/crash_world.rs
+++ b/tests/pool_decisions/crash_world.rs
@@ -17,8 +17,7 @@
 
 const TICK: Duration = Duration::from_millis(10);
 
-/// Time after which a crashed worker is back.
-const RESTART: Duration = Duration::from_millis(3_300);
+const RESTART_TIME: Duration = Duration::from_millis(3_300);
 
 struct CrashingWorker {
     entry: figloft::dispatch::worker_entry::WorkerEntry,
@@ -36,6 +35,8 @@
     pub deadly: BTreeSet<TaskId>,
     /// Run time of the tasks that are not deadly.
     pub run_time: Duration,
+    /// Time after which a crashed worker is back.
+    pub restart_time: Duration,
     /// Whether a crashed worker returns under its old id.
     pub keeps_id: bool,
     /// Whether the store accepts writes.
@@ -69,6 +70,7 @@
             scheduler: empty_scheduler(1, TakeoverState::default()),
             deadly: BTreeSet::new(),
             run_time: Duration::from_secs(1),
+            restart_time: RESTART_TIME,
             keeps_id: false,
             is_storing: true,
             starts: BTreeMap::new(),
@@ -103,6 +105,11 @@
             .collect()
     }
 
+    /// Present worker on an instance.
+    pub fn worker(&self, number: usize) -> WorkerId {
+        self.workers[number].entry.id.clone()
+    }
+
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
@@ -130,7 +137,7 @@
         }
         worker.ended.clear();
         worker.crash_at = None;
-        worker.back_at = Some(self.now + RESTART);
+        worker.back_at = Some(self.now + self.restart_time);
     }
 
     /// Cuts the worker off from the leader; its runs go on until their lease expires.
--- a/tests/pool_decisions/crashes.rs
+++ b/tests/pool_decisions/crashes.rs
@@ -3,13 +3,15 @@
 use std::time::Duration;
 
 use figloft::dispatch::job_record::{JobRecord, JobState};
-use figloft::dispatch::job_spec::StepSpec;
+use figloft::dispatch::job_spec::{JobSchedule, StepSpec};
+use figloft::dispatch::pool_plan::PoolPlan;
 use figloft::dispatch::task_id::{StepId, TaskId};
+use figloft::model::id::PlanVersion;
 use figloft::platform::caller_protocol;
 use figloft::request::explain_api;
 
 use crate::crash_world::CrashWorld;
-use crate::setup::{job_id, record, step};
+use crate::setup::{WALL, job_id, record, step};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -133,3 +135,163 @@
         "other states as before"
     );
 }
+
+/// Runs a job with a deadly first task to its end and checks that the task was given up in time.
+fn assert_given_up(world: &mut CrashWorld, time: Duration) {
+    world.run(time);
+    assert_eq!(world.state(&job_id(1)), Some(JobState::Failed));
+    let starts: Vec<u32> = world.deadly.iter().map(|task| world.starts[task]).collect();
+    assert!(starts.iter().all(|starts| *starts <= MAX_STARTS), "{starts:?}");
+}
+
+/// Guards against kinds of tasks that are never given up: gangs, long-running and scheduled ones.
+#[test]
+fn every_kind_of_task_is_given_up() {
+    let mut gang = step(4, 2, 500);
+    gang.is_gang = true;
+    let mut long_running = step(4, 2, 0);
+    long_running.is_long_running = true;
+    long_running.max_per_worker = Some(1);
+    let mut checkpointing = step(4, 2, 500);
+    checkpointing.has_checkpoints = true;
+    for kind in [gang, long_running, checkpointing] {
+        let mut world = CrashWorld::new(8, 32);
+        world.run_time = if kind.is_long_running {
+            SECOND * 1_000
+        } else {
+            SECOND
+        };
+        let job = deadly_job(&mut world, 1, vec![kind]);
+        world.submit(job);
+        assert_given_up(&mut world, SECOND * 60);
+    }
+    let mut world = CrashWorld::new(8, 32);
+    let mut job = deadly_job(&mut world, 1, vec![step(2, 2, 500)]);
+    job.spec.schedule = Some(JobSchedule {
+        first: WALL,
+        interval: SECOND * 1_000,
+        count: 3,
+    });
+    world.submit(job);
+    assert_given_up(&mut world, SECOND * 40);
+}
+
+/// Guards against neighbours that pay for a deadly task: on a full pool its next starts have a worker for
+/// themselves, and all other jobs complete.
+#[test]
+fn neighbours_of_a_deadly_task_complete() {
+    let mut world = CrashWorld::new(8, 16);
+    for number in 1..=24 {
+        let job = record(number, vec![step(6, 3, 1_000)]);
+        if number % 8 == 1 {
+            world.deadly.insert(task(number, 0, 0));
+        }
+        world.submit(job);
+    }
+    world.run(SECOND * 60);
+    for number in 1..=24 {
+        let expected = if number % 8 == 1 {
+            JobState::Failed
+        } else {
+            JobState::Completed
+        };
+        assert_eq!(world.state(&job_id(number)), Some(expected), "job {number}");
+    }
+    for (task, crashes) in &world.crashes {
+        let is_neighbour = !world.deadly.iter().any(|deadly| deadly.step.job == task.step.job);
+        assert!(!is_neighbour || *crashes <= 2, "{task} was in {crashes} crashes");
+    }
+}
+
+/// Guards against a crash that is counted twice: its worker is seen to be gone late, after its lease has expired,
+/// and again by a new leader.
+#[test]
+fn crash_seen_late_and_by_a_new_leader_counts_once() {
+    for keeps_id in [false, true] {
+        let mut world = CrashWorld::new(4, 8);
+        world.keeps_id = keeps_id;
+        world.restart_time = SECOND * 7;
+        world.run_time = SECOND * 8;
+        world.submit(record(1, vec![step(1, 2, 8_000)]));
+        world.run(SECOND);
+        let number = world.places(&task(1, 0, 0))[0];
+        world.crash(number);
+        world.run(SECOND * 6);
+        world.take_over();
+        world.run(SECOND * 3);
+        world.take_over();
+        world.run(SECOND);
+        let job = world.scheduler.job(&job_id(1)).expect("job");
+        let losses = &job.occurrences[&0].steps[0].tasks[0].losses;
+        assert_eq!(losses.crashes().count(), 1, "{losses:?}");
+        world.run(SECOND * 10);
+        assert_eq!(world.state(&job_id(1)), Some(JobState::Completed));
+    }
+}
+
+/// Guards against losses that are held against tasks although their worker lives: cuts that heal, and workers that
+/// leave as planned.
+#[test]
+fn cuts_and_planned_ends_leave_no_record() {
+    let mut world = CrashWorld::new(4, 8);
+    world.run_time = SECOND * 20;
+    world.submit(record(1, vec![step(1, 2, 20_000)]));
+    world.run(SECOND);
+    let number = world.places(&task(1, 0, 0))[0];
+    world.cut(number, SECOND * 7);
+    world.run(SECOND);
+    let losses = |world: &CrashWorld| {
+        let job = world.scheduler.job(&job_id(1)).expect("job");
+        job.occurrences[&0].steps[0].tasks[0].losses.clone()
+    };
+    assert_eq!(losses(&world).lost_runs(), 1, "missing at first");
+    world.run(SECOND * 8);
+    assert!(losses(&world).is_empty(), "{:?}", losses(&world));
+    let number = world.places(&task(1, 0, 0))[0];
+    let leaving = world.worker(number);
+    world.scheduler.set_plan(PoolPlan {
+        version: PlanVersion::new(1),
+        evacuating: [leaving].into(),
+        ..PoolPlan::default()
+    });
+    world.crash(number);
+    world.run(SECOND * 6);
+    assert!(losses(&world).is_empty(), "{:?}", losses(&world));
+}
+
+/// Guards against tasks that are held responsible for a lost rack, and against a whole pool that isolates them.
+#[test]
+fn lost_rack_makes_no_suspects() {
+    let mut world = CrashWorld::new(8, 16);
+    for number in 1..=16 {
+        world.submit(record(number, vec![step(4, 2, 1_000)]));
+    }
+    world.run(Duration::from_millis(100));
+    for number in 0..4 {
+        world.crash(number);
+    }
+    world.run(SECOND * 30);
+    for number in 1..=16 {
+        assert_eq!(
+            world.state(&job_id(number)),
+            Some(JobState::Completed),
+            "job {number}"
+        );
+    }
+    assert!(!world.notes.iter().any(|note| note.starts_with("job isolated")));
+}
+
+/// Guards against a start of a suspect that is sent before it is stored: the next leader would not know of the crash
+/// under it.
+#[test]
+fn start_of_a_suspect_is_stored_first() {
+    let mut world = CrashWorld::new(4, 8);
+    let job = deadly_job(&mut world, 1, vec![step(1, 2, 500)]);
+    world.submit(job);
+    world.run(SECOND);
+    world.is_storing = false;
+    world.run(SECOND * 20);
+    assert_eq!(world.starts[&task(1, 0, 0)], 1, "nothing can be stored");
+    world.is_storing = true;
+    assert_given_up(&mut world, SECOND * 30);
+}
