End jobs of the job runner whose attempts keep being lost with their workers

Attempts lost within a minute of their start are counted in the job log; after five the job ends with the reason. a_job_that_crashes_its_workers_ends fails before (no end after 20 crashes); early_losses_outlive_the_session covers replay and compaction.

--- a/benches/slopes/jobs.rs
+++ b/benches/slopes/jobs.rs
@@ -57,6 +57,7 @@
         start_by: None,
         attempts: 0,
         checkpoint: None,
+        early_losses: 0,
         avoided_workers: BTreeSet::new(),
     }
 }
--- a/src/policy/job_event.rs
+++ b/src/policy/job_event.rs
@@ -73,6 +73,9 @@
         /// Checkpoint from which the next attempt resumes.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         checkpoint: Option<Arc<str>>,
+        /// Attempts that were lost with their worker soon after their start.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        early_losses: u32,
     },
     /// The job ended.
     Finished { job: JobId, end: JobEnd },
@@ -83,6 +86,14 @@
     },
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+fn is_zero(count: &u32) -> bool {
+    *count == 0
+}
+
 impl JobEvent {
     /// Job of the event; absent for `Closed`, which concerns the whole log.
     pub fn job(&self) -> Option<&JobId> {
@@ -149,6 +160,8 @@
     pub attempts: u32,
     /// Checkpoint from which the next attempt resumes.
     pub checkpoint: Option<Arc<str>>,
+    /// Attempts that were lost with their worker soon after their start.
+    pub early_losses: u32,
 }
 
 impl LiveJob {
@@ -159,6 +172,7 @@
             started: None,
             attempts: 0,
             checkpoint: None,
+            early_losses: 0,
         }
     }
 
@@ -175,9 +189,13 @@
                 });
             }
             JobEvent::Requeued {
-                attempts, checkpoint, ..
+                attempts,
+                checkpoint,
+                early_losses,
+                ..
             } => {
                 self.attempts = self.attempts.max(*attempts);
+                self.early_losses = *early_losses;
                 self.started = None;
                 self.checkpoint.clone_from(checkpoint);
             }
@@ -194,6 +212,7 @@
                 job: job.clone(),
                 attempts: self.attempts,
                 checkpoint: self.checkpoint.clone(),
+                early_losses: self.early_losses,
             });
         }
         if let Some(start) = &self.started {
--- a/src/policy/job_queue.rs
+++ b/src/policy/job_queue.rs
@@ -44,6 +44,8 @@
     pub attempts: u32,
     /// Checkpoint from which the next attempt resumes.
     pub checkpoint: Option<Arc<str>>,
+    /// Attempts that were lost with their worker soon after their start.
+    pub early_losses: u32,
     /// Workers on which the job failed. It is not placed there again.
     pub avoided_workers: BTreeSet<InstanceId>,
 }
--- a/src/process/job_scheduler.rs
+++ b/src/process/job_scheduler.rs
@@ -458,6 +458,7 @@
         start_by,
         attempts: live.attempts,
         checkpoint: live.checkpoint,
+        early_losses: live.early_losses,
         avoided_workers: BTreeSet::new(),
     }
 }
--- a/src/process/job_tracking.rs
+++ b/src/process/job_tracking.rs
@@ -36,6 +36,12 @@
 /// Delay before another attempt of a job whose worker refused it or was lost.
 const REQUEUE_DELAY: Duration = Duration::from_millis(100);
 
+/// Run time below which an attempt that is lost with its worker counts against the job.
+const EARLY_LOSS_TIME: Duration = Duration::from_mins(1);
+
+/// Early losses after which a job ends.
+const MAX_EARLY_LOSSES: u32 = 5;
+
 impl JobScheduler {
     /// Polls workers that run tasks of this session. Leases are renewed only while the view is fresh, because
     /// the allowance of an unreachable session goes to other sessions once the leases of its tasks have
@@ -264,6 +270,7 @@
                 }
                 self.requeue(time, job, true);
             }
+            TaskOutcome::Interrupted if may_repeat => self.requeue_lost(time, job),
             _ if may_repeat => self.requeue(time, job, true),
             TaskOutcome::Stopped | TaskOutcome::Checkpointed { .. } => {
                 self.end_task(time, job, WorkOutcome::Ran, false, "cancelled while it ran");
@@ -415,7 +422,7 @@
             if task.job.repeatable && !task.is_cancelled {
                 let instance = task.instance.clone();
                 self.placement.record_failure(time.now, &instance);
-                self.requeue(time, &job, true);
+                self.requeue_lost(time, &job);
             } else {
                 let reason = "the worker did not answer before the lease expired";
                 self.end_task(time, &job, WorkOutcome::Unknown, false, reason);
@@ -423,6 +430,26 @@
         }
     }
 
+    /// Returns a job to the queue whose attempt was lost with its worker, or ends it if that happened too often soon
+    /// after the start: the job may be the reason why workers crash.
+    fn requeue_lost(&mut self, time: StepTime, job: &JobId) {
+        let Some(task) = self.tasks.get_mut(job) else {
+            return;
+        };
+        // The worker was lost some time before its lease expired.
+        let run_time = task.last_confirmed.saturating_duration_since(task.started_at);
+        if run_time < EARLY_LOSS_TIME {
+            task.job.early_losses += 1;
+        }
+        let losses = task.job.early_losses;
+        if losses >= MAX_EARLY_LOSSES {
+            let reason = format!("{losses} attempts were lost with their workers soon after their start");
+            self.end_task(time, job, WorkOutcome::Ran, false, &reason);
+        } else {
+            self.requeue(time, job, true);
+        }
+    }
+
     /// Returns a job to the queue. `was_started` tells whether the attempt may have started.
     pub(crate) fn requeue(&mut self, time: StepTime, job: &JobId, was_started: bool) {
         self.requeue_after(time, job, was_started, REQUEUE_DELAY);
@@ -445,6 +472,7 @@
             job: job.clone(),
             attempts: task.job.attempts,
             checkpoint: task.job.checkpoint.clone(),
+            early_losses: task.job.early_losses,
         };
         // A closed log belongs to the adopting session, which has the job too.
         if self.log.push(event).is_ok() {
--- a/tests/job_log.rs
+++ b/tests/job_log.rs
@@ -286,3 +286,25 @@
     assert_eq!(jobs.len(), 1);
     assert_eq!(jobs[&job(0)].started.as_ref().expect("started").attempt, 3);
 }
+
+/// Guards against early losses that are forgotten when another session continues from the log, or when the log is
+/// compacted.
+#[test]
+fn early_losses_outlive_the_session() {
+    let JobEvent::Submitted(submission) = submitted(1) else {
+        unreachable!("the event of a submission");
+    };
+    let mut job = figloft::policy::job_event::LiveJob::new(submission.clone());
+    job.apply(&JobEvent::Requeued {
+        job: job.submission.job.clone(),
+        attempts: 3,
+        checkpoint: None,
+        early_losses: 3,
+    });
+    let mut replayed = figloft::policy::job_event::LiveJob::new(submission);
+    for event in job.events() {
+        let json = serde_json::to_string(&event).expect("encodes");
+        replayed.apply(&serde_json::from_str(&json).expect("decodes"));
+    }
+    assert_eq!(replayed, job);
+}
--- a/tests/job_queue.rs
+++ b/tests/job_queue.rs
@@ -44,6 +44,7 @@
         start_by: None,
         attempts: 0,
         checkpoint: None,
+        early_losses: 0,
         avoided_workers: BTreeSet::new(),
     }
 }
--- a/tests/job_runner/runner.rs
+++ b/tests/job_runner/runner.rs
@@ -365,3 +365,42 @@
     assert_eq!(found.in_flight.values().sum::<u32>(), 2);
     assert_eq!(found.waiting.values().sum::<u64>(), 3);
 }
+
+/// Guards against a job that crashes one worker after the other: attempts that ended with their worker did not
+/// count, so that it was started without end. The count is part of the log, from which another session continues.
+#[tokio::test]
+async fn a_job_that_crashes_its_workers_ends() {
+    let simulation = Simulation::new(4);
+    simulation.team("t", 4, "s1");
+    let session = simulation.session("s1");
+    let mut submission = simulation.job(&session, "t", 20_000);
+    submission.repeatable = true;
+    let job = simulation
+        .submit(&session, submission)
+        .await
+        .expect("is accepted");
+    for _ in 0..20 {
+        for index in 0..simulation.workers {
+            let on = instance(index);
+            simulation.fleet.recover(&on);
+            let records = simulation.records(&job);
+            if records
+                .iter()
+                .any(|record| record.instance == on && record.end.is_none())
+            {
+                simulation.fleet.crash(&on);
+            }
+        }
+        simulation.run_for(&session, LEASE * 2).await;
+    }
+    let end = session.view(&job).end.expect("has ended");
+    assert!(
+        !end.succeeded && end.reason.contains("lost with their workers"),
+        "{end:?}"
+    );
+    assert!(
+        simulation.records(&job).len() <= 5,
+        "{} attempts",
+        simulation.records(&job).len()
+    );
+}
