Keep the worker of a planned start, and bound the searches for workers to isolate

Found by reading: a suspect that starts beside other jobs could choose another worker in each pass, so that its start was stored again and again and never sent; each waiting suspect searched all workers in each pass; all runs of a restarted worker are recorded before the first is dropped, so that each sees its neighbours. Whether a run has a known size is kept with the run.

--- a/benches/policy/dispatch.rs
+++ b/benches/policy/dispatch.rs
@@ -65,6 +65,7 @@
             start_by: None,
             attempts: 0,
             checkpoint: None,
+            early_losses: 0,
             avoided_workers: std::collections::BTreeSet::new(),
         };
         *self.counts.entry((queue, job.priority, job.team)).or_default() += 1;
--- a/src/dispatch/instance_workers.rs
+++ b/src/dispatch/instance_workers.rs
@@ -21,8 +21,8 @@
 }
 
 impl InstanceWorkers {
-    /// Records a worker's entry. Returns the former worker if another one runs on the instance now. Entries of
-    /// earlier processes, which may be read late, are ignored.
+    /// Records a worker's entry. Returns the former worker if another one runs on the instance now. Entries
+    /// of earlier processes, which may be read late, are ignored.
     pub fn observe(&mut self, entry: &WorkerEntry) -> Option<WorkerId> {
         let instance = entry.instance.clone()?;
         let process = WorkerProcess {
--- a/src/dispatch/pool_plan.rs
+++ b/src/dispatch/pool_plan.rs
@@ -104,8 +104,8 @@
     }
 
     /// Whether the change from `old` has to be reported to the fleet leader at once: the plan in force or the
-    /// state of a worker changed, the ready work or the capacity changed by more than 1/4 of a worker's, or the
-    /// used or forecast CPU by more than one worker's. In a large pool the changes have to be larger.
+    /// state of a worker changed, the ready work or the capacity changed by more than 1/4 of a worker's, or
+    /// the used or forecast CPU by more than one worker's. In a large pool the changes have to be larger.
     pub fn is_significant_change(&self, old: &Self) -> bool {
         let has_new_state = self.plan != old.plan
             || self.workers.len() != old.workers.len()
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -2,9 +2,10 @@
 //!
 //! `command_outcomes` handles the outcomes of commands and `worker_reports` the reports of workers.
 //! `task_starts` chooses the tasks to start, `evacuation` moves tasks off workers, and `worker_commands`
-//! issues stops, speeds and polls. `worker_losses` records runs that end with their worker and gives up tasks that
-//! crash workers; `isolation` starts suspects alone. `demand_report` reports demand and capacity to the fleet leader, and
-//! `progress_flush` collects the changes that have to be stored.
+//! issues stops, speeds and polls. `worker_losses` records runs that end with their worker and gives up
+//! tasks that crash workers; `isolation` starts suspects without other jobs beside them. `demand_report`
+//! reports demand and capacity to the fleet leader, and `progress_flush` collects the changes that have to be
+//! stored.
 
 mod command_outcomes;
 mod demand_report;
@@ -94,6 +95,8 @@
     isolated: BTreeMap<JobId, IsolatedJob>,
     /// Starts of suspects that are being stored before they are sent.
     planned_starts: BTreeMap<TaskId, PlannedStart>,
+    /// Searches for a worker to isolate in the present pass.
+    isolation_searches: u32,
     /// Largest number of losses on record of one task in this term.
     most_losses: u32,
     /// Workers that may take tasks in the present pass.
@@ -142,6 +145,7 @@
             open_losses: OpenLosses::default(),
             isolated: BTreeMap::new(),
             planned_starts: BTreeMap::new(),
+            isolation_searches: 0,
             most_losses: 0,
             free_index: FreeIndex::default(),
             plan: PoolPlan::default(),
--- a/src/dispatch/pool_scheduler/isolation.rs
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -1,9 +1,9 @@
 //! Isolates suspects: tasks under which a worker crashed start again without runs of other jobs beside them.
 //!
-//! A crash of a shared worker points at all its young runs. While a suspect has a worker for its job alone, a further
-//! crash can only be its own fault or chance, and costs no other job its runs. The start is stored before it is sent,
-//! so that a crash under it is known to the next leader. Other tasks of a finite step wait until the suspects are
-//! cleared: they would be wasted if the job fails.
+//! A crash of a shared worker points at all its young runs. While a suspect has a worker for its job alone, a
+//! further crash can only be its own fault or chance, and costs no other job its runs. The start is stored
+//! before it is sent, so that a crash under it is known to the next leader. Other tasks of a finite step wait
+//! until the suspects are cleared: they would be wasted if the job fails.
 
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
@@ -18,8 +18,8 @@
 use crate::dispatch::worker_state::{PlacedRun, RunPhase, WorkerState};
 use crate::model::id::{JobId, RunNumber, WorkerId};
 
-/// Part of the usable workers (1/2) that may be isolated at the same time, so that a wave of crashes leaves room for
-/// other work.
+/// Part of the usable workers (1/2) that may be isolated at the same time, so that a wave of crashes leaves
+/// room for other work.
 const MAX_ISOLATED_PART: usize = 2;
 
 /// Part of the usable workers (1/4) that may be isolated when other jobs have to leave the next one first.
@@ -31,9 +31,13 @@
 /// Time after which a worker that still runs other jobs is exchanged for another one.
 const MAX_RESERVATION: Duration = Duration::from_secs(5);
 
+/// Upper bound of the searches for a worker in one pass, each of which looks at all workers and their runs.
+const MAX_SEARCHES: u32 = 4;
+
 /// Start that is stored before it is sent.
 #[derive(Debug, Clone)]
 pub(super) struct PlannedStart {
+    worker: WorkerId,
     run: RunNumber,
     /// Change with which the start is stored.
     change: u64,
@@ -47,8 +51,8 @@
 }
 
 impl PoolScheduler {
-    /// Starts the waiting suspects of a step on the isolated worker of their job. Returns whether other tasks of the
-    /// step may start.
+    /// Starts the waiting suspects of a step on the isolated worker of their job. Returns whether other tasks
+    /// of the step may start.
     pub(super) fn start_suspects(
         &mut self,
         now: Instant,
@@ -92,8 +96,8 @@
         spec.is_long_running
     }
 
-    /// Worker on which a suspect may start: the isolated one of its job. After some time without one, a suspect with a
-    /// single loss starts beside other jobs.
+    /// Worker on which a suspect may start: the isolated one of its job. After some time without one, a
+    /// suspect with a single loss starts beside other jobs.
     pub(super) fn choose_worker_for_suspect(
         &mut self,
         now: Instant,
@@ -104,6 +108,15 @@
         if let Some(worker) = self.isolated_worker(now, task, spec, has_advice) {
             return Some(worker);
         }
+        let planned = self
+            .planned_starts
+            .get(task)
+            .map(|planned| planned.worker.clone());
+        if let Some(worker) = planned
+            && self.can_take_suspect(now, &worker, task, spec, has_advice)
+        {
+            return Some(worker);
+        }
         let state = self.task_mut(task)?;
         let since = *state.suspect_since.get_or_insert(now);
         let has_waited = now.saturating_duration_since(since) >= MAX_ISOLATION_WAIT;
@@ -113,8 +126,8 @@
         self.choose_worker(now, task, spec, has_advice)
     }
 
-    /// Worker that the job has for itself and that can take the task now. Chooses one if the job has none, and
-    /// reserves one that other jobs will leave if none is free of them.
+    /// Worker that the job has for itself and that can take the task now. Chooses one if the job has none,
+    /// and reserves one that other jobs will leave if none is free of them.
     fn isolated_worker(
         &mut self,
         now: Instant,
@@ -134,6 +147,10 @@
             let can_take = is_free && self.can_take_suspect(now, &worker, task, spec, has_advice);
             return can_take.then_some(worker);
         }
+        if self.isolation_searches >= MAX_SEARCHES {
+            return None;
+        }
+        self.isolation_searches += 1;
         let usable = self
             .workers
             .values()
@@ -159,8 +176,8 @@
         is_free.then_some(worker)
     }
 
-    /// Finds a worker for a suspect, and whether other jobs have left it already. Instances that crashed under the
-    /// task are the last choice: an unstable instance would be mistaken for a faulty task.
+    /// Finds a worker for a suspect, and whether other jobs have left it already. Instances that crashed
+    /// under the task are the last choice: an unstable instance would be mistaken for a faulty task.
     fn find_isolated_worker(
         &self,
         now: Instant,
@@ -232,8 +249,8 @@
         worker.is_some_and(|worker| placement::is_candidate(now, worker, &request))
     }
 
-    /// Run number of a start that is stored and may be sent. Stores the start first if that has not been done for this
-    /// process of the worker.
+    /// Run number of a start that is stored and may be sent. Stores the start first if that has not been done
+    /// for this process of the worker.
     fn stored_start(&mut self, task: &TaskId, worker_id: &WorkerId) -> Option<RunNumber> {
         let durable = self.last_durable_change();
         let incarnation = self.workers.get(worker_id)?.incarnation;
@@ -250,8 +267,12 @@
         }
         let run = self.next_run_number(task);
         let change = self.record_start(task, worker_id, run);
-        self.planned_starts
-            .insert(task.clone(), PlannedStart { run, change });
+        let planned = PlannedStart {
+            worker: worker_id.clone(),
+            run,
+            change,
+        };
+        self.planned_starts.insert(task.clone(), planned);
         None
     }
 
@@ -286,7 +307,8 @@
         }
     }
 
-    /// Clears suspects whose runs have been active long enough, and releases workers whose job needs them no longer.
+    /// Clears suspects whose runs have been active long enough, and releases workers whose job needs them no
+    /// longer.
     pub(super) fn review_isolated_jobs(&mut self, now: Instant) {
         let jobs: Vec<JobId> = self.isolated.keys().cloned().collect();
         for id in jobs {
--- a/src/dispatch/pool_scheduler/worker_losses.rs
+++ b/src/dispatch/pool_scheduler/worker_losses.rs
@@ -1,9 +1,9 @@
-//! Records runs that are lost with their worker, finds out whether the worker's process has ended, and gives up
-//! tasks that crash their workers.
+//! Records runs that are lost with their worker, finds out whether the worker's process has ended, and gives
+//! up tasks that crash their workers.
 //!
 //! A worker that does not answer may have crashed or may only be out of reach. Its young runs are recorded as
-//! missing at once, so that the next leader knows of them too. They count as crashed when a later process is seen on
-//! the worker's instance, and are forgotten when the same process answers again.
+//! missing at once, so that the next leader knows of them too. They count as crashed when a later process is
+//! seen on the worker's instance, and are forgotten when the same process answers again.
 
 use std::time::{Duration, Instant};
 
@@ -17,7 +17,8 @@
 use crate::dispatch::worker_state::PlacedRun;
 use crate::model::id::{JobId, WorkerId};
 
-/// Time within which losses of several workers count as one event; the longest pause between two polls is 240 ms.
+/// Time within which losses of several workers count as one event; the longest pause between two polls is 240
+/// ms.
 const MASS_LOSS_WINDOW: Duration = Duration::from_millis(250);
 
 /// Workers of one rack, or least number of workers of a pool, whose loss within the window is a mass loss.
@@ -27,7 +28,8 @@
 const MASS_LOSS_PART: usize = 5;
 
 impl PoolScheduler {
-    /// Handles a worker's entry, of any pool. A new process on an instance proves that the former one has ended.
+    /// Handles a worker's entry, of any pool. A new process on an instance proves that the former one has
+    /// ended.
     pub fn observe_entry(&mut self, now: Instant, entry: &WorkerEntry) {
         let former = self.instance_workers.observe(entry);
         if let Some(former) = former {
@@ -80,8 +82,9 @@
         }
     }
 
-    /// Records a run as missing, unless its worker is leaving as planned or the run is too old to be a suspect.
-    fn record_loss(&mut self, now: Instant, worker_id: &WorkerId, run: &RunId) {
+    /// Records a run as missing, unless its worker is leaving as planned or the run is too old to be a
+    /// suspect.
+    pub(super) fn record_loss(&mut self, now: Instant, worker_id: &WorkerId, run: &RunId) {
         let Some(worker) = self.workers.get(worker_id) else {
             return;
         };
@@ -135,8 +138,8 @@
         }
     }
 
-    /// Settles a recorded loss: under an earlier process of the worker it counts as a crash; if the same process has
-    /// answered since, it is forgotten unless the run is still active.
+    /// Settles a recorded loss: under an earlier process of the worker it counts as a crash; if the same
+    /// process has answered since, it is forgotten unless the run is still active.
     pub(super) fn settle_loss(&mut self, worker_id: &WorkerId, run: &RunId) {
         let worker = self.workers.get(worker_id);
         let placed = worker.and_then(|worker| worker.runs.get(&run.task));
@@ -215,8 +218,8 @@
         self.end_job(&job, JobState::Failed, &reason);
     }
 
-    /// Whether many workers were lost together with this one. Workers that hold an isolated job do not count: they
-    /// are expected to crash.
+    /// Whether many workers were lost together with this one. Workers that hold an isolated job do not count:
+    /// they are expected to crash.
     fn is_mass_loss(&self, worker_id: &WorkerId) -> bool {
         let Some(worker) = self.workers.get(worker_id) else {
             return false;
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -86,8 +86,7 @@
         };
         let is_reserved = |row: &ActiveRun| {
             let placed = worker.runs.get(&row.task);
-            let is_known = self.jobs.contains_key(&row.task.step.job);
-            is_known && placed.is_some_and(|placed| placed.run == row.run)
+            placed.is_some_and(|placed| placed.run == row.run && !placed.is_unsized)
         };
         let unreserved = running.iter().filter(|row| !is_reserved(row)).count() as u32;
         if let Some(worker) = self.workers.get_mut(worker_id) {
@@ -195,8 +194,8 @@
             return 0;
         };
         if task.is_done || is_over {
-            // The outcome changes nothing, provided that the end of the task or job is stored. Acknowledged before
-            // that, it would be unknown to the next leader, which would run the task again.
+            // The outcome changes nothing, provided that the end of the task or job is stored. Acknowledged
+            // before that, it would be unknown to the next leader, which would run the task again.
             return last_change;
         }
         if !row.checkpoint.is_empty() {
@@ -312,6 +311,7 @@
         let job = self.jobs.get(&row.task.step.job);
         let spec = job.and_then(|job| job.record.spec.steps.get(row.task.step.step as usize));
         // A run of an unknown job reserves no resources and is stopped.
+        let is_unsized = spec.is_none();
         let spec = spec.cloned().unwrap_or_default();
         let organisation = job.and_then(|job| job.record.organisation.clone());
         let phase = RunPhase::Running;
@@ -322,6 +322,7 @@
             checkpoint: Arc::clone(&row.checkpoint),
             // The speed set by the previous leader is unknown; 0 makes the next pass set it again.
             speed_percent: 0,
+            is_unsized,
             must_stop: !is_wanted,
             ..PlacedRun::new(now, row.run, phase, &spec, organisation.clone())
         };
@@ -459,6 +460,9 @@
             self.drop_run(now, worker_id, &run, true);
             self.settle_loss(worker_id, &run);
         }
+        for run in &lost {
+            self.record_loss(now, worker_id, run);
+        }
         for run in lost {
             self.lose_run(now, worker_id, &run, "process restarted");
         }
--- a/src/dispatch/run_loss.rs
+++ b/src/dispatch/run_loss.rs
@@ -1,8 +1,8 @@
 //! Runs that were lost with their worker, as evidence that their task crashes workers.
 //!
-//! A worker that crashes cannot tell which of its runs was the cause. A single crash therefore proves nothing about
-//! any of them: it may have been another run, or none. A task is given up only after several workers crashed under
-//! it, at least twice while no run of another job could be the cause.
+//! A worker that crashes cannot tell which of its runs was the cause. A single crash therefore proves nothing
+//! about any of them: it may have been another run, or none. A task is given up only after several workers
+//! crashed under it, at least twice while no run of another job could be the cause.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -13,12 +13,12 @@
 use crate::model::id::{InstanceId, RunNumber, WorkerId};
 use crate::model::unix_time::UnixMillis;
 
-/// Age from which a run is no suspect when its worker is lost: a task that crashes the workers on which it starts
-/// would have done so before.
+/// Age from which a run is no suspect when its worker is lost: a task that crashes the workers on which it
+/// starts would have done so before.
 pub const MAX_SUSPECT_AGE: Duration = Duration::from_secs(10);
 
-/// Age below which one crash makes a task a suspect. The loss is noticed up to 240 ms after the crash, which is the
-/// longest pause between two polls.
+/// Age below which one crash makes a task a suspect. The loss is noticed up to 240 ms after the crash, which
+/// is the longest pause between two polls.
 const EARLY_CRASH_AGE: Duration = Duration::from_millis(500);
 
 /// Age below which two crashes make a task a suspect.
@@ -30,8 +30,8 @@
 /// Crashes under a task that are needed to give it up.
 const MIN_CRASHES: usize = 3;
 
-/// Instances that have to crash while the task was isolated there, so that neither a run of another job nor one
-/// unstable instance can be the cause.
+/// Instances that have to crash while the task was isolated there, so that neither a run of another job nor
+/// one unstable instance can be the cause.
 const MIN_ISOLATED_INSTANCES: usize = 2;
 
 /// Crashes after which a task is given up even if it was never isolated.
@@ -47,8 +47,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum LossState {
-    /// The run is being started, or active. Recorded before the start of a suspect, so that a crash under it is not
-    /// forgotten if the leader is lost too.
+    /// The run is being started, or active. Recorded before the start of a suspect, so that a crash under it
+    /// is not forgotten if the leader is lost too.
     Started,
     /// The worker does not answer. Its process may have ended, or only the path to it.
     Missing,
@@ -86,7 +86,8 @@
     }
 }
 
-/// Losses of the runs of one task, by run number: a loss that is seen again, or by another leader, is the same loss.
+/// Losses of the runs of one task, by run number: a loss that is seen again, or by another leader, is the
+/// same loss.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct LossHistory {
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -86,6 +86,8 @@
     pub is_unconfirmed: bool,
     /// Time at which the start command timed out.
     pub unknown_since: Option<Instant>,
+    /// Whether the demand of the run is unknown, because its job is.
+    pub is_unsized: bool,
     /// Whether the run has to be stopped.
     pub must_stop: bool,
     /// Time of the last stop command.
@@ -137,6 +139,7 @@
             speed_percent: 100,
             is_unconfirmed: false,
             unknown_since: None,
+            is_unsized: false,
             must_stop: false,
             stop_sent_at: None,
             stop_acknowledged_at: None,
@@ -217,6 +220,10 @@
 
 /// A worker of the pool, with its runs and its health.
 #[derive(Debug, Clone)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other"
+)]
 pub struct WorkerState {
     /// Latest discovery entry.
     pub entry: WorkerEntry,
@@ -230,8 +237,8 @@
     pub runs: BTreeMap<TaskId, PlacedRun>,
     /// Resources reserved by `runs`.
     pub used: ResourceSet,
-    /// Number of runs that the worker listed last and that reserve nothing, because their job is not known or another
-    /// run of their task is expected.
+    /// Number of runs that the worker listed last and that reserve nothing, because their job is not known or
+    /// another run of their task is expected.
     pub unreserved_runs: u32,
     /// Whether the worker starts what exceeds its capacity instead of refusing it.
     pub is_unguarded: bool,
@@ -331,7 +338,8 @@
     }
 
     /// Whether the worker may get new runs: listed, reporting, not draining, not full and not in backoff. On
-    /// probation it gets one run at a time, and none beside runs of unknown size unless it refuses what does not fit.
+    /// probation it gets one run at a time, and none beside runs of unknown size unless it refuses what does
+    /// not fit.
     pub fn is_usable(&self, now: Instant) -> bool {
         if self.is_unguarded && self.unreserved_runs > 0 {
             return false;
--- a/src/process/job_tracking.rs
+++ b/src/process/job_tracking.rs
@@ -430,8 +430,8 @@
         }
     }
 
-    /// Returns a job to the queue whose attempt was lost with its worker, or ends it if that happened too often soon
-    /// after the start: the job may be the reason why workers crash.
+    /// Returns a job to the queue whose attempt was lost with its worker, or ends it if that happened too
+    /// often soon after the start: the job may be the reason why workers crash.
     fn requeue_lost(&mut self, time: StepTime, job: &JobId) {
         let Some(task) = self.tasks.get_mut(job) else {
             return;
--- a/tests/job_log.rs
+++ b/tests/job_log.rs
@@ -287,8 +287,8 @@
     assert_eq!(jobs[&job(0)].started.as_ref().expect("started").attempt, 3);
 }
 
-/// Guards against early losses that are forgotten when another session continues from the log, or when the log is
-/// compacted.
+/// Guards against early losses that are forgotten when another session continues from the log, or when the
+/// log is compacted.
 #[test]
 fn early_losses_outlive_the_session() {
     let JobEvent::Submitted(submission) = submitted(1) else {
--- a/tests/job_runner/runner.rs
+++ b/tests/job_runner/runner.rs
@@ -366,8 +366,9 @@
     assert_eq!(found.waiting.values().sum::<u64>(), 3);
 }
 
-/// Guards against a job that crashes one worker after the other: attempts that ended with their worker did not
-/// count, so that it was started without end. The count is part of the log, from which another session continues.
+/// Guards against a job that crashes one worker after the other: attempts that ended with their worker did
+/// not count, so that it was started without end. The count is part of the log, from which another session
+/// continues.
 #[tokio::test]
 async fn a_job_that_crashes_its_workers_ends() {
     let simulation = Simulation::new(4);
--- a/tests/pool_decisions/capacity.rs
+++ b/tests/pool_decisions/capacity.rs
@@ -19,8 +19,8 @@
     scheduler.set_worker(now, entry(0, cores));
 }
 
-/// Guards against starts that bring a worker over a capacity that has shrunk: runs, starts in transit and runs that
-/// are being stopped all count.
+/// Guards against starts that bring a worker over a capacity that has shrunk: runs, starts in transit and
+/// runs that are being stopped all count.
 #[test]
 fn shrunken_worker_gets_no_start_beyond_its_capacity() {
     let now = Instant::now();
@@ -52,8 +52,8 @@
     );
 }
 
-/// Guards against starts beside a run whose size the leader does not know: a job that ended under the former leader
-/// is still being stopped.
+/// Guards against starts beside a run whose size the leader does not know: a job that ended under the former
+/// leader is still being stopped.
 #[test]
 fn run_of_unknown_size_keeps_its_worker_closed() {
     let now = Instant::now();
@@ -76,7 +76,8 @@
     assert_eq!(starts(scheduler.decide(now + MS * 3, WALL, true)).len(), 1);
 }
 
-/// Guards against the capacity of an earlier process: its entry is read late, after the one of the present process.
+/// Guards against the capacity of an earlier process: its entry is read late, after the one of the present
+/// process.
 #[test]
 fn late_entry_of_an_earlier_process_changes_nothing() {
     let now = Instant::now();
@@ -89,8 +90,8 @@
     assert_eq!(capacity, entry(0, 2).capacity);
 }
 
-/// Guards against a plan that learns of a changed capacity only with the next regular report, and against a pool
-/// that gets no instances because its own have no capacity left.
+/// Guards against a plan that learns of a changed capacity only with the next regular report, and against a
+/// pool that gets no instances because its own have no capacity left.
 #[test]
 fn fleet_learns_of_a_changed_capacity_at_once() {
     let now = Instant::now();
@@ -106,8 +107,8 @@
     assert!(needed > 4, "{needed} workers");
 }
 
-/// Guards the decoding of what workers and operators publish: capacities, instances, and whether workers refuse what
-/// does not fit.
+/// Guards the decoding of what workers and operators publish: capacities, instances, and whether workers
+/// refuse what does not fit.
 #[test]
 fn capacity_is_decoded() {
     let value = br#"{"service":"pool-a","address":"10.0.0.1:80","zone":"z","state":"ready","machine":"m-1",
@@ -117,7 +118,7 @@
     assert_eq!(decoded.instance.expect("instance").as_str(), "m-1");
     let malformed =
         br#"{"service":"pool-a","address":"10.0.0.1:80","zone":"z","state":"ready","capacity":-1}"#;
-    assert!(discovery::decode_worker_entry("servers/i-1", malformed).is_err());
+    discovery::decode_worker_entry("servers/i-1", malformed).expect_err("malformed capacity");
     let services = br#"{"version":1,"services":[{"name":"a","enforce-capacity":true},{"name":"b"}]}"#;
     let pools = config::decode_config(services).expect("configuration").pools;
     let enforcing: Vec<bool> = pools.values().map(|pool| pool.enforces_capacity).collect();
--- a/tests/pool_decisions/crashes.rs
+++ b/tests/pool_decisions/crashes.rs
@@ -28,8 +28,8 @@
     record(number, steps)
 }
 
-/// Guards against a task that crashes server after server: runs that were lost with their worker left no trace on
-/// their task, which was started without end.
+/// Guards against a task that crashes server after server: runs that were lost with their worker left no
+/// trace on their task, which was started without end.
 #[test]
 fn task_that_crashes_its_workers_is_given_up() {
     let mut world = CrashWorld::new(8, 32);
@@ -40,7 +40,8 @@
     assert!(world.starts[&task(1, 0, 0)] <= MAX_STARTS, "{:?}", world.starts);
 }
 
-/// Guards against crashes that are counted in memory only: each new leader started the task from the beginning.
+/// Guards against crashes that are counted in memory only: each new leader started the task from the
+/// beginning.
 #[test]
 fn crashes_of_a_task_outlive_the_leader() {
     let mut world = CrashWorld::new(8, 32);
@@ -101,8 +102,8 @@
     assert_eq!(world.starts[&task(1, 0, 0)], 1, "the worker is not back yet");
 }
 
-/// Guards against a job that fails without telling why: the caller's answer and the explanation name the workers
-/// that crashed.
+/// Guards against a job that fails without telling why: the caller's answer and the explanation name the
+/// workers that crashed.
 #[test]
 fn given_up_job_tells_callers_and_operators_why() {
     let mut world = CrashWorld::new(8, 32);
@@ -203,8 +204,8 @@
     }
 }
 
-/// Guards against a crash that is counted twice: its worker is seen to be gone late, after its lease has expired,
-/// and again by a new leader.
+/// Guards against a crash that is counted twice: its worker is seen to be gone late, after its lease has
+/// expired, and again by a new leader.
 #[test]
 fn crash_seen_late_and_by_a_new_leader_counts_once() {
     for keeps_id in [false, true] {
@@ -229,8 +230,8 @@
     }
 }
 
-/// Guards against losses that are held against tasks although their worker lives: cuts that heal, and workers that
-/// leave as planned.
+/// Guards against losses that are held against tasks although their worker lives: cuts that heal, and workers
+/// that leave as planned.
 #[test]
 fn cuts_and_planned_ends_leave_no_record() {
     let mut world = CrashWorld::new(4, 8);
@@ -259,7 +260,8 @@
     assert!(losses(&world).is_empty(), "{:?}", losses(&world));
 }
 
-/// Guards against tasks that are held responsible for a lost rack, and against a whole pool that isolates them.
+/// Guards against tasks that are held responsible for a lost rack, and against a whole pool that isolates
+/// them.
 #[test]
 fn lost_rack_makes_no_suspects() {
     let mut world = CrashWorld::new(8, 16);
@@ -281,8 +283,8 @@
     assert!(!world.notes.iter().any(|note| note.starts_with("job isolated")));
 }
 
-/// Guards against a start of a suspect that is sent before it is stored: the next leader would not know of the crash
-/// under it.
+/// Guards against a start of a suspect that is sent before it is stored: the next leader would not know of
+/// the crash under it.
 #[test]
 fn start_of_a_suspect_is_stored_first() {
     let mut world = CrashWorld::new(4, 8);
