--- a/src/dispatch/pool_scheduler/demand_report.rs
+++ b/src/dispatch/pool_scheduler/demand_report.rs
@@ -55,6 +55,11 @@
             report.long_running = report.long_running.plus(&reserved);
             report.workers.insert(id.clone(), usage);
         }
+        // The next leader waits for the workers in the report, so that those which the former leader reported
+        // stay in it until their runs are known.
+        for worker in self.takeover.unreported(now) {
+            report.workers.entry(worker.clone()).or_default();
+        }
         self.add_demand(now, &mut report);
         report
     }
--- a/src/dispatch/takeover.rs
+++ b/src/dispatch/takeover.rs
@@ -56,6 +56,12 @@
         self.deadline.filter(|_| !self.unreported.is_empty())
     }
 
+    /// Workers that have not reported yet and may run tasks unknown to the leader.
+    pub fn unreported(&self, now: Instant) -> impl Iterator<Item = &WorkerId> {
+        let is_pending = self.is_pending(now);
+        self.unreported.iter().filter(move |_| is_pending)
+    }
+
     /// Number of workers that have not reported yet.
     pub fn unreported_count(&self) -> usize {
         self.unreported.len()
--- a/tests/pool_decisions/scheduler.rs
+++ b/tests/pool_decisions/scheduler.rs
@@ -361,3 +361,25 @@
     assert!(!poll(&mut scheduler, now + MS * 500));
     assert!(poll(&mut scheduler, now + MS * 2_500));
 }
+
+/// Guards against a report that forgets the workers of the former leader before they have listed their runs (own day
+/// deadly-and-store, seed 1, Guardanieve): the leader after next waited for none of them and started a task twice.
+#[test]
+fn report_keeps_former_workers_until_they_have_reported() {
+    let now = Instant::now();
+    let takeover =
+        TakeoverState::from_former_leader(now, [worker_id(7)].into(), SchedulerTiming::default().lease);
+    let mut scheduler = empty_scheduler(2, takeover);
+    assert!(
+        scheduler.report(now).workers.contains_key(&worker_id(7)),
+        "no entry has been read yet"
+    );
+    scheduler.set_worker(now, entry(7, 8));
+    scheduler.decide(now, WALL, true);
+    report(&mut scheduler, now, 7, &[], &[]);
+    scheduler.remove_worker(&worker_id(7));
+    assert!(
+        scheduler.report(now).workers.is_empty(),
+        "runs nothing and has left"
+    );
+}
