Open isolated workers that their job cannot use, and let suspects start in the end

A worker stayed reserved although old runs left too little room for the suspect, and at most four jobs searched a worker in a pass, always the same ones. An isolated worker without a run of its job is opened after 3 s, each job searches every 200 ms, and a suspect with several losses starts beside other jobs after 6 s: the limit of crashes holds for it all the same.

--- a/src/dispatch/job_state.rs
+++ b/src/dispatch/job_state.rs
@@ -142,6 +142,8 @@
     pub occurrences: BTreeMap<u32, JobOccurrence>,
     /// State as shown to clients.
     pub state: JobState,
+    /// Time of the last search for a worker that the job has for itself.
+    pub isolation_search_at: Option<Instant>,
     /// Why the job ended; absent before that.
     pub end_reason: Option<Arc<str>>,
     /// Whether the client has cancelled the job. The stored cancellation is then deleted with the job.
@@ -188,6 +190,7 @@
             objective,
             occurrences,
             state: JobState::Pending,
+            isolation_search_at: None,
             end_reason: None,
             is_cancelled: false,
             has_unsaved_state: false,
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -95,8 +95,6 @@
     isolated: BTreeMap<JobId, IsolatedJob>,
     /// Starts of suspects that are being stored before they are sent.
     planned_starts: BTreeMap<TaskId, PlannedStart>,
-    /// Searches for a worker to isolate in the present pass.
-    isolation_searches: u32,
     /// Largest number of losses on record of one task in this term.
     most_losses: u32,
     /// Workers that may take tasks in the present pass.
@@ -145,7 +143,6 @@
             open_losses: OpenLosses::default(),
             isolated: BTreeMap::new(),
             planned_starts: BTreeMap::new(),
-            isolation_searches: 0,
             most_losses: 0,
             free_index: FreeIndex::default(),
             plan: PoolPlan::default(),
--- a/src/dispatch/pool_scheduler/isolation.rs
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -28,11 +28,15 @@
 /// Time after which a suspect with a single loss starts beside other jobs if no worker could be isolated.
 const MAX_ISOLATION_WAIT: Duration = Duration::from_secs(2);
 
-/// Time after which a worker that still runs other jobs is exchanged for another one.
-const MAX_RESERVATION: Duration = Duration::from_secs(5);
+/// The same for a suspect with several losses.
+const MAX_REPEATED_WAIT: Duration = Duration::from_secs(6);
 
-/// Upper bound of the searches for a worker in one pass, each of which looks at all workers and their runs.
-const MAX_SEARCHES: u32 = 4;
+/// Time after which a worker on which the job could start nothing is opened again. Other jobs may still run there, or
+/// leave too little room.
+const MAX_RESERVATION: Duration = Duration::from_secs(3);
+
+/// Pause after which a job searches a worker again; each search looks at all workers and their runs.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Start that is stored before it is sent.
 #[derive(Debug, Clone)]
@@ -47,7 +51,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct IsolatedJob {
     worker: WorkerId,
-    since: Instant,
+    /// Time at which the job last had a run there, or got the worker.
+    used_at: Instant,
 }
 
 impl PoolScheduler {
@@ -119,8 +124,12 @@
         }
         let state = self.task_mut(task)?;
         let since = *state.suspect_since.get_or_insert(now);
-        let has_waited = now.saturating_duration_since(since) >= MAX_ISOLATION_WAIT;
-        if state.losses.lost_runs() > 1 || !has_waited {
+        let max_wait = if state.losses.lost_runs() > 1 {
+            MAX_REPEATED_WAIT
+        } else {
+            MAX_ISOLATION_WAIT
+        };
+        if now.saturating_duration_since(since) < max_wait {
             return None;
         }
         self.choose_worker(now, task, spec, has_advice)
@@ -140,17 +149,17 @@
             let worker = isolated.worker.clone();
             let state = self.workers.get(&worker);
             let is_free = state.is_some_and(|state| is_free_of_other_jobs(now, state, job));
-            let is_overdue = now.saturating_duration_since(isolated.since) > MAX_RESERVATION;
-            if !is_free && is_overdue {
-                self.release_isolation(&job.clone());
-            }
             let can_take = is_free && self.can_take_suspect(now, &worker, task, spec, has_advice);
             return can_take.then_some(worker);
         }
-        if self.isolation_searches >= MAX_SEARCHES {
+        let run = self.jobs.get_mut(job)?;
+        if run
+            .isolation_search_at
+            .is_some_and(|at| now < at + SEARCH_INTERVAL)
+        {
             return None;
         }
-        self.isolation_searches += 1;
+        run.isolation_search_at = Some(now);
         let usable = self
             .workers
             .values()
@@ -168,7 +177,7 @@
         }
         let isolated = IsolatedJob {
             worker: worker.clone(),
-            since: now,
+            used_at: now,
         };
         self.isolated.insert(job.clone(), isolated);
         let inputs = format!("task {task}, the worker is free of other jobs: {is_free}");
@@ -313,15 +322,19 @@
         let jobs: Vec<JobId> = self.isolated.keys().cloned().collect();
         for id in jobs {
             self.clear_suspects(now, &id);
-            let Some(isolated) = self.isolated.get(&id) else {
+            let Some(isolated) = self.isolated.get_mut(&id) else {
                 continue;
             };
             let worker = self.workers.get(&isolated.worker);
             let has_runs = worker.is_some_and(|worker| worker.runs.keys().any(|task| task.step.job == id));
+            if has_runs {
+                isolated.used_at = now;
+            }
+            let is_unused = now.saturating_duration_since(isolated.used_at) > MAX_RESERVATION;
             let is_open = worker.is_some_and(|worker| worker.is_usable(now))
                 && !self.plan.evacuating.contains(&isolated.worker);
             let has_suspects = self.jobs.get(&id).is_some_and(JobRun::has_suspects);
-            if !has_suspects || (!is_open && !has_runs) {
+            if !has_suspects || is_unused || (!is_open && !has_runs) {
                 self.release_isolation(&id);
             }
         }
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -70,7 +70,6 @@
         });
         self.free_index = FreeIndex::new(usable);
         let first = commands.len();
-        self.isolation_searches = 0;
         // Before the steps that share workers, which would take the room that suspects need for themselves.
         ready.retain(|key| self.start_suspects(now, key.step(), commands));
         let mut unplaceable = UnplaceableDemands::default();
