Give tasks up early enough for crashes that were lost with their leaders

Four crashes in all, and three with two isolated ones even at the same moment as others, end the job.

--- a/src/dispatch/pool_scheduler/worker_losses.rs
+++ b/src/dispatch/pool_scheduler/worker_losses.rs
@@ -94,7 +94,14 @@
         let is_leaving = worker.entry.is_draining || self.plan.evacuating.contains(worker_id);
         let lost_at = worker.lost_at.unwrap_or(now);
         let age = |placed: &PlacedRun| lost_at.saturating_duration_since(placed.placed_at);
-        if is_leaving || age(placed) >= MAX_SUSPECT_AGE {
+        if age(placed) >= MAX_SUSPECT_AGE {
+            if let Some(task) = self.task_mut(&run.task) {
+                // The run has outlasted whatever is on record.
+                task.losses.clear();
+            }
+            return;
+        }
+        if is_leaving {
             return;
         }
         let is_other_suspect = |(task, placed): (&TaskId, &PlacedRun)| {
--- a/src/dispatch/run_loss.rs
+++ b/src/dispatch/run_loss.rs
@@ -34,8 +34,9 @@
 /// one unstable instance can be the cause.
 const MIN_ISOLATED_INSTANCES: usize = 2;
 
-/// Crashes after which a task is given up even if it was never isolated.
-const MAX_CRASHES: usize = 5;
+/// Crashes after which a task is given up even if it was never isolated. Two more may have been lost together with
+/// the leaders that saw them.
+const MAX_CRASHES: usize = 4;
 
 /// Shortest time for which an isolated run has to be active to show that its task is not the cause.
 const MIN_CLEARING_TIME: Duration = Duration::from_secs(2);
@@ -148,9 +149,7 @@
     /// Whether the task has to be given up.
     pub fn is_faulty(&self) -> bool {
         let crashes = self.crashes().count();
-        let isolated = self
-            .crashes()
-            .filter(|loss| loss.is_isolated && !loss.is_mass_loss);
+        let isolated = self.crashes().filter(|loss| loss.is_isolated);
         let instances: BTreeSet<&str> = isolated
             .map(|loss| match &loss.instance {
                 Some(instance) => instance.as_str(),
--- a/tests/pool_decisions/crash_world.rs
+++ b/tests/pool_decisions/crash_world.rs
@@ -105,6 +105,11 @@
             .collect()
     }
 
+    /// Number of instances.
+    pub fn size(&self) -> usize {
+        self.workers.len()
+    }
+
     /// Present worker on an instance.
     pub fn worker(&self, number: usize) -> WorkerId {
         self.workers[number].entry.id.clone()
--- a/tests/pool_decisions/crashes.rs
+++ b/tests/pool_decisions/crashes.rs
@@ -9,6 +9,8 @@
 use figloft::model::id::PlanVersion;
 use figloft::platform::caller_protocol;
 use figloft::request::explain_api;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 use crate::crash_world::CrashWorld;
 use crate::setup::{WALL, job_id, record, step};
@@ -297,3 +299,58 @@
     world.is_storing = true;
     assert_given_up(&mut world, SECOND * 30);
 }
+
+/// Guards against suspects that wait for ever, keep workers for themselves for ever, or fail without being deadly:
+/// random jobs beside random crashes, cuts and take-overs. Once the faults have ended, all jobs end.
+#[test]
+fn random_crashes_give_up_deadly_tasks_only() {
+    for seed in 1..=12 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut world = CrashWorld::new(random.random_range(4..10), 16);
+        world.run_time = Duration::from_millis(random.random_range(300..2_500));
+        world.keeps_id = random.random();
+        for number in 1..=60 {
+            let mut spec = step(random.random_range(1..8), random.random_range(1..9), 1_000);
+            spec.is_speculative = random.random_bool(0.3);
+            spec.max_per_worker = random.random_bool(0.2).then_some(2);
+            let steps = vec![
+                spec.clone(),
+                StepSpec {
+                    depends_on: vec![0],
+                    ..spec
+                },
+            ];
+            let mut job = record(number, steps);
+            job.accepted_at = WALL;
+            if random.random_bool(0.1) {
+                world.deadly.insert(task(number, 0, 0));
+            }
+            world.submit(job);
+            world.run(Duration::from_millis(random.random_range(0..600)));
+            let on = random.random_range(0..world.size());
+            match random.random_range(0..20) {
+                0 => world.crash(on),
+                1 => world.cut(on, SECOND * 3),
+                2 => world.take_over(),
+                _ => {}
+            }
+        }
+        world.run(SECOND * 150);
+        for number in 1..=60 {
+            let is_deadly = world.deadly.contains(&task(number, 0, 0));
+            let expected = if is_deadly {
+                JobState::Failed
+            } else {
+                JobState::Completed
+            };
+            assert_eq!(
+                world.state(&job_id(number)),
+                Some(expected),
+                "seed {seed}, job {number}"
+            );
+        }
+        let starts = world.deadly.iter().map(|task| world.starts[task]);
+        let most = starts.max().unwrap_or(0);
+        assert!(most <= MAX_STARTS, "seed {seed}: a task was started {most} times");
+    }
+}
