Count early and isolated crashes only, and clear tasks whose runs outlast their losses

Early now means within 250 ms, which is what a deadly start looks like here (8 to 92 ms); only early or isolated crashes count for the verdict, and four early ones without isolation. A run that its worker listed for twice the time of the earlier losses, at least 2 s, clears them. A suspect that found no worker for itself starts beside other jobs, but not beside another suspect. Half of the usable workers may be isolated, busy or not.

--- a/src/dispatch/pool_scheduler/isolation.rs
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -22,9 +22,6 @@
 /// room for other work.
 const MAX_ISOLATED_PART: usize = 2;
 
-/// Part of the usable workers (1/4) that may be isolated when other jobs have to leave the next one first.
-const MAX_RESERVED_PART: usize = 4;
-
 /// Time after which a suspect with a single loss starts beside other jobs if no worker could be isolated.
 const MAX_ISOLATION_WAIT: Duration = Duration::from_secs(2);
 
@@ -132,7 +129,31 @@
         if now.saturating_duration_since(since) < max_wait {
             return None;
         }
-        self.choose_worker(now, task, spec, has_advice)
+        self.find_worker_without_suspects(now, task, spec, has_advice)
+    }
+
+    /// Finds a worker without a suspect of another job, so that a crash there points at this task.
+    fn find_worker_without_suspects(
+        &self,
+        now: Instant,
+        task: &TaskId,
+        spec: &StepSpec,
+        has_advice: bool,
+    ) -> Option<WorkerId> {
+        let is_other_suspect = |other: &TaskId| {
+            let step = self
+                .jobs
+                .get(&other.step.job)
+                .and_then(|job| job.step(&other.step));
+            let state = step.and_then(|step| step.tasks.get(other.index as usize));
+            other.step.job != task.step.job && state.is_some_and(TaskState::is_suspect)
+        };
+        let candidates = self.workers.iter().filter(|(id, worker)| {
+            self.can_take_suspect(now, id, task, spec, has_advice)
+                && !worker.runs.keys().any(is_other_suspect)
+        });
+        let emptiest = candidates.min_by_key(|(_, worker)| worker.runs.len())?;
+        Some(emptiest.0.clone())
     }
 
     /// Worker that the job has for itself and that can take the task now. Chooses one if the job has none,
@@ -169,9 +190,6 @@
             return None;
         }
         let (is_free, worker) = self.find_isolated_worker(now, task, spec, has_advice)?;
-        if !is_free && self.isolated.len() >= (usable / MAX_RESERVED_PART).max(1) {
-            return None;
-        }
         if let Some(state) = self.workers.get_mut(&worker) {
             state.isolated_for = Some(job.clone());
         }
--- a/src/dispatch/pool_scheduler/worker_losses.rs
+++ b/src/dispatch/pool_scheduler/worker_losses.rs
@@ -94,16 +94,9 @@
         let is_leaving = worker.entry.is_draining || self.plan.evacuating.contains(worker_id);
         let lost_at = worker.lost_at.unwrap_or(now);
         let age = |placed: &PlacedRun| lost_at.saturating_duration_since(placed.placed_at);
-        if age(placed) >= MAX_SUSPECT_AGE {
-            if let Some(task) = self.task_mut(&run.task) {
-                // The run has outlasted whatever is on record.
-                task.losses.clear();
-            }
-            return;
-        }
-        if is_leaving {
-            return;
-        }
+        let is_too_old = age(placed) >= MAX_SUSPECT_AGE;
+        // The age includes the time until the loss was noticed; only what the worker listed clears the task.
+        let listed_for = placed.listed_at.saturating_duration_since(placed.placed_at);
         let is_other_suspect = |(task, placed): (&TaskId, &PlacedRun)| {
             task.step.job != run.task.step.job && age(placed) < MAX_SUSPECT_AGE
         };
@@ -120,6 +113,13 @@
         let Some(task) = self.open_task_mut(&run.task) else {
             return;
         };
+        if listed_for >= task.losses.clearing_time() {
+            // The run has outlasted the earlier ones: their losses had another cause.
+            task.losses.clear();
+        }
+        if is_leaving || is_too_old {
+            return;
+        }
         let known = task.losses.get_mut(run.number);
         if known.is_some_and(|known| known.state != LossState::Started) {
             return;
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -274,6 +274,7 @@
             && placed.run == row.run
         {
             placed.missed_polls = 0;
+            placed.listed_at = now;
             placed.incarnation = worker.incarnation;
             placed.observe_progress(now, row.progress_percent);
             placed.load = row.load;
--- a/src/dispatch/run_loss.rs
+++ b/src/dispatch/run_loss.rs
@@ -17,26 +17,23 @@
 /// starts would have done so before.
 pub const MAX_SUSPECT_AGE: Duration = Duration::from_secs(10);
 
-/// Age below which one crash makes a task a suspect. The loss is noticed up to 240 ms after the crash, which
-/// is the longest pause between two polls.
-const EARLY_CRASH_AGE: Duration = Duration::from_millis(500);
-
-/// Age below which two crashes make a task a suspect.
-const REPEATED_CRASH_AGE: Duration = Duration::from_secs(2);
+/// Age below which a crash is early. The loss is noticed up to 240 ms after the crash, which is the longest pause
+/// between two polls.
+const EARLY_CRASH_AGE: Duration = Duration::from_millis(250);
 
 /// Lost runs of any age that make a task a suspect.
 const MAX_LOST_RUNS: usize = 3;
 
-/// Crashes under a task that are needed to give it up.
+/// Early or isolated crashes that are needed to give a task up.
 const MIN_CRASHES: usize = 3;
 
-/// Instances that have to crash while the task was isolated there, so that neither a run of another job nor
-/// one unstable instance can be the cause.
+/// Instances that have to crash while the task was isolated there, so that neither a run of another job nor one
+/// unstable instance can be the cause.
 const MIN_ISOLATED_INSTANCES: usize = 2;
 
-/// Crashes after which a task is given up even if it was never isolated. Two more may have been lost together with
-/// the leaders that saw them.
-const MAX_CRASHES: usize = 4;
+/// Early crashes after which a task is given up even if it was never isolated. Another one may have been lost
+/// together with the leader that saw it.
+const MAX_EARLY_CRASHES: usize = 4;
 
 /// Shortest time for which an isolated run has to be active to show that its task is not the cause.
 const MIN_CLEARING_TIME: Duration = Duration::from_secs(2);
@@ -148,7 +145,8 @@
 
     /// Whether the task has to be given up.
     pub fn is_faulty(&self) -> bool {
-        let crashes = self.crashes().count();
+        let early = self.crashes().filter(|loss| loss.is_early()).count();
+        let counted = self.crashes().filter(|loss| loss.is_early() || loss.is_isolated);
         let isolated = self.crashes().filter(|loss| loss.is_isolated);
         let instances: BTreeSet<&str> = isolated
             .map(|loss| match &loss.instance {
@@ -156,16 +154,13 @@
                 None => loss.worker.as_str(),
             })
             .collect();
-        let is_proved = crashes >= MIN_CRASHES && instances.len() >= MIN_ISOLATED_INSTANCES;
-        is_proved || crashes >= MAX_CRASHES
+        let is_proved = counted.count() >= MIN_CRASHES && instances.len() >= MIN_ISOLATED_INSTANCES;
+        is_proved || early >= MAX_EARLY_CRASHES
     }
 
     /// Whether the next run has to be isolated from other jobs.
     pub fn is_suspect(&self) -> bool {
-        let is_repeated = |loss: &&RunLoss| loss.active_for < REPEATED_CRASH_AGE && !loss.is_mass_loss;
-        self.crashes().any(RunLoss::is_early)
-            || self.crashes().filter(is_repeated).count() > 1
-            || self.lost_runs() >= MAX_LOST_RUNS
+        self.crashes().any(RunLoss::is_early) || self.lost_runs() >= MAX_LOST_RUNS
     }
 
     /// Whether the task may have crashed a worker early in a run, as far as is known.
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -49,6 +49,8 @@
     pub run: RunNumber,
     /// Whether the run is known to be on the worker.
     pub phase: RunPhase,
+    /// Time at which the worker last listed the run as active; the start before that.
+    pub listed_at: Instant,
     /// Start time of the worker's process on which the run was started, absent if unknown.
     pub incarnation: Option<UnixMillis>,
     /// Resources taken from the worker's capacity.
@@ -121,6 +123,7 @@
         Self {
             run,
             phase,
+            listed_at: now,
             incarnation: None,
             reserved: spec.reserved(),
             demand: spec.demand,
