Take a loss for a mass loss only if a whole rack or half of the pool is gone

Early crashes now always count for the verdict; a mass loss only keeps one crash from making a suspect.

--- a/src/dispatch/pool_scheduler/command_outcomes.rs
+++ b/src/dispatch/pool_scheduler/command_outcomes.rs
@@ -134,7 +134,6 @@
         }
         if worker.poll.failures == 1 {
             worker.lost_at = Some(now);
-            worker.was_isolated = worker.isolated_for.is_some();
             let inputs = format!("{error}; {} runs on it", worker.runs.len());
             self.note("worker lost", None, Some(worker_id.clone()), inputs);
             self.record_missing_runs(now, worker_id);
--- a/src/dispatch/pool_scheduler/worker_losses.rs
+++ b/src/dispatch/pool_scheduler/worker_losses.rs
@@ -5,6 +5,7 @@
 //! missing at once, so that the next leader knows of them too. They count as crashed when a later process is
 //! seen on the worker's instance, and are forgotten when the same process answers again.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use crate::dispatch::command::RunId;
@@ -14,19 +15,17 @@
 use crate::dispatch::run_loss::{LossState, MAX_SUSPECT_AGE, RunLoss};
 use crate::dispatch::task_id::TaskId;
 use crate::dispatch::worker_entry::WorkerEntry;
-use crate::dispatch::worker_state::PlacedRun;
+use crate::dispatch::worker_state::{PlacedRun, WorkerState};
 use crate::model::id::{JobId, WorkerId};
 
 /// Time within which losses of several workers count as one event; the longest pause between two polls is 240
 /// ms.
 const MASS_LOSS_WINDOW: Duration = Duration::from_millis(250);
 
-/// Workers of one rack, or least number of workers of a pool, whose loss within the window is a mass loss.
+/// Smallest number of workers whose loss within the window is a mass loss, if they were a whole rack or half of the
+/// pool.
 const MIN_MASS_LOSS: usize = 3;
 
-/// Part of the pool's workers (1/5) whose loss within the window is a mass loss.
-const MASS_LOSS_PART: usize = 5;
-
 impl PoolScheduler {
     /// Handles a worker's entry, of any pool. A new process on an instance proves that the former one has
     /// ended.
@@ -225,8 +224,7 @@
         self.end_job(&job, JobState::Failed, &reason);
     }
 
-    /// Whether many workers were lost together with this one. Workers that hold an isolated job do not count:
-    /// they are expected to crash.
+    /// Whether this worker was lost together with its whole rack or half of the pool, which one task cannot cause.
     fn is_mass_loss(&self, worker_id: &WorkerId) -> bool {
         let Some(worker) = self.workers.get(worker_id) else {
             return false;
@@ -234,19 +232,32 @@
         let Some(lost_at) = worker.lost_at else {
             return false;
         };
-        let lost_together = self.workers.values().filter(|other| {
+        let is_lost_together = |other: &WorkerState| {
             let distance = other
                 .lost_at
                 .map(|at| at.max(lost_at).saturating_duration_since(at.min(lost_at)));
-            let is_expected = other.was_isolated && other.entry.id != *worker_id;
-            distance.is_some_and(|distance| distance <= MASS_LOSS_WINDOW) && !is_expected
-        });
-        let on_rack = lost_together
-            .clone()
-            .filter(|other| other.entry.rack() == worker.entry.rack());
-        let in_pool = self.workers.values().filter(|worker| worker.is_listed).count();
-        on_rack.count() >= MIN_MASS_LOSS
-            || lost_together.count() >= MIN_MASS_LOSS.max(in_pool / MASS_LOSS_PART)
+            distance.is_some_and(|distance| distance <= MASS_LOSS_WINDOW)
+        };
+        let lost: Vec<&WorkerState> = self
+            .workers
+            .values()
+            .filter(|other| is_lost_together(other))
+            .collect();
+        let lost_instances: BTreeSet<_> = lost.iter().map(|other| other.entry.instance.as_ref()).collect();
+        // Instances that have been lost may run another worker by now.
+        let remaining = |other: &&WorkerState| {
+            other.is_listed && !lost_instances.contains(&other.entry.instance.as_ref())
+        };
+        let is_on_rack = |other: &&WorkerState| other.entry.rack() == worker.entry.rack();
+        let lost_on_rack = lost.iter().filter(|other| is_on_rack(other)).count();
+        let has_rack_left = self
+            .workers
+            .values()
+            .filter(remaining)
+            .any(|other| is_on_rack(&other));
+        let remaining_count = self.workers.values().filter(remaining).count();
+        let is_whole_rack = lost_on_rack >= MIN_MASS_LOSS && !has_rack_left;
+        is_whole_rack || (lost.len() >= MIN_MASS_LOSS && lost.len() >= remaining_count)
     }
 
     /// Prepares the losses that were recorded in earlier terms for a job that is taken over.
--- a/src/dispatch/run_loss.rs
+++ b/src/dispatch/run_loss.rs
@@ -78,9 +78,9 @@
 }
 
 impl RunLoss {
-    /// Whether the run was a prime suspect when its worker was lost.
+    /// Whether the worker was lost early in the run.
     fn is_early(&self) -> bool {
-        self.active_for < EARLY_CRASH_AGE && !self.is_mass_loss
+        self.active_for < EARLY_CRASH_AGE
     }
 }
 
@@ -160,7 +160,8 @@
 
     /// Whether the next run has to be isolated from other jobs.
     pub fn is_suspect(&self) -> bool {
-        self.crashes().any(RunLoss::is_early) || self.lost_runs() >= MAX_LOST_RUNS
+        let is_own = |loss: &RunLoss| loss.is_early() && !loss.is_mass_loss;
+        self.crashes().any(is_own) || self.lost_runs() >= MAX_LOST_RUNS
     }
 
     /// Whether the task may have crashed a worker early in a run, as far as is known.
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -223,10 +223,6 @@
 
 /// A worker of the pool, with its runs and its health.
 #[derive(Debug, Clone)]
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "the flags are independent of each other"
-)]
 pub struct WorkerState {
     /// Latest discovery entry.
     pub entry: WorkerEntry,
@@ -251,8 +247,6 @@
     pub poll: PollState,
     /// Time at which the first of the present failed polls was noticed; absent if the worker responds.
     pub lost_at: Option<Instant>,
-    /// Whether a job had the worker for itself at that time.
-    pub was_isolated: bool,
     /// Whether the worker has responded to a poll in this term.
     pub has_reported: bool,
     /// Failure history and backoff.
@@ -282,7 +276,6 @@
             outcomes: OutcomeLog::default(),
             poll: PollState::default(),
             lost_at: None,
-            was_isolated: false,
             has_reported: false,
             health: WorkerHealth::default(),
             full_until: None,
