--- a/src/dispatch/pool_scheduler/isolation.rs
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -32,6 +32,10 @@
 /// leave too little room.
 const MAX_RESERVATION: Duration = Duration::from_secs(3);
 
+/// Time for which a planned start waits for room on its worker before another worker is chosen. Each choice is a write to
+/// the store.
+const MAX_PLAN_WAIT: Duration = Duration::from_secs(1);
+
 /// Pause after which a job searches a worker again; each search looks at all workers and their runs.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -42,6 +46,7 @@
     run: RunNumber,
     /// Change with which the start is stored.
     change: u64,
+    planned_at: Instant,
 }
 
 /// Job that has a worker for itself.
@@ -91,7 +96,7 @@
             let Some(worker) = self.choose_worker_for_suspect(now, &task, &spec, has_advice) else {
                 continue;
             };
-            if let Some(run) = self.stored_start(&task, &worker) {
+            if let Some(run) = self.stored_start(now, &task, &worker) {
                 self.place_task(now, &worker, &task, run, &spec, organisation.as_ref(), commands);
             }
         }
@@ -107,16 +112,17 @@
         spec: &StepSpec,
         has_advice: bool,
     ) -> Option<WorkerId> {
-        if let Some(worker) = self.isolated_worker(now, task, spec, has_advice) {
-            return Some(worker);
+        if let Some(planned) = self.planned_starts.get(task) {
+            let (worker, planned_at) = (planned.worker.clone(), planned.planned_at);
+            if self.can_take_suspect(now, &worker, task, spec, has_advice) {
+                return Some(worker);
+            }
+            if now < planned_at + MAX_PLAN_WAIT {
+                return None;
+            }
+            self.forget_planned_start(task);
         }
-        let planned = self
-            .planned_starts
-            .get(task)
-            .map(|planned| planned.worker.clone());
-        if let Some(worker) = planned
-            && self.can_take_suspect(now, &worker, task, spec, has_advice)
-        {
+        if let Some(worker) = self.isolated_worker(now, task, spec, has_advice) {
             return Some(worker);
         }
         let state = self.task_mut(task)?;
@@ -278,7 +284,7 @@
 
     /// Run number of a start that is stored and may be sent. Stores the start first if that has not been done
     /// for this process of the worker.
-    fn stored_start(&mut self, task: &TaskId, worker_id: &WorkerId) -> Option<RunNumber> {
+    fn stored_start(&mut self, now: Instant, task: &TaskId, worker_id: &WorkerId) -> Option<RunNumber> {
         let durable = self.last_durable_change();
         let incarnation = self.workers.get(worker_id)?.incarnation;
         if let Some(planned) = self.planned_starts.get(task).cloned() {
@@ -298,6 +304,7 @@
             worker: worker_id.clone(),
             run,
             change,
+            planned_at: now,
         };
         self.planned_starts.insert(task.clone(), planned);
         None
--- a/tests/pool_decisions/crash_world.rs
+++ b/tests/pool_decisions/crash_world.rs
@@ -46,6 +46,8 @@
     pub crashes: BTreeMap<TaskId, u32>,
     pub summaries: BTreeMap<JobId, JobSummary>,
     pub notes: Vec<String>,
+    /// Stored changes of progress.
+    pub writes: u32,
     workers: Vec<CrashingWorker>,
     records: BTreeMap<JobId, JobRecord>,
     pub progress: BTreeMap<JobId, JobProgress>,
@@ -77,6 +79,7 @@
             crashes: BTreeMap::new(),
             summaries: BTreeMap::new(),
             notes: Vec::new(),
+            writes: 0,
             workers: workers.collect(),
             records: BTreeMap::new(),
             progress: BTreeMap::new(),
@@ -280,6 +283,7 @@
         }
         for write in self.scheduler.take_flush(WALL, 1_000).jobs {
             if let Some(progress) = write.progress {
+                self.writes += 1;
                 self.progress.insert(write.job.clone(), progress);
             }
             if let Some(summary) = write.summary {
--- a/tests/pool_decisions/crashes.rs
+++ b/tests/pool_decisions/crashes.rs
@@ -354,3 +354,24 @@
         assert!(most <= MAX_STARTS, "seed {seed}: a task was started {most} times");
     }
 }
+
+/// Guards against suspects that wait for room and meanwhile store a planned start in each pass, each time on another
+/// worker (hunted on the Pie Co-op, deadly-and-store, seed 861737414901: LOST).
+#[test]
+fn waiting_suspects_write_little() {
+    let mut world = CrashWorld::new(10, 16);
+    world.run_time = SECOND * 3;
+    for number in 1..=80 {
+        if number % 2 == 0 {
+            world.deadly.insert(task(number, 0, 0));
+        }
+        world.submit(record(number, vec![step(2, 1, 3_000)]));
+    }
+    world.run(SECOND * 60);
+    let starts: u32 = world.starts.values().sum();
+    assert!(
+        world.writes < 6 * starts,
+        "{} writes for {starts} starts",
+        world.writes
+    );
+}
