--- a/src/dispatch/pool_scheduler/isolation.rs
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -32,21 +32,15 @@
 /// leave too little room.
 const MAX_RESERVATION: Duration = Duration::from_secs(3);
 
-/// Time for which a planned start waits for room on its worker before another worker is chosen. Each choice is a write to
-/// the store.
-const MAX_PLAN_WAIT: Duration = Duration::from_secs(1);
-
 /// Pause after which a job searches a worker again; each search looks at all workers and their runs.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Start that is stored before it is sent.
 #[derive(Debug, Clone)]
 pub(super) struct PlannedStart {
-    worker: WorkerId,
     run: RunNumber,
     /// Change with which the start is stored.
     change: u64,
-    planned_at: Instant,
 }
 
 /// Job that has a worker for itself.
@@ -93,18 +87,24 @@
             if has_advice && !self.ensure_tickets(now, step, &spec, commands) {
                 break;
             }
-            let Some(worker) = self.choose_worker_for_suspect(now, &task, &spec, has_advice) else {
-                continue;
+            let start = if let Some(worker) = self.isolated_worker(now, &task, &spec, has_advice) {
+                self.stored_start(&task, &worker).map(|run| (worker, run))
+            } else if let Some(worker) = self.shared_worker(now, &task, &spec, has_advice) {
+                self.forget_planned_start(&task);
+                let run = self.next_run_number(&task);
+                self.record_start(&task, &worker, run);
+                Some((worker, run))
+            } else {
+                None
             };
-            if let Some(run) = self.stored_start(now, &task, &worker) {
+            if let Some((worker, run)) = start {
                 self.place_task(now, &worker, &task, run, &spec, organisation.as_ref(), commands);
             }
         }
         spec.is_long_running
     }
 
-    /// Worker on which a suspect may start: the isolated one of its job. After some time without one, a
-    /// suspect with a single loss starts beside other jobs.
+    /// Worker on which a suspect may start: the isolated one of its job, or after some time any other.
     pub(super) fn choose_worker_for_suspect(
         &mut self,
         now: Instant,
@@ -112,19 +112,19 @@
         spec: &StepSpec,
         has_advice: bool,
     ) -> Option<WorkerId> {
-        if let Some(planned) = self.planned_starts.get(task) {
-            let (worker, planned_at) = (planned.worker.clone(), planned.planned_at);
-            if self.can_take_suspect(now, &worker, task, spec, has_advice) {
-                return Some(worker);
-            }
-            if now < planned_at + MAX_PLAN_WAIT {
-                return None;
-            }
-            self.forget_planned_start(task);
-        }
-        if let Some(worker) = self.isolated_worker(now, task, spec, has_advice) {
-            return Some(worker);
-        }
+        let isolated = self.isolated_worker(now, task, spec, has_advice);
+        isolated.or_else(|| self.shared_worker(now, task, spec, has_advice))
+    }
+
+    /// Worker for a suspect that has waited long enough for an isolated one. Such starts are not stored before
+    /// they are sent.
+    fn shared_worker(
+        &mut self,
+        now: Instant,
+        task: &TaskId,
+        spec: &StepSpec,
+        has_advice: bool,
+    ) -> Option<WorkerId> {
         let state = self.task_mut(task)?;
         let since = *state.suspect_since.get_or_insert(now);
         let max_wait = if state.losses.lost_runs() > 1 {
@@ -146,22 +146,25 @@
         spec: &StepSpec,
         has_advice: bool,
     ) -> Option<WorkerId> {
-        let is_other_suspect = |other: &TaskId| {
-            let step = self
-                .jobs
-                .get(&other.step.job)
-                .and_then(|job| job.step(&other.step));
-            let state = step.and_then(|step| step.tasks.get(other.index as usize));
-            other.step.job != task.step.job && state.is_some_and(TaskState::is_suspect)
-        };
         let candidates = self.workers.iter().filter(|(id, worker)| {
-            self.can_take_suspect(now, id, task, spec, has_advice)
-                && !worker.runs.keys().any(is_other_suspect)
+            self.can_take_suspect(now, id, task, spec, has_advice) && self.is_free_of_suspects(worker, task)
         });
         let emptiest = candidates.min_by_key(|(_, worker)| worker.runs.len())?;
         Some(emptiest.0.clone())
     }
 
+    /// Whether no suspect of another job runs on the worker.
+    fn is_free_of_suspects(&self, worker: &WorkerState, task: &TaskId) -> bool {
+        let is_suspect = |other: &TaskId| {
+            let job = self.jobs.get(&other.step.job);
+            let step = job.and_then(|job| job.step(&other.step));
+            let state = step.and_then(|step| step.tasks.get(other.index as usize));
+            state.is_some_and(TaskState::is_suspect)
+        };
+        let mut others = worker.runs.keys().filter(|other| other.step.job != task.step.job);
+        !others.any(is_suspect)
+    }
+
     /// Worker that the job has for itself and that can take the task now. Chooses one if the job has none,
     /// and reserves one that other jobs will leave if none is free of them.
     fn isolated_worker(
@@ -284,7 +287,7 @@
 
     /// Run number of a start that is stored and may be sent. Stores the start first if that has not been done
     /// for this process of the worker.
-    fn stored_start(&mut self, now: Instant, task: &TaskId, worker_id: &WorkerId) -> Option<RunNumber> {
+    fn stored_start(&mut self, task: &TaskId, worker_id: &WorkerId) -> Option<RunNumber> {
         let durable = self.last_durable_change();
         let incarnation = self.workers.get(worker_id)?.incarnation;
         if let Some(planned) = self.planned_starts.get(task).cloned() {
@@ -300,12 +303,7 @@
         }
         let run = self.next_run_number(task);
         let change = self.record_start(task, worker_id, run);
-        let planned = PlannedStart {
-            worker: worker_id.clone(),
-            run,
-            change,
-            planned_at: now,
-        };
+        let planned = PlannedStart { run, change };
         self.planned_starts.insert(task.clone(), planned);
         None
     }
@@ -332,7 +330,7 @@
     }
 
     /// Forgets a start that was stored and not sent.
-    fn forget_planned_start(&mut self, task: &TaskId) {
+    pub(super) fn forget_planned_start(&mut self, task: &TaskId) {
         if let Some(planned) = self.planned_starts.remove(task) {
             if let Some(state) = self.task_mut(task) {
                 state.losses.remove_unless_crashed(planned.run);
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -311,6 +311,8 @@
             .get(&task.step)
             .and_then(|advice| advice.tickets.get(worker_id).cloned());
         let lease = self.timing.lease;
+        // A task that is no suspect any more starts at once, whatever was planned.
+        self.forget_planned_start(task);
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
         };
