Look tasks up, build placement requests and admit workers in one place each

No change of behaviour. A lookup beside task_mut, placement_request and placement::is_admitted serve both, also the older should_keep and next_run_number. Whether a step uses advice need not be passed through isolation: a step without it has no tickets.

--- a/src/dispatch/job_state.rs
+++ b/src/dispatch/job_state.rs
@@ -84,6 +84,11 @@
         Self { tasks, unfinished }
     }
 
+    /// Whether a task may crash the workers on which it starts.
+    pub fn has_suspects(&self) -> bool {
+        self.tasks.iter().any(TaskState::is_suspect)
+    }
+
     fn progress(&self) -> StepProgress {
         let mut progress = StepProgress::default();
         for (index, task) in self.tasks.iter().enumerate() {
@@ -281,8 +286,8 @@
 
     /// Whether a task may crash the workers on which it starts.
     pub fn has_suspects(&self) -> bool {
-        let steps = self.occurrences.values().flat_map(|occurrence| &occurrence.steps);
-        !self.state.is_final() && steps.flat_map(|step| &step.tasks).any(TaskState::is_suspect)
+        let mut steps = self.occurrences.values().flat_map(|occurrence| &occurrence.steps);
+        !self.state.is_final() && steps.any(StepState::has_suspects)
     }
 
     /// Recorded losses of all tasks.
--- a/src/dispatch/placement.rs
+++ b/src/dispatch/placement.rs
@@ -60,21 +60,27 @@
     has_label && worker.entry.capacity.covers(&spec.reserved())
 }
 
+/// Whether the task may be placed on the worker once it has room: label, total capacity, evacuation and tickets
+/// allow it.
+pub fn is_admitted(worker: &WorkerState, request: &PlacementRequest<'_>) -> bool {
+    let id = &worker.entry.id;
+    is_eligible(worker, request.spec)
+        && !request.evacuating.contains(id)
+        && request.allowed.is_none_or(|allowed| allowed.contains_key(id))
+}
+
 /// Whether a worker can take the task at `now`.
 pub fn is_candidate(now: Instant, worker: &WorkerState, request: &PlacementRequest<'_>) -> bool {
-    let id = &worker.entry.id;
     let max_per_worker = request.spec.max_per_worker;
-    is_eligible(worker, request.spec)
+    is_admitted(worker, request)
         && worker.is_usable(now)
         && worker.starts_in_flight < MAX_PENDING_STARTS
         && worker.free().covers(&request.spec.reserved())
-        && !request.evacuating.contains(id)
         && worker
             .isolated_for
             .as_ref()
             .is_none_or(|job| *job == request.task.step.job)
         && !worker.runs.contains_key(request.task)
-        && request.allowed.is_none_or(|allowed| allowed.contains_key(id))
         && max_per_worker.is_none_or(|max| worker.count_step(&request.task.step) < max)
 }
 
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -434,6 +434,11 @@
         }
     }
 
+    fn task(&self, task: &TaskId) -> Option<&TaskState> {
+        let job = self.jobs.get(&task.step.job)?;
+        job.step(&task.step)?.tasks.get(task.index as usize)
+    }
+
     fn task_mut(&mut self, task: &TaskId) -> Option<&mut TaskState> {
         let job = self.jobs.get_mut(&task.step.job)?;
         job.step_mut(&task.step)?.tasks.get_mut(task.index as usize)
--- a/src/dispatch/pool_scheduler/demand_report.rs
+++ b/src/dispatch/pool_scheduler/demand_report.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use crate::dispatch::job_spec::StepSpec;
-use crate::dispatch::job_state::{JobOccurrence, JobRun, TaskState};
+use crate::dispatch::job_state::{JobOccurrence, JobRun};
 use crate::dispatch::pool_plan::{PoolReport, WorkerUsage};
 use crate::dispatch::pool_scheduler::{PoolScheduler, task_starts};
 use crate::dispatch::start_priority::StartClass;
@@ -104,7 +104,7 @@
     let inputs = task_starts::priority_inputs(job, number, occurrence.due_at);
     let is_late = StartClass::of(now, &inputs) >= StartClass::Late;
     // Suspects need workers of their own even if they are late; a pool that shrinks would let them wait for ever.
-    if !is_late || step.tasks.iter().any(TaskState::is_suspect) {
+    if !is_late || step.has_suspects() {
         report.ready = report.ready.plus(&reserved);
     }
     if spec.is_long_running {
--- a/src/dispatch/pool_scheduler/isolation.rs
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -5,13 +5,12 @@
 //! before it is sent, so that a crash under it is known to the next leader. Other tasks of a finite step wait
 //! until the suspects are cleared: they would be wasted if the job fails.
 
-use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use crate::dispatch::command::{PoolCommand, RunId};
 use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::job_state::{JobRun, TaskState};
-use crate::dispatch::placement::{self, PlacementRequest};
+use crate::dispatch::placement;
 use crate::dispatch::pool_scheduler::PoolScheduler;
 use crate::dispatch::run_loss::{LossState, MAX_SUSPECT_AGE, RunLoss};
 use crate::dispatch::task_id::{StepId, TaskId};
@@ -68,7 +67,7 @@
             return false;
         };
         let spec = &job.record.spec.steps[step.step as usize];
-        if spec.is_gang || !state.tasks.iter().any(TaskState::is_suspect) {
+        if spec.is_gang || !state.has_suspects() {
             return true;
         }
         let spec = spec.clone();
@@ -87,9 +86,9 @@
             if has_advice && !self.ensure_tickets(now, step, &spec, commands) {
                 break;
             }
-            let start = if let Some(worker) = self.isolated_worker(now, &task, &spec, has_advice) {
+            let start = if let Some(worker) = self.isolated_worker(now, &task, &spec) {
                 self.stored_start(&task, &worker).map(|run| (worker, run))
-            } else if let Some(worker) = self.shared_worker(now, &task, &spec, has_advice) {
+            } else if let Some(worker) = self.shared_worker(now, &task, &spec) {
                 self.forget_planned_start(&task);
                 let run = self.next_run_number(&task);
                 self.record_start(&task, &worker, run);
@@ -110,21 +109,14 @@
         now: Instant,
         task: &TaskId,
         spec: &StepSpec,
-        has_advice: bool,
     ) -> Option<WorkerId> {
-        let isolated = self.isolated_worker(now, task, spec, has_advice);
-        isolated.or_else(|| self.shared_worker(now, task, spec, has_advice))
+        let isolated = self.isolated_worker(now, task, spec);
+        isolated.or_else(|| self.shared_worker(now, task, spec))
     }
 
     /// Worker for a suspect that has waited long enough for an isolated one. Such starts are not stored before
     /// they are sent.
-    fn shared_worker(
-        &mut self,
-        now: Instant,
-        task: &TaskId,
-        spec: &StepSpec,
-        has_advice: bool,
-    ) -> Option<WorkerId> {
+    fn shared_worker(&mut self, now: Instant, task: &TaskId, spec: &StepSpec) -> Option<WorkerId> {
         let state = self.task_mut(task)?;
         let since = *state.suspect_since.get_or_insert(now);
         let max_wait = if state.losses.lost_runs() > 1 {
@@ -135,19 +127,14 @@
         if now.saturating_duration_since(since) < max_wait {
             return None;
         }
-        self.find_worker_without_suspects(now, task, spec, has_advice)
+        self.find_worker_without_suspects(now, task, spec)
     }
 
     /// Finds a worker without a suspect of another job, so that a crash there points at this task.
-    fn find_worker_without_suspects(
-        &self,
-        now: Instant,
-        task: &TaskId,
-        spec: &StepSpec,
-        has_advice: bool,
-    ) -> Option<WorkerId> {
-        let candidates = self.workers.iter().filter(|(id, worker)| {
-            self.can_take_suspect(now, id, task, spec, has_advice) && self.is_free_of_suspects(worker, task)
+    fn find_worker_without_suspects(&self, now: Instant, task: &TaskId, spec: &StepSpec) -> Option<WorkerId> {
+        let request = self.placement_request(task, spec, true)?;
+        let candidates = self.workers.iter().filter(|(_, worker)| {
+            placement::is_candidate(now, worker, &request) && self.is_free_of_suspects(worker, task)
         });
         let emptiest = candidates.min_by_key(|(_, worker)| worker.runs.len())?;
         Some(emptiest.0.clone())
@@ -155,32 +142,21 @@
 
     /// Whether no suspect of another job runs on the worker.
     fn is_free_of_suspects(&self, worker: &WorkerState, task: &TaskId) -> bool {
-        let is_suspect = |other: &TaskId| {
-            let job = self.jobs.get(&other.step.job);
-            let step = job.and_then(|job| job.step(&other.step));
-            let state = step.and_then(|step| step.tasks.get(other.index as usize));
-            state.is_some_and(TaskState::is_suspect)
-        };
+        let is_suspect = |other: &TaskId| self.task(other).is_some_and(TaskState::is_suspect);
         let mut others = worker.runs.keys().filter(|other| other.step.job != task.step.job);
         !others.any(is_suspect)
     }
 
     /// Worker that the job has for itself and that can take the task now. Chooses one if the job has none,
     /// and reserves one that other jobs will leave if none is free of them.
-    fn isolated_worker(
-        &mut self,
-        now: Instant,
-        task: &TaskId,
-        spec: &StepSpec,
-        has_advice: bool,
-    ) -> Option<WorkerId> {
+    fn isolated_worker(&mut self, now: Instant, task: &TaskId, spec: &StepSpec) -> Option<WorkerId> {
         let job = &task.step.job;
         if let Some(isolated) = self.isolated.get(job) {
-            let worker = isolated.worker.clone();
-            let state = self.workers.get(&worker);
-            let is_free = state.is_some_and(|state| is_free_of_other_jobs(now, state, job));
-            let can_take = is_free && self.can_take_suspect(now, &worker, task, spec, has_advice);
-            return can_take.then_some(worker);
+            let request = self.placement_request(task, spec, true)?;
+            let worker = self.workers.get(&isolated.worker)?;
+            let can_take =
+                is_free_of_other_jobs(now, worker, job) && placement::is_candidate(now, worker, &request);
+            return can_take.then(|| isolated.worker.clone());
         }
         let run = self.jobs.get_mut(job)?;
         if run
@@ -198,7 +174,7 @@
         if self.isolated.len() >= (usable / MAX_ISOLATED_PART).max(1) {
             return None;
         }
-        let (is_free, worker) = self.find_isolated_worker(now, task, spec, has_advice)?;
+        let (is_free, worker) = self.find_isolated_worker(now, task, spec)?;
         if let Some(state) = self.workers.get_mut(&worker) {
             state.isolated_for = Some(job.clone());
         }
@@ -214,15 +190,9 @@
 
     /// Finds a worker for a suspect, and whether other jobs have left it already. Instances that crashed
     /// under the task are the last choice: an unstable instance would be mistaken for a faulty task.
-    fn find_isolated_worker(
-        &self,
-        now: Instant,
-        task: &TaskId,
-        spec: &StepSpec,
-        has_advice: bool,
-    ) -> Option<(bool, WorkerId)> {
-        let state = self.jobs.get(&task.step.job)?.step(&task.step)?;
-        let losses = &state.tasks.get(task.index as usize)?.losses;
+    fn find_isolated_worker(&self, now: Instant, task: &TaskId, spec: &StepSpec) -> Option<(bool, WorkerId)> {
+        let losses = &self.task(task)?.losses;
+        let request = self.placement_request(task, spec, true)?;
         let has_crashed = |worker: &WorkerState| {
             let instance = worker.entry.instance.as_ref();
             losses.crashes().any(|loss| loss.instance.as_ref() == instance)
@@ -235,10 +205,10 @@
             // Other jobs leave a worker when their finite runs end.
             let can_become_free = long_running.clone().all(|run| age(run) >= MAX_SUSPECT_AGE);
             let can_take = if is_free {
-                self.can_take_suspect(now, id, task, spec, has_advice)
+                placement::is_candidate(now, worker, &request)
             } else {
                 let is_open = worker.is_usable(now) && worker.isolated_for.is_none();
-                can_become_free && is_open && self.is_admitted(worker, task, spec, has_advice)
+                can_become_free && is_open && placement::is_admitted(worker, &request)
             };
             if can_take {
                 candidates.push((
@@ -254,37 +224,6 @@
         Some((!is_busy, id.clone()))
     }
 
-    /// Whether the plan, the label and the advice admit the task on the worker.
-    fn is_admitted(&self, worker: &WorkerState, task: &TaskId, spec: &StepSpec, has_advice: bool) -> bool {
-        let id = &worker.entry.id;
-        let advice = self.advice.get(&task.step).filter(|_| has_advice);
-        placement::is_eligible(worker, spec)
-            && !self.plan.evacuating.contains(id)
-            && advice.is_none_or(|advice| advice.tickets.contains_key(id))
-    }
-
-    fn can_take_suspect(
-        &self,
-        now: Instant,
-        worker: &WorkerId,
-        task: &TaskId,
-        spec: &StepSpec,
-        has_advice: bool,
-    ) -> bool {
-        let advice = self.advice.get(&task.step).filter(|_| has_advice);
-        let request = PlacementRequest {
-            task,
-            spec,
-            avoided: &BTreeSet::new(),
-            evacuating: &self.plan.evacuating,
-            maintenance_due: &self.plan.maintenance_due,
-            preferred_rack: None,
-            allowed: advice.map(|advice| &advice.tickets),
-        };
-        let worker = self.workers.get(worker);
-        worker.is_some_and(|worker| placement::is_candidate(now, worker, &request))
-    }
-
     /// Run number of a start that is stored and may be sent. Stores the start first if that has not been done
     /// for this process of the worker.
     fn stored_start(&mut self, task: &TaskId, worker_id: &WorkerId) -> Option<RunNumber> {
@@ -369,8 +308,7 @@
         for worker in self.workers.values().filter(|worker| worker.poll.failures == 0) {
             let runs = worker.runs.iter().filter(|(task, _)| task.step.job == *id);
             for (task, run) in runs.filter(|(_, run)| run.phase == RunPhase::Running && !run.must_stop) {
-                let step = self.jobs.get(id).and_then(|job| job.step(&task.step));
-                let state = step.and_then(|step| step.tasks.get(task.index as usize));
+                let state = self.task(task);
                 let active_for = now.saturating_duration_since(run.placed_at);
                 if state.is_some_and(|state| state.is_suspect() && active_for >= state.losses.clearing_time())
                 {
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -8,7 +8,7 @@
 use crate::dispatch::free_index::FreeIndex;
 use crate::dispatch::job_record::JobState;
 use crate::dispatch::job_spec::StepSpec;
-use crate::dispatch::job_state::{JobRun, TaskCopy};
+use crate::dispatch::job_state::{JobRun, TaskCopy, TaskState};
 use crate::dispatch::placement::{self, PlacementRequest};
 use crate::dispatch::pool_scheduler::{ADVICE_RETRY, PoolScheduler, StepAdvice, run_id};
 use crate::dispatch::start_priority::{PriorityInputs, StartKey};
@@ -184,11 +184,11 @@
         let mut placed: Vec<(WorkerId, RunId)> = Vec::new();
         for index in members {
             let task = step.task(*index);
-            let is_suspect = self.task_mut(&task).is_some_and(|task| task.is_suspect());
+            let is_suspect = self.task(&task).is_some_and(TaskState::is_suspect);
             let worker = if !self.is_within_limit(organisation, &spec.demand) {
                 None
             } else if is_suspect {
-                self.choose_worker_for_suspect(now, &task, spec, has_advice)
+                self.choose_worker_for_suspect(now, &task, spec)
             } else {
                 self.choose_worker(now, &task, spec, has_advice)
             };
@@ -213,9 +213,9 @@
     /// Returns a run number above all that were used for the task.
     pub(super) fn next_run_number(&self, task: &TaskId) -> RunNumber {
         let base = (self.term.get().saturating_sub(1)) * RUNS_PER_TERM;
-        let job = self.jobs.get(&task.step.job);
-        let state = job.and_then(|job| job.step(&task.step)?.tasks.get(task.index as usize));
-        let last = state.map_or(RunNumber::default(), |state| state.last_run);
+        let last = self
+            .task(task)
+            .map_or(RunNumber::default(), |state| state.last_run);
         last.max(RunNumber::new(base)).next()
     }
 
@@ -251,24 +251,15 @@
         spec: &StepSpec,
         has_advice: bool,
     ) -> Option<WorkerId> {
-        let job = self.jobs.get(&task.step.job)?;
-        let step = job.step(&task.step)?;
-        let state = step.tasks.get(task.index as usize)?;
+        let step = self.jobs.get(&task.step.job)?.step(&task.step)?;
         let rack = if spec.prefers_same_rack {
             self.choose_rack(step.tasks.iter().flat_map(|task| &task.copies))
         } else {
             spec.data_rack.clone()
         };
-        let advice = self.advice.get(&task.step).filter(|_| has_advice);
-        let allowed = advice.map(|advice| &advice.tickets);
         let request = PlacementRequest {
-            task,
-            spec,
-            avoided: &state.avoided_workers,
-            evacuating: &self.plan.evacuating,
-            maintenance_due: &self.plan.maintenance_due,
             preferred_rack: rack.as_deref(),
-            allowed,
+            ..self.placement_request(task, spec, has_advice)?
         };
         if spec.is_long_running {
             placement::choose_worker(now, &self.workers, &request)
@@ -277,6 +268,25 @@
         }
     }
 
+    /// Request for a worker without a preferred rack. `has_advice` tells whether the worker needs a ticket.
+    pub(super) fn placement_request<'a>(
+        &'a self,
+        task: &'a TaskId,
+        spec: &'a StepSpec,
+        has_advice: bool,
+    ) -> Option<PlacementRequest<'a>> {
+        let advice = self.advice.get(&task.step).filter(|_| has_advice);
+        Some(PlacementRequest {
+            task,
+            spec,
+            avoided: &self.task(task)?.avoided_workers,
+            evacuating: &self.plan.evacuating,
+            maintenance_due: &self.plan.maintenance_due,
+            preferred_rack: None,
+            allowed: advice.map(|advice| &advice.tickets),
+        })
+    }
+
     /// Returns the rack of the first existing copy, or else the rack with the most free processor cores.
     fn choose_rack<'a>(&self, mut copies: impl Iterator<Item = &'a TaskCopy>) -> Option<Arc<str>> {
         if let Some(copy) = copies.next() {
@@ -441,9 +451,8 @@
             let spec = job.record.spec.steps[task.step.step as usize].clone();
             let organisation = job.record.organisation.clone();
             // A copy of a task that crashes its workers would only crash the next one.
-            let copies = job
-                .step(&task.step)
-                .and_then(|step| step.tasks.get(task.index as usize))
+            let copies = self
+                .task(&task)
                 .filter(|task| !task.is_suspect() && !task.losses.has_early_loss())
                 .map_or(0, |task| task.copies.len());
             let may_copy = spec.is_speculative && copies == 1 && job.record.rule.advice.is_none();
--- a/src/dispatch/pool_scheduler/worker_losses.rs
+++ b/src/dispatch/pool_scheduler/worker_losses.rs
@@ -300,7 +300,7 @@
         let lost_at = self.workers.get(worker_id).and_then(|worker| worker.lost_at);
         let active_ms = lost_at.map(|at| at.saturating_duration_since(placed.placed_at).as_millis());
         let others = self.workers.get(worker_id).map_or(0, |worker| worker.runs.len());
-        let lost = self.task_mut(&run.task).map_or(0, |task| task.losses.lost_runs());
+        let lost = self.task(&run.task).map_or(0, |task| task.losses.lost_runs());
         self.most_losses = self.most_losses.max(lost as u32);
         let inputs = format!(
             "run {} of task {}, {cause}, active for {} ms, {others} runs beside it, {lost} losses of the task on record",
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -375,18 +375,10 @@
     /// Whether a listed run may go on: its job and task are open, and no other run of the task is known
     /// unless the step allows copies.
     fn should_keep(&self, task: &TaskId) -> bool {
-        let Some(job) = self.jobs.get(&task.step.job) else {
+        let (Some(job), Some(state)) = (self.jobs.get(&task.step.job), self.task(task)) else {
             return false;
         };
-        let Some(occurrence) = job.occurrences.get(&task.step.occurrence) else {
-            return false;
-        };
-        let number = task.step.step as usize;
-        let state = occurrence.steps.get(number);
-        let Some(state) = state.and_then(|step| step.tasks.get(task.index as usize)) else {
-            return false;
-        };
-        let may_copy = job.record.spec.steps[number].is_speculative;
+        let may_copy = job.record.spec.steps[task.step.step as usize].is_speculative;
         !job.state.is_final() && !state.is_done && (may_copy || state.copies.is_empty())
     }
 
