--- a/src/dispatch/pool_plan.rs
+++ b/src/dispatch/pool_plan.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::model::default_value;
 use crate::model::id::{OrganisationId, PlanVersion, WorkerId};
 use crate::model::resource::ResourceSet;
 
@@ -39,35 +40,19 @@
 #[serde(default)]
 pub struct WorkerUsage {
     /// Number of runs that are, or may be, on the worker.
-    #[serde(skip_serializing_if = "is_zero")]
+    #[serde(skip_serializing_if = "default_value::is_default")]
     pub runs: u32,
     /// Number of long-running runs among them.
-    #[serde(rename = "lasting", skip_serializing_if = "is_zero")]
+    #[serde(rename = "lasting", skip_serializing_if = "default_value::is_default")]
     pub long_running: u32,
     /// Whether the plan in force evacuates the worker and the worker has reported its runs.
-    #[serde(rename = "is_closing", skip_serializing_if = "is_false")]
+    #[serde(rename = "is_closing", skip_serializing_if = "default_value::is_default")]
     pub is_evacuating: bool,
     /// Whether the worker accepts work: listed, responding, and neither draining nor being evacuated.
-    #[serde(skip_serializing_if = "is_false")]
+    #[serde(skip_serializing_if = "default_value::is_default")]
     pub is_usable: bool,
 }
 
-#[expect(
-    clippy::trivially_copy_pass_by_ref,
-    reason = "serde passes fields by reference"
-)]
-fn is_zero(count: &u32) -> bool {
-    *count == 0
-}
-
-#[expect(
-    clippy::trivially_copy_pass_by_ref,
-    reason = "serde passes fields by reference"
-)]
-fn is_false(flag: &bool) -> bool {
-    !*flag
-}
-
 /// Report of a pool leader to the fleet leader, also read by the next leader of the pool.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -1,6 +1,7 @@
 //! Newtypes for identifiers, amounts and rates, and small value types that all modules share.
 
 pub mod amount;
+pub mod default_value;
 pub mod id;
 pub mod priority;
 pub mod resource;
--- a/src/policy/job_event.rs
+++ b/src/policy/job_event.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::WorkOutcome;
+use crate::model::default_value;
 use crate::model::id::{InstanceId, JobId, PoolId, QueueId, SessionId, TeamId, WriteNonce};
 use crate::model::priority::WorkPriority;
 use crate::model::resource::ResourceSet;
@@ -74,7 +75,7 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         checkpoint: Option<Arc<str>>,
         /// Attempts that were lost with their worker soon after their start.
-        #[serde(default, skip_serializing_if = "is_zero")]
+        #[serde(default, skip_serializing_if = "default_value::is_default")]
         early_losses: u32,
     },
     /// The job ended.
@@ -86,14 +87,6 @@
     },
 }
 
-#[expect(
-    clippy::trivially_copy_pass_by_ref,
-    reason = "serde passes fields by reference"
-)]
-fn is_zero(count: &u32) -> bool {
-    *count == 0
-}
-
 impl JobEvent {
     /// Job of the event; absent for `Closed`, which concerns the whole log.
     pub fn job(&self) -> Option<&JobId> {
