--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 pub mod fleet_planner;
 pub mod flush_queue;
 pub mod free_index;
+pub mod hold_reason;
 pub mod inflow_forecast;
 pub mod instance_workers;
 pub mod job_record;
--- a/src/dispatch/placement.rs
+++ b/src/dispatch/placement.rs
@@ -9,10 +9,11 @@
 use std::time::Instant;
 
 use crate::dispatch::free_index::FreeIndex;
+use crate::dispatch::hold_reason::HoldReason;
 use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::task_id::{StepId, TaskId};
 use crate::dispatch::worker_state::WorkerState;
-use crate::model::id::WorkerId;
+use crate::model::id::{JobId, WorkerId};
 
 /// Upper bound of the starts in flight to one worker; more would open further connections and would all wait
 /// if the worker does not answer.
@@ -71,17 +72,33 @@
 
 /// Whether a worker can take the task at `now`.
 pub fn is_candidate(now: Instant, worker: &WorkerState, request: &PlacementRequest<'_>) -> bool {
-    let max_per_worker = request.spec.max_per_worker;
-    is_admitted(worker, request)
-        && worker.is_usable(now)
-        && worker.starts_in_flight < MAX_PENDING_STARTS
-        && worker.free().covers(&request.spec.reserved())
-        && worker
-            .isolated_for
-            .as_ref()
-            .is_none_or(|job| *job == request.task.step.job)
+    hold_reason(now, worker, request).is_none()
+}
+
+/// Why a worker cannot take the task at `now`; `None` if it can. A reason other than [`HoldReason::NoRoom`] means
+/// that the worker has room for it.
+pub fn hold_reason(now: Instant, worker: &WorkerState, request: &PlacementRequest<'_>) -> Option<HoldReason> {
+    let id = &worker.entry.id;
+    let has_place = |max| worker.count_step(&request.task.step) < max;
+    let has_room = worker.free().covers(&request.spec.reserved())
+        && is_eligible(worker, request.spec)
         && !worker.runs.contains_key(request.task)
-        && max_per_worker.is_none_or(|max| worker.count_step(&request.task.step) < max)
+        && request.spec.max_per_worker.is_none_or(has_place);
+    let is_allowed = request.allowed.is_none_or(|allowed| allowed.contains_key(id));
+    let is_isolated = |job: &JobId| *job != request.task.step.job;
+    if !has_room {
+        Some(HoldReason::NoRoom)
+    } else if request.evacuating.contains(id) {
+        Some(HoldReason::Evacuating)
+    } else if !is_allowed {
+        Some(HoldReason::Advice)
+    } else if worker.starts_in_flight >= MAX_PENDING_STARTS {
+        Some(HoldReason::PendingStarts)
+    } else if worker.isolated_for.as_ref().is_some_and(is_isolated) {
+        Some(HoldReason::Isolated)
+    } else {
+        worker.hold_reason(now)
+    }
 }
 
 /// Chooses the best candidate; absent if no worker can take the task.
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -5,11 +5,12 @@
 //! issues stops, speeds and polls. `worker_losses` records runs that end with their worker and gives up
 //! tasks that crash workers; `isolation` starts suspects without other jobs beside them. `demand_report`
 //! reports demand and capacity to the fleet leader, and `progress_flush` collects the changes that have to be
-//! stored.
+//! stored. `held_tasks` finds out what holds back tasks that wait.
 
 mod command_outcomes;
 mod demand_report;
 mod evacuation;
+mod held_tasks;
 mod isolation;
 mod progress_flush;
 mod task_starts;
@@ -28,11 +29,13 @@
 use crate::dispatch::inflow_forecast::InflowForecast;
 use crate::dispatch::instance_workers::InstanceWorkers;
 use crate::dispatch::job_record::{JobProgress, JobRecord, JobState};
-use crate::dispatch::job_state::{JobRun, TaskState};
+use crate::dispatch::job_spec::StepSpec;
+use crate::dispatch::job_state::{JobRun, StepState, TaskState};
 use crate::dispatch::link_budget::LinkBudget;
 use crate::dispatch::open_losses::OpenLosses;
 use crate::dispatch::poll_pace::{MIN_POLL_INTERVAL, PollPace};
 use crate::dispatch::pool_plan::PoolPlan;
+use crate::dispatch::pool_scheduler::held_tasks::HeldTasks;
 use crate::dispatch::pool_scheduler::isolation::{IsolatedJob, PlannedStart};
 use crate::dispatch::scheduler_timing::SchedulerTiming;
 use crate::dispatch::site_config::{OrganisationConfig, SiteConfig};
@@ -120,6 +123,7 @@
     /// Runs on a worker that already has another run of the same task, with the time at which the last stop
     /// was sent.
     duplicate_runs: BTreeMap<(WorkerId, RunId), Option<Instant>>,
+    held: HeldTasks,
     notes: Vec<DecisionNote>,
     is_fenced: bool,
     /// Earliest time at which tasks are moved; until then a stop by the previous leader may still take
@@ -160,6 +164,7 @@
             stale_cancels: Vec::new(),
             ended_jobs: EndedJobs::default(),
             duplicate_runs: BTreeMap::new(),
+            held: HeldTasks::default(),
             notes: Vec::new(),
             is_fenced: false,
             evacuate_after: None,
@@ -434,9 +439,17 @@
         }
     }
 
+    fn job_step(&self, step: &StepId) -> Option<&StepState> {
+        self.jobs.get(&step.job)?.step(step)
+    }
+
+    fn step_spec(&self, step: &StepId) -> Option<&StepSpec> {
+        let job = self.jobs.get(&step.job)?;
+        job.record.spec.steps.get(step.step as usize)
+    }
+
     fn task(&self, task: &TaskId) -> Option<&TaskState> {
-        let job = self.jobs.get(&task.step.job)?;
-        job.step(&task.step)?.tasks.get(task.index as usize)
+        self.job_step(&task.step)?.tasks.get(task.index as usize)
     }
 
     fn task_mut(&mut self, task: &TaskId) -> Option<&mut TaskState> {
@@ -468,6 +481,7 @@
             }
             self.review_isolated_jobs(now);
             self.issue_starts(now, &mut commands);
+            self.review_held_tasks(now);
             self.issue_speeds(&mut commands);
         }
         self.issue_polls(now, is_leadership_valid, &mut commands);
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -85,28 +85,36 @@
         self.free_index = FreeIndex::default();
     }
 
-    /// Collects the keys of the ready steps that have tasks waiting for a start.
-    fn ready_steps(&self, now: Instant) -> Vec<StartKey> {
-        let is_takeover_pending = self.takeover.is_pending(now);
-        let mut ready = Vec::new();
-        for (id, job) in &self.jobs {
-            if job.state.is_final() || (is_takeover_pending && job.is_recovered) {
-                continue;
-            }
-            for (number, occurrence) in &job.occurrences {
-                for (step, state) in occurrence.steps.iter().enumerate() {
+    /// Ready steps that have tasks waiting for a start, with their jobs. Includes those that wait for the end of a
+    /// takeover.
+    pub(super) fn waiting_steps(&self, now: Instant) -> impl Iterator<Item = (StepId, &JobRun)> {
+        let open = self.jobs.iter().filter(|(_, job)| !job.state.is_final());
+        open.flat_map(move |(id, job)| {
+            job.occurrences.iter().flat_map(move |(number, occurrence)| {
+                let waiting = occurrence.steps.iter().enumerate().filter(move |(step, state)| {
                     let has_waiting =
                         state.unfinished > 0 && state.tasks.iter().any(|task| task.is_waiting(now));
-                    if !has_waiting || !job.is_step_ready(occurrence, step) {
-                        continue;
-                    }
-                    let inputs = priority_inputs(job, step, occurrence.due_at);
-                    let step = StepId::new(id.clone(), *number, step as u32);
-                    ready.push(StartKey::new(now, &inputs, step));
-                }
-            }
-        }
-        ready
+                    has_waiting && job.is_step_ready(occurrence, *step)
+                });
+                waiting.map(move |(step, _)| (StepId::new(id.clone(), *number, step as u32), job))
+            })
+        })
+    }
+
+    /// Collects the keys of the steps whose waiting tasks may start.
+    fn ready_steps(&self, now: Instant) -> Vec<StartKey> {
+        let is_takeover_pending = self.takeover.is_pending(now);
+        let waiting = self.waiting_steps(now);
+        let ready = waiting.filter(|(_, job)| !(is_takeover_pending && job.is_recovered));
+        let keys = ready.map(|(step, job)| {
+            let due_at = job
+                .occurrences
+                .get(&step.occurrence)
+                .map_or(job.accepted_at, |occurrence| occurrence.due_at);
+            let inputs = priority_inputs(job, step.step as usize, due_at);
+            StartKey::new(now, &inputs, step)
+        });
+        keys.collect()
     }
 
     fn start_step(
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::dispatch::command::CommandTarget;
+use crate::dispatch::hold_reason::HoldReason;
 use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::speed_control::SpeedControl;
 use crate::dispatch::task_id::{StepId, TaskId};
@@ -333,16 +334,33 @@
         ratios.reduce(f64::max)
     }
 
-    /// Whether the worker may get new runs: listed, reporting, not draining, not full and not in backoff. On
-    /// probation it gets one run at a time, and none beside runs of unknown size unless it refuses what does
-    /// not fit.
+    /// Whether the worker may get new runs at `now`.
     pub fn is_usable(&self, now: Instant) -> bool {
-        if self.is_unguarded && self.unreserved_runs > 0 {
-            return false;
+        self.hold_reason(now).is_none()
+    }
+
+    /// Why the worker gets no new runs at `now`; `None` if it may get some. On probation it gets one run at a
+    /// time. Beside runs of unknown size it gets none unless it refuses what does not fit. A worker that has left
+    /// the list counts as one without room.
+    pub fn hold_reason(&self, now: Instant) -> Option<HoldReason> {
+        if !self.is_listed {
+            Some(HoldReason::NoRoom)
+        } else if !self.has_reported {
+            Some(HoldReason::Unreported)
+        } else if self.poll.failures > 0 {
+            Some(HoldReason::Unreachable)
+        } else if self.entry.is_draining {
+            Some(HoldReason::Draining)
+        } else if self.is_unguarded && self.unreserved_runs > 0 {
+            Some(HoldReason::UnknownRun)
+        } else if self.full_until.is_some_and(|until| now < until) {
+            Some(HoldReason::Full)
+        } else if self.health.is_in_backoff(now) {
+            Some(HoldReason::Backoff)
+        } else if self.health.is_on_probation() && !self.runs.is_empty() {
+            Some(HoldReason::Probation)
+        } else {
+            None
         }
-        let is_open = self.is_listed && self.has_reported && !self.entry.is_draining;
-        let is_full = self.full_until.is_some_and(|until| now < until);
-        let is_probation_met = !self.health.is_on_probation() || self.runs.is_empty();
-        is_open && !is_full && !self.health.is_in_backoff(now) && is_probation_met && self.poll.failures == 0
     }
 }
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a node's leaders and of the API for callers.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use prometheus::core::Collector;
@@ -7,6 +8,7 @@
     HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
+use crate::dispatch::hold_reason::HoldReason;
 use crate::error::{Error, ErrorKind, Result};
 
 /// Upper bounds of the latency histograms' buckets in seconds.
@@ -24,6 +26,7 @@
     decisions: IntCounterVec,
     jobs: IntGaugeVec,
     most_losses: IntGaugeVec,
+    held_tasks: IntGaugeVec,
     in_flight: IntGauge,
     store_calls: IntCounterVec,
 }
@@ -63,6 +66,11 @@
             "Largest number of runs that one task of the pool lost with its workers in this term.",
         );
         let most_losses = register(&registry, IntGaugeVec::new(most_losses, &["pool"]))?;
+        let held_tasks = Opts::new(
+            "figloft_held_tasks",
+            "Tasks that have waited for more than a second, by what holds them back.",
+        );
+        let held_tasks = register(&registry, IntGaugeVec::new(held_tasks, &["pool", "reason"]))?;
         let in_flight = IntGauge::new(
             "figloft_calls_in_flight",
             "Calls of callers that are not answered.",
@@ -107,6 +115,7 @@
             )?,
             jobs,
             most_losses,
+            held_tasks,
             registry,
         })
     }
@@ -161,6 +170,16 @@
         self.most_losses.with_label_values(&[pool]).set(i64::from(runs));
     }
 
+    /// Sets the number of tasks of a pool that wait for each reason; 0 for the reasons that are not given.
+    pub fn set_held_tasks(&self, pool: &str, counts: &BTreeMap<HoldReason, u64>) {
+        for reason in HoldReason::ALL {
+            let count = counts.get(&reason).copied().unwrap_or_default();
+            self.held_tasks
+                .with_label_values(&[pool, reason.as_str()])
+                .set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Renders all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/src/node/pool_leader.rs
+++ b/src/node/pool_leader.rs
@@ -126,6 +126,10 @@
     let reason = leader.run(&mut receiver).await;
     tasks.iter().for_each(JoinHandle::abort);
     leader.context.metrics.set_job_count(leader.pool.as_str(), 0);
+    leader
+        .context
+        .metrics
+        .set_held_tasks(leader.pool.as_str(), &BTreeMap::new());
     reason
 }
 
@@ -442,6 +446,9 @@
         self.context
             .metrics
             .set_most_losses(self.pool.as_str(), self.scheduler.most_losses());
+        if let Some(counts) = self.scheduler.take_held_counts() {
+            self.context.metrics.set_held_tasks(self.pool.as_str(), &counts);
+        }
         Ok(())
     }
 
--- /dev/null
+++ b/tests/pool_decisions/held_tasks.rs
@@ -0,0 +1,89 @@
+//! What holds back tasks that wait for a start, and for how long.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use figloft::dispatch::command::{StartCommand, StartOutcome};
+use figloft::dispatch::hold_reason::HoldReason;
+use figloft::dispatch::job_spec::StepSpec;
+use figloft::dispatch::pool_scheduler::PoolScheduler;
+
+use crate::setup::{WALL, job_id, record, report, scheduler, start_all, starts, step, worker_id};
+
+/// Interval of the decisions in these tests.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Long-running tasks of which each worker takes one.
+fn service(tasks: u32, cores: u64) -> StepSpec {
+    StepSpec {
+        is_long_running: true,
+        max_per_worker: Some(1),
+        ..step(tasks, cores, 900)
+    }
+}
+
+/// Lets time pass in which the workers confirm all starts and list what runs on them. Returns the new starts.
+fn advance(
+    scheduler: &mut PoolScheduler,
+    now: &mut Instant,
+    time: Duration,
+    running: &[StartCommand],
+) -> Vec<StartCommand> {
+    let end = *now + time;
+    let mut started: Vec<StartCommand> = Vec::new();
+    while *now < end {
+        *now += TICK;
+        started.extend(start_all(scheduler, *now));
+        for number in 0..scheduler.workers().len() {
+            let active = running.iter().chain(&started);
+            let listed: Vec<_> = active
+                .filter(|start| start.target.worker == worker_id(number))
+                .collect();
+            report(scheduler, *now, number, &listed, &[]);
+        }
+    }
+    started
+}
+
+/// Pool of two workers with a long-running task on each. Worker 0 has left two starts unanswered.
+fn pool_with_unanswered_starts(now: Instant) -> (PoolScheduler, Vec<StartCommand>) {
+    let mut scheduler = scheduler(now, 2, 32);
+    scheduler.submit(now, now, record(1, vec![service(2, 4)]), None);
+    let running = start_all(&mut scheduler, now);
+    assert_eq!(running.len(), 2);
+    scheduler.submit(now, now, record(2, vec![step(2, 2, 1_000)]), None);
+    let unanswered = starts(scheduler.decide(now, WALL, true));
+    assert_eq!(unanswered.len(), 2);
+    let closed = unanswered[0].target.worker.clone();
+    for start in &unanswered {
+        assert_eq!(start.target.worker, closed, "finite tasks share a worker");
+        scheduler.handle_start_outcome(now, &closed, &start.run, StartOutcome::NotSent);
+    }
+    scheduler.cancel(&job_id(2));
+    (scheduler, running)
+}
+
+/// Guards against waiting tasks that leave no trace: the log and the metric tell what holds them.
+#[test]
+fn held_tasks_are_counted_and_logged_with_their_reason() {
+    let mut now = Instant::now();
+    let (mut scheduler, running) = pool_with_unanswered_starts(now);
+    scheduler.submit(now, now, record(3, vec![service(2, 4)]), None);
+    scheduler.submit(now, now, record(4, vec![service(1, 64)]), None);
+    advance(&mut scheduler, &mut now, Duration::from_millis(1_600), &running);
+    let counts = scheduler.take_held_counts();
+    let expected = BTreeMap::from([(HoldReason::Backoff, 1), (HoldReason::NoRoom, 1)]);
+    assert_eq!(counts, Some(expected));
+    let notes = scheduler.take_notes();
+    let held: Vec<&str> = notes
+        .iter()
+        .filter(|note| note.decision == "task held")
+        .map(|note| note.inputs.as_str())
+        .collect();
+    assert_eq!(held.len(), 2, "{held:?}");
+    assert!(
+        held[0].contains("backoff; 1 backoff: i-") && held[0].contains("1 no_room: i-"),
+        "{held:?}"
+    );
+    assert!(held[1].contains("no_room; 2 no_room: i-0, i-1"), "{held:?}");
+}
