--- a/tests/pool_decisions/held_tasks.rs
+++ b/tests/pool_decisions/held_tasks.rs
@@ -87,3 +87,19 @@
     );
     assert!(held[1].contains("no_room; 2 no_room: i-0, i-1"), "{held:?}");
 }
+
+/// Guards against a worker that is closed for good: on probation it gets one run at a time, and a long-running
+/// run never ends, so that a step with a task on each other worker waits although there is room.
+#[test]
+fn worker_with_a_long_running_task_opens_after_unanswered_starts() {
+    let mut now = Instant::now();
+    let (mut scheduler, running) = pool_with_unanswered_starts(now);
+    scheduler.submit(now, now, record(3, vec![service(2, 4)]), None);
+    let started = advance(&mut scheduler, &mut now, Duration::from_secs(6), &running);
+    assert_eq!(
+        started.len(),
+        2,
+        "{started:?}; {:?}",
+        scheduler.take_held_counts()
+    );
+}
