--- a/src/dispatch/hold_reason.rs
+++ b/src/dispatch/hold_reason.rs
@@ -38,7 +38,7 @@
     Isolated,
     /// The worker gets no run for some time after failures or unanswered commands.
     Backoff,
-    /// The worker has not completed a run since its backoff and gets one at a time.
+    /// The worker has a trial run, the first since its backoff, that has not succeeded yet.
     Probation,
     /// A worker can take the task: the start is due in one of the next passes.
     StartDue,
--- a/src/dispatch/pool_scheduler/evacuation.rs
+++ b/src/dispatch/pool_scheduler/evacuation.rs
@@ -9,7 +9,7 @@
 use crate::model::id::WorkerId;
 
 /// Progress that a long-running task reports once it is up, in percent.
-const WORKING_PERCENT: f64 = 100.0;
+pub(super) const WORKING_PERCENT: f64 = 100.0;
 
 impl PoolScheduler {
     /// Stops long-running tasks on draining and evacuating workers if another worker can take them. Finite
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -6,6 +6,7 @@
 use crate::dispatch::command::RunId;
 use crate::dispatch::job_record::JobState;
 use crate::dispatch::job_state::{JobRun, TaskCopy};
+use crate::dispatch::pool_scheduler::evacuation::WORKING_PERCENT;
 use crate::dispatch::pool_scheduler::{MAX_MISSING_POLLS, PoolScheduler, request_stops, run_id};
 use crate::dispatch::task_id::TaskId;
 use crate::dispatch::worker_report::{ActiveRun, EndedRun, RunOutcome, WorkerReport};
@@ -269,6 +270,9 @@
             placed.incarnation = worker.incarnation;
             placed.observe_progress(now, row.progress_percent);
             placed.load = row.load;
+            if placed.is_long_running && row.progress_percent >= WORKING_PERCENT {
+                worker.health.record_working(placed.placed_at);
+            }
             if !row.checkpoint.is_empty() {
                 placed.checkpoint = Arc::clone(&row.checkpoint);
             }
--- a/src/dispatch/worker_health.rs
+++ b/src/dispatch/worker_health.rs
@@ -27,6 +27,10 @@
 /// Backoff after the worker refused a command because it is unhealthy.
 const UNHEALTHY_BACKOFF: Duration = Duration::from_millis(400);
 
+/// Time for which a trial run keeps other runs off a worker. Stalled runs are noticed after 1.8 s; a run that goes on
+/// for longer without a result must not close the worker.
+const MAX_TRIAL_TIME: Duration = Duration::from_secs(3);
+
 /// Weight of the latest run in the exponential moving average of the slowdown.
 const SMOOTHING_FACTOR: f64 = 0.3;
 
@@ -40,7 +44,8 @@
     backoff_until: Option<Instant>,
     backoffs: u32,
     unanswered_commands: u32,
-    is_on_probation: bool,
+    /// Start of the backoff that the probation follows; absent without a probation.
+    probation_since: Option<Instant>,
     slowdown: Option<f64>,
 }
 
@@ -55,7 +60,7 @@
         }
         self.failures.push_back((now, job.clone()));
         let jobs: BTreeSet<&JobId> = self.failures.iter().map(|(_, job)| job).collect();
-        if jobs.len() < MIN_FAILED_JOBS && !self.is_on_probation {
+        if jobs.len() < MIN_FAILED_JOBS && self.probation_since.is_none() {
             return false;
         }
         self.start_backoff(now);
@@ -65,7 +70,7 @@
     fn start_backoff(&mut self, now: Instant) {
         let backoff = INITIAL_BACKOFF * 2_u32.saturating_pow(self.backoffs.min(8));
         self.backoffs += 1;
-        self.is_on_probation = true;
+        self.probation_since = Some(now);
         self.failures.clear();
         self.backoff_until = Some(now + backoff.min(MAX_BACKOFF));
     }
@@ -74,12 +79,24 @@
     /// the backoff to its initial length.
     pub fn record_success(&mut self, elapsed: Duration, estimate: Duration) {
         self.failures.pop_front();
-        self.is_on_probation = false;
-        self.backoffs = 0;
+        self.end_probation();
         self.unanswered_commands = 0;
         self.record_run_time(elapsed, estimate);
     }
 
+    /// Records that a long-running run placed at `placed_at` is at work. Such a run never completes: if it is the
+    /// trial of a probation, this is its success.
+    pub fn record_working(&mut self, placed_at: Instant) {
+        if self.is_trial(placed_at) {
+            self.end_probation();
+        }
+    }
+
+    fn end_probation(&mut self) {
+        self.probation_since = None;
+        self.backoffs = 0;
+    }
+
     /// Updates the slowdown with the duration of a finished run, or of a run that already exceeds its
     /// estimate. Runs without an estimate are ignored.
     pub fn record_run_time(&mut self, elapsed: Duration, estimate: Duration) {
@@ -116,10 +133,15 @@
         self.backoff_until.is_some_and(|until| now < until)
     }
 
-    /// Whether the worker gets only one run at a time. This holds from a backoff after failures or unanswered
-    /// commands until the next successful run.
-    pub fn is_on_probation(&self) -> bool {
-        self.is_on_probation
+    /// Whether a run placed at `placed_at` is a trial. From a backoff after failures or unanswered commands until
+    /// the next success the worker gets one such run at a time, beside those that it had before.
+    pub fn is_trial(&self, placed_at: Instant) -> bool {
+        self.probation_since.is_some_and(|since| placed_at >= since)
+    }
+
+    /// Whether a run placed at `placed_at` is a trial that keeps other runs off the worker at `now`.
+    pub fn is_open_trial(&self, now: Instant, placed_at: Instant) -> bool {
+        self.is_trial(placed_at) && now < placed_at + MAX_TRIAL_TIME
     }
 
     /// Whether runs take far longer than estimated on average.
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -334,14 +334,19 @@
         ratios.reduce(f64::max)
     }
 
+    fn has_open_trial(&self, now: Instant) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| self.health.is_open_trial(now, run.placed_at))
+    }
+
     /// Whether the worker may get new runs at `now`.
     pub fn is_usable(&self, now: Instant) -> bool {
         self.hold_reason(now).is_none()
     }
 
-    /// Why the worker gets no new runs at `now`; `None` if it may get some. On probation it gets one run at a
-    /// time. Beside runs of unknown size it gets none unless it refuses what does not fit. A worker that has left
-    /// the list counts as one without room.
+    /// Why the worker gets no new runs at `now`; `None` if it may get some. On probation it gets one trial run
+    /// at a time. Beside runs of unknown size it gets none unless it refuses what does not fit. A worker that has
+    /// left the list counts as one without room.
     pub fn hold_reason(&self, now: Instant) -> Option<HoldReason> {
         if !self.is_listed {
             Some(HoldReason::NoRoom)
@@ -357,7 +362,7 @@
             Some(HoldReason::Full)
         } else if self.health.is_in_backoff(now) {
             Some(HoldReason::Backoff)
-        } else if self.health.is_on_probation() && !self.runs.is_empty() {
+        } else if self.has_open_trial(now) {
             Some(HoldReason::Probation)
         } else {
             None
--- a/tests/pool_decisions/held_tasks.rs
+++ b/tests/pool_decisions/held_tasks.rs
@@ -7,8 +7,10 @@
 use figloft::dispatch::hold_reason::HoldReason;
 use figloft::dispatch::job_spec::StepSpec;
 use figloft::dispatch::pool_scheduler::PoolScheduler;
+use figloft::dispatch::worker_report::{ActiveRun, WorkerReport};
+use figloft::model::unix_time::UnixMillis;
 
-use crate::setup::{WALL, job_id, record, report, scheduler, start_all, starts, step, worker_id};
+use crate::setup::{WALL, job_id, record, running_row, scheduler, start_all, starts, step, worker_id};
 
 /// Interval of the decisions in these tests.
 const TICK: Duration = Duration::from_millis(100);
@@ -22,12 +24,24 @@
     }
 }
 
-/// Lets time pass in which the workers confirm all starts and list what runs on them. Returns the new starts.
+/// Lets time pass in which the workers confirm all starts and list what runs on them as being at work. Returns the
+/// new starts.
 fn advance(
     scheduler: &mut PoolScheduler,
     now: &mut Instant,
     time: Duration,
     running: &[StartCommand],
+) -> Vec<StartCommand> {
+    advance_with_progress(scheduler, now, time, running, 100.0)
+}
+
+/// As [`advance`], with the progress that the workers list, in percent.
+fn advance_with_progress(
+    scheduler: &mut PoolScheduler,
+    now: &mut Instant,
+    time: Duration,
+    running: &[StartCommand],
+    percent: f64,
 ) -> Vec<StartCommand> {
     let end = *now + time;
     let mut started: Vec<StartCommand> = Vec::new();
@@ -36,10 +50,18 @@
         started.extend(start_all(scheduler, *now));
         for number in 0..scheduler.workers().len() {
             let active = running.iter().chain(&started);
-            let listed: Vec<_> = active
-                .filter(|start| start.target.worker == worker_id(number))
-                .collect();
-            report(scheduler, *now, number, &listed, &[]);
+            let on_worker = active.filter(|start| start.target.worker == worker_id(number));
+            let rows = on_worker.map(|start| ActiveRun {
+                progress_percent: percent,
+                ..running_row(start)
+            });
+            let report = WorkerReport {
+                clock_ms: 5_000,
+                incarnation: Some(UnixMillis::new(1)),
+                running: rows.collect(),
+                ended: Vec::new(),
+            };
+            scheduler.handle_poll_report(*now, &worker_id(number), *now, report);
         }
     }
     started
@@ -103,3 +125,20 @@
         scheduler.take_held_counts()
     );
 }
+
+/// Guards against a worker that a trial run closes for good: the run stands still, so that it neither ends nor comes
+/// to work.
+#[test]
+fn trial_run_that_stands_still_does_not_close_its_worker() {
+    let mut now = Instant::now();
+    let (mut scheduler, running) = pool_with_unanswered_starts(now);
+    scheduler.submit(now, now, record(3, vec![service(2, 4)]), None);
+    scheduler.submit(now, now, record(4, vec![service(2, 4)]), None);
+    let started = advance_with_progress(&mut scheduler, &mut now, Duration::from_secs(9), &running, 10.0);
+    assert_eq!(
+        started.len(),
+        4,
+        "{started:?}; {:?}",
+        scheduler.take_held_counts()
+    );
+}
