--- a/src/dispatch/placement.rs
+++ b/src/dispatch/placement.rs
@@ -107,9 +107,29 @@
     workers: &BTreeMap<WorkerId, WorkerState>,
     request: &PlacementRequest<'_>,
 ) -> Option<WorkerId> {
-    let candidates = workers
-        .values()
-        .filter(|worker| is_candidate(now, worker, request));
+    choose_among(workers, request, |worker| is_candidate(now, worker, request))
+}
+
+/// Chooses the best of the workers that would be candidates but for their backoff or probation; absent if there is
+/// none.
+pub fn choose_avoided_worker(
+    now: Instant,
+    workers: &BTreeMap<WorkerId, WorkerState>,
+    request: &PlacementRequest<'_>,
+) -> Option<WorkerId> {
+    choose_among(workers, request, |worker| {
+        let reason = hold_reason(now, worker, request);
+        matches!(reason, Some(HoldReason::Backoff | HoldReason::Probation))
+    })
+}
+
+/// Chooses the best of the workers that `can_take` admits.
+fn choose_among(
+    workers: &BTreeMap<WorkerId, WorkerState>,
+    request: &PlacementRequest<'_>,
+    can_take: impl Fn(&WorkerState) -> bool,
+) -> Option<WorkerId> {
+    let candidates = workers.values().filter(|worker| can_take(worker));
     let racks = if request.spec.is_long_running {
         count_racks(workers, &request.task.step)
     } else {
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -42,6 +42,10 @@
 /// Added to the run time after which a speculative task gets a second copy.
 const SPECULATION_DELAY: Duration = Duration::from_millis(400);
 
+/// Time after which a long-running task that no other worker can take starts on one in backoff or on probation. A
+/// backoff lasts up to 12 s, and failed runs of long-running tasks use up no attempts.
+const MAX_AVOIDANCE: Duration = Duration::from_secs(2);
+
 /// Demands that no worker could take in this pass. Free resources only shrink within a pass, so that larger
 /// demands need no search: with hundreds of waiting jobs on a full pool, each job costs one comparison.
 #[derive(Debug, Default)]
@@ -158,7 +162,9 @@
             if !is_allowed || !self.start_budget.has_room(now) {
                 return;
             }
-            let Some(worker) = self.choose_worker(now, &task, &spec, has_advice) else {
+            let worker = self.choose_worker(now, &task, &spec, has_advice);
+            let worker = worker.or_else(|| self.choose_avoided_worker(now, &task, &spec, has_advice));
+            let Some(worker) = worker else {
                 let is_free_choice = spec.label.is_none() && spec.max_per_worker.is_none() && !has_advice;
                 if is_free_choice {
                     unplaceable.insert(spec.reserved());
@@ -276,6 +282,22 @@
         }
     }
 
+    /// Chooses a worker in backoff or on probation for a long-running task that has waited long for another one.
+    fn choose_avoided_worker(
+        &self,
+        now: Instant,
+        task: &TaskId,
+        spec: &StepSpec,
+        has_advice: bool,
+    ) -> Option<WorkerId> {
+        let since = self.held.waiting_since(&task.step)?;
+        if !spec.is_long_running || now < since + MAX_AVOIDANCE {
+            return None;
+        }
+        let request = self.placement_request(task, spec, has_advice)?;
+        placement::choose_avoided_worker(now, &self.workers, &request)
+    }
+
     /// Request for a worker without a preferred rack. `has_advice` tells whether the worker needs a ticket.
     pub(super) fn placement_request<'a>(
         &'a self,
--- a/tests/pool_decisions/held_tasks.rs
+++ b/tests/pool_decisions/held_tasks.rs
@@ -142,3 +142,25 @@
         scheduler.take_held_counts()
     );
 }
+
+/// Guards against a long-running task that waits for the end of a long backoff although no other worker has a place
+/// for it.
+#[test]
+fn long_running_task_does_not_wait_for_a_long_backoff() {
+    let mut now = Instant::now();
+    let mut scheduler = scheduler(now, 1, 32);
+    scheduler.submit(now, now, record(1, vec![step(1, 2, 1_000)]), None);
+    let mut unanswered = 0;
+    // Two starts without an answer begin a backoff of 2 s; it doubles to 4 and 8 s.
+    while unanswered < 6 {
+        now += TICK;
+        for start in starts(scheduler.decide(now, WALL, true)) {
+            scheduler.handle_start_outcome(now, &start.target.worker, &start.run, StartOutcome::NotSent);
+            unanswered += 1;
+        }
+    }
+    scheduler.cancel(&job_id(1));
+    scheduler.submit(now, now, record(2, vec![service(1, 4)]), None);
+    let started = advance(&mut scheduler, &mut now, Duration::from_secs(4), &[]);
+    assert_eq!(started.len(), 1, "{:?}", scheduler.take_held_counts());
+}
