--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -42,6 +42,10 @@
 /// Added to the run time after which a speculative task gets a second copy.
 const SPECULATION_DELAY: Duration = Duration::from_millis(400);
 
+/// Time after which a long-running task that no other worker can take starts on one in backoff or on probation. A
+/// backoff lasts up to 12 s, and failed runs of long-running tasks use up no attempts.
+const MAX_AVOIDANCE: Duration = Duration::from_secs(2);
+
 /// Demands that no worker could take in this pass. Free resources only shrink within a pass, so that larger
 /// demands need no search: with hundreds of waiting jobs on a full pool, each job costs one comparison.
 #[derive(Debug, Default)]
@@ -85,28 +89,36 @@
         self.free_index = FreeIndex::default();
     }
 
-    /// Collects the keys of the ready steps that have tasks waiting for a start.
-    fn ready_steps(&self, now: Instant) -> Vec<StartKey> {
-        let is_takeover_pending = self.takeover.is_pending(now);
-        let mut ready = Vec::new();
-        for (id, job) in &self.jobs {
-            if job.state.is_final() || (is_takeover_pending && job.is_recovered) {
-                continue;
-            }
-            for (number, occurrence) in &job.occurrences {
-                for (step, state) in occurrence.steps.iter().enumerate() {
+    /// Ready steps that have tasks waiting for a start, with their jobs. Includes those that wait for the end of a
+    /// takeover.
+    pub(super) fn waiting_steps(&self, now: Instant) -> impl Iterator<Item = (StepId, &JobRun)> {
+        let open = self.jobs.iter().filter(|(_, job)| !job.state.is_final());
+        open.flat_map(move |(id, job)| {
+            job.occurrences.iter().flat_map(move |(number, occurrence)| {
+                let waiting = occurrence.steps.iter().enumerate().filter(move |(step, state)| {
                     let has_waiting =
                         state.unfinished > 0 && state.tasks.iter().any(|task| task.is_waiting(now));
-                    if !has_waiting || !job.is_step_ready(occurrence, step) {
-                        continue;
-                    }
-                    let inputs = priority_inputs(job, step, occurrence.due_at);
-                    let step = StepId::new(id.clone(), *number, step as u32);
-                    ready.push(StartKey::new(now, &inputs, step));
-                }
-            }
-        }
-        ready
+                    has_waiting && job.is_step_ready(occurrence, *step)
+                });
+                waiting.map(move |(step, _)| (StepId::new(id.clone(), *number, step as u32), job))
+            })
+        })
+    }
+
+    /// Collects the keys of the steps whose waiting tasks may start.
+    fn ready_steps(&self, now: Instant) -> Vec<StartKey> {
+        let is_takeover_pending = self.takeover.is_pending(now);
+        let waiting = self.waiting_steps(now);
+        let ready = waiting.filter(|(_, job)| !(is_takeover_pending && job.is_recovered));
+        let keys = ready.map(|(step, job)| {
+            let due_at = job
+                .occurrences
+                .get(&step.occurrence)
+                .map_or(job.accepted_at, |occurrence| occurrence.due_at);
+            let inputs = priority_inputs(job, step.step as usize, due_at);
+            StartKey::new(now, &inputs, step)
+        });
+        keys.collect()
     }
 
     fn start_step(
@@ -150,7 +162,9 @@
             if !is_allowed || !self.start_budget.has_room(now) {
                 return;
             }
-            let Some(worker) = self.choose_worker(now, &task, &spec, has_advice) else {
+            let worker = self.choose_worker(now, &task, &spec, has_advice);
+            let worker = worker.or_else(|| self.choose_avoided_worker(now, &task, &spec, has_advice));
+            let Some(worker) = worker else {
                 let is_free_choice = spec.label.is_none() && spec.max_per_worker.is_none() && !has_advice;
                 if is_free_choice {
                     unplaceable.insert(spec.reserved());
@@ -268,6 +282,22 @@
         }
     }
 
+    /// Chooses a worker in backoff or on probation for a long-running task that has waited long for another one.
+    fn choose_avoided_worker(
+        &self,
+        now: Instant,
+        task: &TaskId,
+        spec: &StepSpec,
+        has_advice: bool,
+    ) -> Option<WorkerId> {
+        let since = self.held.waiting_since(&task.step)?;
+        if !spec.is_long_running || now < since + MAX_AVOIDANCE {
+            return None;
+        }
+        let request = self.placement_request(task, spec, has_advice)?;
+        placement::choose_avoided_worker(now, &self.workers, &request)
+    }
+
     /// Request for a worker without a preferred rack. `has_advice` tells whether the worker needs a ticket.
     pub(super) fn placement_request<'a>(
         &'a self,
