--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -363,7 +363,7 @@
             self.workers.insert(id.clone(), worker);
             return;
         };
-        if entry.incarnation < worker.entry.incarnation {
+        if entry.incarnation < worker.incarnation {
             // An entry of an earlier process that is read late.
             return;
         }
--- a/src/dispatch/pool_scheduler/held_tasks.rs
+++ b/src/dispatch/pool_scheduler/held_tasks.rs
@@ -111,8 +111,9 @@
             let is_logged = !is_usual || reason > HoldReason::Unreachable;
             if is_logged && self.held.start_log(now, &step) {
                 let held_ms = now.saturating_duration_since(since).as_millis();
+                let kind = if is_finite { "finite" } else { "long-running" };
                 let inputs = format!(
-                    "{waiting} tasks of step {step} wait for {held_ms} ms: {}{inputs}",
+                    "{waiting} {kind} tasks of step {step} wait for {held_ms} ms: {}{inputs}",
                     reason.as_str()
                 );
                 self.note("task held", Some(step.job.clone()), None, inputs);
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -23,16 +23,28 @@
         sent_at: Instant,
         report: WorkerReport,
     ) {
-        self.check_incarnation(now, worker_id, report.incarnation);
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
         };
         worker.poll.sent_at = None;
         worker.poll.next_at = Some(now + self.poll_pace.interval());
-        let is_outdated = report.incarnation.is_some() && report.incarnation < worker.incarnation;
-        if is_outdated {
-            return;
+        if report.incarnation.is_some() && report.incarnation < worker.incarnation {
+            let is_outdated = worker.restart_seen_at.is_some_and(|seen_at| sent_at <= seen_at);
+            let inputs = format!(
+                "the report is of an earlier process, as far as its start time tells; used: {}",
+                !is_outdated
+            );
+            self.note("worker clock differs", None, Some(worker_id.clone()), inputs);
+            if is_outdated {
+                return;
+            }
+            // The poll was sent after the process that is known had started, so that the present one has answered.
+            self.reset_incarnation(now, worker_id, report.incarnation);
         }
+        self.check_incarnation(now, worker_id, report.incarnation);
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
         let is_regained = worker.poll.failures > 0;
         worker.poll.failures = 0;
         let lost_at = worker.lost_at.take();
@@ -103,18 +115,27 @@
         worker_id: &WorkerId,
         incarnation: Option<UnixMillis>,
     ) {
-        let max_lease = self.timing.max_lease;
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
         };
         if incarnation.is_none() || incarnation <= worker.incarnation {
             return;
         }
-        let is_first = worker.incarnation.is_none();
-        worker.incarnation = incarnation;
-        if is_first {
+        if worker.incarnation.is_none() {
+            worker.incarnation = incarnation;
             return;
         }
+        self.reset_incarnation(now, worker_id, incarnation);
+    }
+
+    /// Discards what is known only of the former process of a worker.
+    fn reset_incarnation(&mut self, now: Instant, worker_id: &WorkerId, incarnation: Option<UnixMillis>) {
+        let max_lease = self.timing.max_lease;
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        worker.incarnation = incarnation;
+        worker.restart_seen_at = Some(now);
         worker.outcomes = OutcomeLog::default();
         worker.lease.reset(now, max_lease);
         worker.has_reported = false;
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -231,6 +231,8 @@
     pub is_listed: bool,
     /// Start time of the worker process, absent if unknown.
     pub incarnation: Option<UnixMillis>,
+    /// Time at which `incarnation` became known; absent for the first one.
+    pub restart_seen_at: Option<Instant>,
     /// Lease that covers all runs on the worker.
     pub lease: WorkerLease,
     /// Runs that are, or may be, on the worker.
@@ -267,6 +269,7 @@
     pub fn new(entry: WorkerEntry) -> Self {
         Self {
             incarnation: entry.incarnation,
+            restart_seen_at: None,
             entry,
             is_listed: true,
             lease: WorkerLease::default(),
--- a/tests/pool_decisions/held_tasks.rs
+++ b/tests/pool_decisions/held_tasks.rs
@@ -7,10 +7,14 @@
 use figloft::dispatch::hold_reason::HoldReason;
 use figloft::dispatch::job_spec::StepSpec;
 use figloft::dispatch::pool_scheduler::PoolScheduler;
+use figloft::dispatch::takeover::TakeoverState;
 use figloft::dispatch::worker_report::{ActiveRun, WorkerReport};
 use figloft::model::unix_time::UnixMillis;
 
-use crate::setup::{WALL, job_id, record, running_row, scheduler, start_all, starts, step, worker_id};
+use crate::setup::{
+    WALL, empty_scheduler, entry, job_id, record, running_row, scheduler, start_all, starts, step,
+    store_changes, worker_id,
+};
 
 /// Interval of the decisions in these tests.
 const TICK: Duration = Duration::from_millis(100);
@@ -55,12 +59,7 @@
                 progress_percent: percent,
                 ..running_row(start)
             });
-            let report = WorkerReport {
-                clock_ms: 5_000,
-                incarnation: Some(UnixMillis::new(1)),
-                running: rows.collect(),
-                ended: Vec::new(),
-            };
+            let report = report_of_process(1, 5_000, rows.collect());
             scheduler.handle_poll_report(*now, &worker_id(number), *now, report);
         }
     }
@@ -164,3 +163,47 @@
     let started = advance(&mut scheduler, &mut now, Duration::from_secs(4), &[]);
     assert_eq!(started.len(), 1, "{:?}", scheduler.take_held_counts());
 }
+
+/// Report of a worker's process that was born at `born` and whose clock shows `clock_ms`.
+fn report_of_process(born: u64, clock_ms: u64, running: Vec<ActiveRun>) -> WorkerReport {
+    WorkerReport {
+        clock_ms,
+        incarnation: Some(UnixMillis::new(born)),
+        running,
+        ended: Vec::new(),
+    }
+}
+
+/// Guards against a worker whose reports are ignored for good: its clock was set back, so that its new process seems
+/// to be older than the one before, and the runs of that one count as active.
+#[test]
+fn run_is_lost_when_its_worker_restarts_with_an_earlier_clock() {
+    let mut now = Instant::now();
+    let mut scheduler = empty_scheduler(1, TakeoverState::default());
+    let mut present = entry(0, 32);
+    present.incarnation = Some(UnixMillis::new(9_000));
+    scheduler.set_worker(now, present.clone());
+    scheduler.decide(now, WALL, true);
+    scheduler.handle_poll_report(
+        now,
+        &worker_id(0),
+        now,
+        report_of_process(9_000, 5_000, Vec::new()),
+    );
+    scheduler.submit(now, now, record(1, vec![service(1, 4)]), None);
+    assert_eq!(start_all(&mut scheduler, now).len(), 1);
+    present.incarnation = Some(UnixMillis::new(4_000));
+    let mut restarts = 0;
+    for tick in 0..40_u64 {
+        now += TICK;
+        scheduler.set_worker(now, present.clone());
+        store_changes(&mut scheduler);
+        restarts += start_all(&mut scheduler, now).len();
+        let report = report_of_process(4_000, 100 + tick * 100, Vec::new());
+        scheduler.handle_poll_report(now, &worker_id(0), now, report);
+        if restarts > 0 {
+            break;
+        }
+    }
+    assert_eq!(restarts, 1, "{:?}", scheduler.take_held_counts());
+}
