--- a/tests/pool_decisions/crash_world.rs
+++ b/tests/pool_decisions/crash_world.rs
@@ -1,16 +1,20 @@
-//! A pool on a virtual clock whose workers crash: under the tasks named as deadly, or on command. Progress is
-//! stored, so that a new leader can take over.
+//! A pool on a virtual clock whose workers crash: under the tasks named as deadly, or on command. On command they
+//! also leave starts without an answer, fail runs, and change their entries. Progress is stored, so that a new
+//! leader can take over.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use figloft::dispatch::command::{PollError, PoolCommand, StartCommand, StartOutcome, StopOutcome};
+use figloft::dispatch::command::{PollError, PoolCommand, RunId, StartCommand, StartOutcome, StopOutcome};
 use figloft::dispatch::job_record::{JobProgress, JobRecord, JobState, JobSummary};
+use figloft::dispatch::job_spec::StepSpec;
+use figloft::dispatch::pool_plan::PoolPlan;
 use figloft::dispatch::pool_scheduler::PoolScheduler;
 use figloft::dispatch::takeover::TakeoverState;
 use figloft::dispatch::task_id::TaskId;
+use figloft::dispatch::worker_entry::WorkerEntry;
 use figloft::dispatch::worker_report::{EndedRun, RunOutcome, WorkerReport};
-use figloft::model::id::{JobId, WorkerId};
+use figloft::model::id::{JobId, RunNumber, WorkerId};
 use figloft::model::unix_time::UnixMillis;
 
 use crate::setup::{WALL, empty_scheduler, entry, running_row};
@@ -19,16 +23,35 @@
 
 const RESTART_TIME: Duration = Duration::from_millis(3_300);
 
+/// Run time of long-running tasks, which only end on command.
+const UNLIMITED_TIME: Duration = Duration::from_hours(1_000);
+
+/// Time after which a start without an answer times out.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+
 struct CrashingWorker {
-    entry: figloft::dispatch::worker_entry::WorkerEntry,
+    entry: WorkerEntry,
+    /// Active runs with the time at which they complete.
     runs: Vec<(StartCommand, Instant)>,
     ended: Vec<EndedRun>,
     sequence: u64,
+    /// Highest run of each task that was stopped; a start of it that arrives later has no effect.
+    stopped: BTreeMap<TaskId, RunNumber>,
+    lease_end_ms: u64,
     back_at: Option<Instant>,
     cut_until: Option<Instant>,
+    mute_until: Option<Instant>,
     crash_at: Option<Instant>,
 }
 
+/// What follows a start without an answer.
+enum DelayedEvent {
+    /// The answer has timed out.
+    Timeout(WorkerId, RunId),
+    /// The worker carries the start out.
+    Start(StartCommand),
+}
+
 pub struct CrashWorld {
     pub now: Instant,
     pub scheduler: PoolScheduler,
@@ -51,6 +74,10 @@
     workers: Vec<CrashingWorker>,
     records: BTreeMap<JobId, JobRecord>,
     pub progress: BTreeMap<JobId, JobProgress>,
+    plan: PoolPlan,
+    delayed: Vec<(Instant, DelayedEvent)>,
+    /// Starts that got no answer so far.
+    unanswered: u32,
     term: u64,
     begin: Instant,
 }
@@ -62,8 +89,11 @@
             runs: Vec::new(),
             ended: Vec::new(),
             sequence: 0,
+            stopped: BTreeMap::new(),
+            lease_end_ms: 0,
             back_at: None,
             cut_until: None,
+            mute_until: None,
             crash_at: None,
         });
         let now = Instant::now();
@@ -83,6 +113,9 @@
             workers: workers.collect(),
             records: BTreeMap::new(),
             progress: BTreeMap::new(),
+            plan: PoolPlan::default(),
+            delayed: Vec::new(),
+            unanswered: 0,
             term: 1,
             begin: now,
         };
@@ -102,12 +135,33 @@
 
     /// Instances on which a run of the task is active.
     pub fn places(&self, task: &TaskId) -> Vec<usize> {
-        let runs_it = |worker: &CrashingWorker| worker.runs.iter().any(|(start, _)| start.run.task == *task);
         (0..self.workers.len())
-            .filter(|number| runs_it(&self.workers[*number]))
+            .filter(|number| self.tasks_on(*number).any(|other| other == task))
             .collect()
     }
 
+    /// Tasks with an active run on an instance.
+    pub fn tasks_on(&self, number: usize) -> impl Iterator<Item = &TaskId> {
+        self.workers[number].runs.iter().map(|(start, _)| &start.run.task)
+    }
+
+    /// Specification of the step of a task.
+    pub fn spec(&self, task: &TaskId) -> &StepSpec {
+        &self.records[&task.step.job].spec.steps[task.step.step as usize]
+    }
+
+    /// Entry of the present worker on an instance; absent while the instance is down.
+    pub fn entry(&self, number: usize) -> Option<&WorkerEntry> {
+        let worker = &self.workers[number];
+        worker.back_at.is_none().then_some(&worker.entry)
+    }
+
+    /// Whether the worker is cut off or leaves starts without an answer.
+    pub fn is_disturbed(&self, number: usize) -> bool {
+        let worker = &self.workers[number];
+        worker.cut_until.is_some() || worker.mute_until.is_some()
+    }
+
     /// Number of instances.
     pub fn size(&self) -> usize {
         self.workers.len()
@@ -123,6 +177,7 @@
         while self.now < end {
             self.now += TICK;
             self.advance_workers();
+            self.deliver_delayed();
             let commands = self.scheduler.decide(self.now, WALL, true);
             for command in commands {
                 self.execute(command);
@@ -144,8 +199,13 @@
             *self.crashes.entry(start.run.task).or_default() += 1;
         }
         worker.ended.clear();
+        worker.stopped.clear();
         worker.crash_at = None;
         worker.back_at = Some(self.now + self.restart_time);
+        // Starts that its process held back are lost with it.
+        let id = worker.entry.id.clone();
+        self.delayed
+            .retain(|(_, event)| !matches!(event, DelayedEvent::Start(start) if start.target.worker == id));
     }
 
     /// Cuts the worker off from the leader; its runs go on until their lease expires.
@@ -153,13 +213,46 @@
         self.workers[number].cut_until = Some(self.now + time);
     }
 
+    /// Lets the worker leave starts without an answer: every second one is lost, the others are carried out late.
+    pub fn mute(&mut self, number: usize, time: Duration) {
+        self.workers[number].mute_until = Some(self.now + time);
+    }
+
+    /// Ends an active run with this outcome.
+    pub fn end_run(&mut self, number: usize, task: &TaskId, outcome: RunOutcome) {
+        let worker = &mut self.workers[number];
+        let runs = worker.runs.extract_if(.., |(start, _)| start.run.task == *task);
+        for (start, _) in runs {
+            worker.sequence += 1;
+            worker.ended.push(ended_row(worker.sequence, &start, outcome));
+        }
+    }
+
+    /// Changes the entry of the present worker on an instance and publishes it.
+    pub fn change_entry(&mut self, number: usize, change: impl FnOnce(&mut WorkerEntry)) {
+        let worker = &mut self.workers[number];
+        change(&mut worker.entry);
+        if worker.back_at.is_none() {
+            self.scheduler.set_worker(self.now, worker.entry.clone());
+        }
+    }
+
+    /// Publishes a plan of the fleet leader.
+    pub fn set_plan(&mut self, plan: PoolPlan) {
+        self.plan = plan.clone();
+        self.scheduler.set_plan(plan);
+    }
+
     /// Replaces the leader by one that knows what is stored.
     pub fn take_over(&mut self) {
         self.term += 1;
+        // Workers reject the starts of the former leader, which does not learn of their outcomes.
+        self.delayed.clear();
         let former = self.scheduler.workers().keys().cloned().collect();
         let lease = Duration::from_millis(4_500);
         let takeover = TakeoverState::from_former_leader(self.now, former, lease);
         self.scheduler = empty_scheduler(self.term, takeover);
+        self.scheduler.set_plan(self.plan.clone());
         self.announce_workers();
         let unstarted = JobProgress::default();
         for (id, record) in &self.records {
@@ -187,27 +280,25 @@
             }
             let worker = &mut self.workers[number];
             worker.cut_until = worker.cut_until.filter(|until| *until > now);
-            let (run_time, sequence, ended) = (self.run_time, &mut worker.sequence, &mut worker.ended);
-            worker.runs.retain(|(start, started)| {
-                let is_active = now < *started + run_time;
-                if !is_active {
-                    *sequence += 1;
-                    ended.push(EndedRun {
-                        sequence: *sequence,
-                        task: start.run.task.clone(),
-                        run: start.run.number,
-                        outcome: RunOutcome::Done,
-                        checkpoint: "".into(),
-                    });
-                }
-                is_active
-            });
+            worker.mute_until = worker.mute_until.filter(|until| *until > now);
+            let is_expired = worker.cut_until.is_some() && clock_ms(self.begin, now) > worker.lease_end_ms;
+            let over = worker.runs.extract_if(.., |(_, end)| is_expired || *end <= now);
+            for (start, end) in over {
+                let outcome = if end <= now {
+                    RunOutcome::Done
+                } else {
+                    RunOutcome::LeaseExpired
+                };
+                worker.sequence += 1;
+                worker.ended.push(ended_row(worker.sequence, &start, outcome));
+            }
             if worker.back_at.is_some_and(|at| at <= now) {
                 worker.back_at = None;
                 worker.sequence = 0;
                 let former = worker.entry.id.clone();
                 let life = worker.entry.incarnation.map_or(1, UnixMillis::get) + 1;
                 worker.entry.incarnation = Some(UnixMillis::new(life));
+                worker.entry.is_draining = false;
                 if !self.keeps_id {
                     worker.entry.id = WorkerId::new(format!("i-{number}-{life}")).expect("worker");
                 }
@@ -236,14 +327,11 @@
             PoolCommand::Start(start) => {
                 let outcome = match reachable {
                     None => StartOutcome::NotSent,
-                    Some(worker) => {
-                        *self.starts.entry(start.run.task.clone()).or_default() += 1;
-                        if self.deadly.contains(&start.run.task) {
-                            worker.crash_at = Some(now + TICK);
-                        }
-                        worker.runs.push((start.clone(), now));
-                        StartOutcome::Started
+                    Some(worker) if worker.mute_until.is_some() => {
+                        self.leave_unanswered(start);
+                        return;
                     }
+                    Some(_) => self.carry_out(&start),
                 };
                 self.scheduler
                     .handle_start_outcome(now, &target, &start.run, outcome);
@@ -251,6 +339,8 @@
             PoolCommand::Stop(_, run) => {
                 let outcome = if let Some(worker) = reachable {
                     worker.runs.retain(|(start, _)| start.run != run);
+                    let stopped = worker.stopped.entry(run.task.clone()).or_insert(run.number);
+                    *stopped = run.number.max(*stopped);
                     StopOutcome::Taken
                 } else {
                     StopOutcome::Unknown
@@ -264,8 +354,9 @@
                 }
                 Some(worker) => {
                     worker.ended.retain(|row| row.sequence > poll.acknowledged);
+                    worker.lease_end_ms = worker.lease_end_ms.max(poll.deadline_ms.unwrap_or_default());
                     let report = WorkerReport {
-                        clock_ms: 5_000 + now.saturating_duration_since(self.begin).as_millis() as u64,
+                        clock_ms: clock_ms(self.begin, now),
                         incarnation: worker.entry.incarnation,
                         running: worker.runs.iter().map(|(start, _)| running_row(start)).collect(),
                         ended: worker.ended.clone(),
@@ -277,6 +368,67 @@
         }
     }
 
+    /// Carries a start out on its worker.
+    fn carry_out(&mut self, start: &StartCommand) -> StartOutcome {
+        let now = self.now;
+        let run_time = if self.spec(&start.run.task).is_long_running {
+            UNLIMITED_TIME
+        } else {
+            self.run_time
+        };
+        let mut workers = self.workers.iter_mut();
+        let target = &start.target.worker;
+        let Some(worker) = workers.find(|worker| worker.entry.id == *target && worker.back_at.is_none())
+        else {
+            return StartOutcome::NotSent;
+        };
+        if worker
+            .stopped
+            .get(&start.run.task)
+            .is_some_and(|run| *run >= start.run.number)
+        {
+            return StartOutcome::OldRun;
+        }
+        if start.deadline_ms < clock_ms(self.begin, now) {
+            return StartOutcome::LateOrder;
+        }
+        *self.starts.entry(start.run.task.clone()).or_default() += 1;
+        if self.deadly.contains(&start.run.task) {
+            worker.crash_at = Some(now + TICK);
+        }
+        worker.lease_end_ms = worker.lease_end_ms.max(start.deadline_ms);
+        worker.runs.push((start.clone(), now + run_time));
+        StartOutcome::Started
+    }
+
+    /// Leaves a start without an answer.
+    fn leave_unanswered(&mut self, start: StartCommand) {
+        self.unanswered += 1;
+        let target = start.target.worker.clone();
+        let timeout = DelayedEvent::Timeout(target, start.run.clone());
+        self.delayed.push((self.now + ANSWER_TIMEOUT, timeout));
+        if self.unanswered.is_multiple_of(2) {
+            let delay = Duration::from_millis(u64::from(self.unanswered % 16) * 200);
+            self.delayed.push((self.now + delay, DelayedEvent::Start(start)));
+        }
+    }
+
+    fn deliver_delayed(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.delayed.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, event) in due {
+            match event {
+                DelayedEvent::Timeout(worker, run) => {
+                    self.scheduler
+                        .handle_start_outcome(now, &worker, &run, StartOutcome::Unknown);
+                }
+                DelayedEvent::Start(start) => {
+                    self.carry_out(&start);
+                }
+            }
+        }
+    }
+
     fn flush(&mut self) {
         if !self.is_storing || !self.scheduler.has_changes() {
             return;
@@ -293,3 +445,18 @@
         self.scheduler.confirm_flush();
     }
 }
+
+/// Reading of the workers' clock.
+fn clock_ms(begin: Instant, now: Instant) -> u64 {
+    5_000 + now.saturating_duration_since(begin).as_millis() as u64
+}
+
+fn ended_row(sequence: u64, start: &StartCommand, outcome: RunOutcome) -> EndedRun {
+    EndedRun {
+        sequence,
+        task: start.run.task.clone(),
+        run: start.run.number,
+        outcome,
+        checkpoint: "".into(),
+    }
+}
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -14,4 +14,5 @@
 mod scheduler;
 mod setup;
 mod simulation;
+mod waiting_tasks;
 mod worker_lease;
