Grant a small demand beside a backlog that exceeds the limit many times

A task of an organisation with a limit could wait for ever in one pool, while the organisation used a fifth of its limit, if another pool had a long backlog of the organisation that it could not start. The free part of the limit was split in proportion to the waiting demand and rounded down, so that the pool with the one task was granted nothing.

The free part is now filled up equally: pools that want little get all of it, rounded up to whole parts, and the rest goes to the others. The sum stays within the limit (allowances_never_exceed_the_limit).

--- a/src/dispatch/allowance_split.rs
+++ b/src/dispatch/allowance_split.rs
@@ -47,22 +47,34 @@
 }
 
 /// The split that follows demand and ignores the upper bounds of other pools: it covers usage first, then
-/// waiting work in proportion, and divides the rest equally.
+/// waiting work, and divides the rest equally. What is left for waiting work is filled up equally, so that a single
+/// task is granted beside a backlog that exceeds the limit many times.
 fn unconstrained_split(limit: u64, demands: &BTreeMap<PoolId, PoolDemandShare>) -> BTreeMap<PoolId, u64> {
-    let used: u64 = demands.values().map(|demand| demand.used).sum();
-    let wanted: u64 = demands.values().map(|demand| demand.wanted).sum();
-    let left = limit.saturating_sub(used);
-    let for_wanted = wanted.min(left);
-    let rest = (left - for_wanted) / demands.len().max(1) as u64;
     let part = (limit / LIMIT_PARTS).max(1);
-    let shares = demands.iter().map(|(pool, demand)| {
-        let share = if wanted == 0 {
-            0
-        } else {
-            (u128::from(for_wanted) * u128::from(demand.wanted) / u128::from(wanted)) as u64
-        };
+    let used: u64 = demands.values().map(|demand| demand.used).sum();
+    let mut left = limit.saturating_sub(used);
+    // Whole parts, since rounding down would leave too little for the last task.
+    let missing = |demand: &PoolDemandShare| {
+        let needed = demand.used.saturating_add(demand.wanted).div_ceil(part);
+        needed.saturating_mul(part).saturating_sub(demand.used)
+    };
+    let mut waiting: Vec<(u64, &PoolId)> = demands
+        .iter()
+        .filter(|(_, demand)| demand.wanted > 0)
+        .map(|(pool, demand)| (missing(demand), pool))
+        .collect();
+    waiting.sort();
+    let mut shares: BTreeMap<&PoolId, u64> = BTreeMap::new();
+    for (number, (missing, pool)) in waiting.iter().enumerate() {
+        let share = (*missing).min(left / (waiting.len() - number) as u64);
+        left -= share;
+        shares.insert(*pool, share);
+    }
+    let rest = left / demands.len().max(1) as u64;
+    let targets = demands.iter().map(|(pool, demand)| {
+        let share = shares.get(pool).copied().unwrap_or_default();
         let whole = (demand.used + share + rest).min(limit);
         (pool.clone(), whole / part * part)
     });
-    shares.collect()
+    targets.collect()
 }
--- a/tests/pool_decisions/fleet.rs
+++ b/tests/pool_decisions/fleet.rs
@@ -380,3 +380,25 @@
     // The 60 instances are spread over rounds of 4 s within 15 s.
     assert!((10..=20).contains(&busy), "{busy} busy instances at once");
 }
+
+/// Guards against a waiting task that stays outside its organisation's limit although much of the limit is free: the
+/// backlog of another pool took the allowance in proportion to its size, and rounding took the rest.
+#[test]
+fn small_demand_is_granted_beside_a_large_backlog() {
+    let limit = 307_200;
+    for (wanted, backlog) in [(25_600, 10_000_000), (1, 300_000), (40_000, 247_200)] {
+        let share = |used, wanted| PoolDemandShare {
+            ceiling: used,
+            used,
+            wanted,
+        };
+        let demands = BTreeMap::from([
+            (pool_id("pool-a"), share(0, wanted)),
+            (pool_id("pool-b"), share(60_000, backlog)),
+            (pool_id("pool-c"), share(0, 0)),
+        ]);
+        let split = allowance_split::split(limit, &demands);
+        let granted = split[&pool_id("pool-a")];
+        assert!(granted >= wanted, "{granted} of {wanted} beside {backlog}");
+    }
+}
