Lower the bound of a pool's allowance when it confirms any later plan

A pool could keep most of an organisation's limit that it no longer used, so that tasks of other pools waited outside the limit. The fleet leader bounds what a pool may use by the allowances of the newest plan once a report confirms it, and by the ceilings until then, which never fall. While usage changes all the time each report leads to a new plan, and the reports confirm the one before.

The fleet leader now keeps the allowances of the plans since the one that the pool's report names, up to 32, and bounds the pool by the largest of them. The stored records are unchanged; a new leader begins with the ceilings.

--- a/src/dispatch/fleet_planner.rs
+++ b/src/dispatch/fleet_planner.rs
@@ -12,9 +12,13 @@
     InstanceEntry, InstanceOutcome, InstanceState, WavePlan, WaveProgress, WaveRequest,
 };
 use crate::model::amount::{AcceleratorCount, MemoryMib, MilliCores};
-use crate::model::id::{InstanceId, OrganisationId, PoolId, WorkerId};
+use crate::model::id::{InstanceId, OrganisationId, PlanVersion, PoolId, WorkerId};
 use crate::model::resource::ResourceSet;
 
+/// Plans of a pool whose allowances are kept until the pool reports a later one. A pool without a leader confirms
+/// none; the ceilings then bound what it may use.
+const MAX_FOLLOWED_PLANS: usize = 32;
+
 /// Number that identifies a maintenance wave.
 pub type WaveNumber = u64;
 
@@ -39,6 +43,9 @@
     has_instance_list: bool,
     reports: BTreeMap<PoolId, PoolReport>,
     plans: BTreeMap<PoolId, PoolPlan>,
+    /// Allowances of the plans that this leader published and that a pool may still follow: the plan that its
+    /// report names and later ones.
+    followed: BTreeMap<PoolId, BTreeMap<PlanVersion, BTreeMap<OrganisationId, ResourceSet>>>,
     waves: BTreeMap<WaveNumber, WavePlan>,
     unsaved_waves: BTreeSet<WaveNumber>,
     sizer: PoolSizer,
@@ -74,6 +81,9 @@
     pub fn set_report(&mut self, pool: PoolId, report: PoolReport) {
         self.departed
             .retain(|worker, departed| departed.pool != pool || report.workers.contains_key(worker));
+        if let Some(followed) = self.followed.get_mut(&pool) {
+            *followed = followed.split_off(&report.plan);
+        }
         self.reports.insert(pool, report);
     }
 
@@ -271,6 +281,11 @@
                 evacuating,
                 maintenance_due,
             };
+            let followed = self.followed.entry(pool.clone()).or_default();
+            followed.insert(plan.version, plan.allowances.clone());
+            if followed.len() > MAX_FOLLOWED_PLANS {
+                followed.pop_first();
+            }
             *old = plan.clone();
             commands.push(FleetCommand::PublishPlan(pool.clone(), plan));
         }
@@ -307,7 +322,7 @@
     ) -> BTreeMap<OrganisationId, ResourceSet> {
         let ceilings = granted.iter().map(|(organisation, granted)| {
             let present = self.possible_usage(pool, organisation);
-            (organisation.clone(), component_max(&present, granted))
+            (organisation.clone(), present.component_max(granted))
         });
         ceilings.collect()
     }
@@ -324,13 +339,23 @@
         let Some(plan) = plan else {
             return used;
         };
-        let is_confirmed = report.is_some_and(|report| report.plan == plan.version);
-        let bounds = if is_confirmed {
-            &plan.allowances
-        } else {
-            &plan.ceilings
+        let find = |bounds: &BTreeMap<OrganisationId, ResourceSet>| {
+            bounds.get(organisation).copied().unwrap_or_default()
+        };
+        let confirmed = report.map(|report| report.plan);
+        let followed = self.followed.get(pool);
+        let bound = match confirmed {
+            Some(confirmed) if confirmed == plan.version => find(&plan.allowances),
+            // While plans follow each other quickly, the newest one is never confirmed.
+            Some(confirmed) if followed.is_some_and(|plans| plans.contains_key(&confirmed)) => {
+                let later = followed.into_iter().flat_map(|plans| plans.range(confirmed..));
+                later.fold(ResourceSet::default(), |most, (_, bounds)| {
+                    most.component_max(&find(bounds))
+                })
+            }
+            _ => find(&plan.ceilings),
         };
-        component_max(&bounds.get(organisation).copied().unwrap_or_default(), &used)
+        bound.component_max(&used)
     }
 
     fn allowances(&self, pools: &[PoolId]) -> BTreeMap<PoolId, BTreeMap<OrganisationId, ResourceSet>> {
@@ -394,11 +419,3 @@
         .get(worker)
         .is_some_and(|usage| usage.is_evacuating && usage.runs == 0)
 }
-
-fn component_max(a: &ResourceSet, b: &ResourceSet) -> ResourceSet {
-    ResourceSet {
-        cores: a.cores.max(b.cores),
-        memory: a.memory.max(b.memory),
-        accelerators: a.accelerators.max(b.accelerators),
-    }
-}
--- a/src/model/resource.rs
+++ b/src/model/resource.rs
@@ -46,6 +46,16 @@
         }
     }
 
+    /// The larger amount in each dimension.
+    #[must_use]
+    pub fn component_max(&self, other: &Self) -> Self {
+        Self {
+            cores: self.cores.max(other.cores),
+            memory: self.memory.max(other.memory),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// The difference in each dimension, zero where `other` is larger.
     #[must_use]
     pub fn saturating_sub(&self, other: &Self) -> Self {
--- a/tests/pool_decisions/fleet.rs
+++ b/tests/pool_decisions/fleet.rs
@@ -7,12 +7,12 @@
 use figloft::dispatch::fleet_planner::{FleetCommand, FleetPlanner};
 use figloft::dispatch::pool_plan::{PoolPlan, PoolReport, WorkerUsage};
 use figloft::dispatch::pool_size::{PoolSizer, SizingInput};
-use figloft::dispatch::site_config::{PoolConfig, SiteConfig};
+use figloft::dispatch::site_config::{OrganisationConfig, PoolConfig, SiteConfig};
 use figloft::dispatch::wave_plan::{
     InstanceEntry, InstanceOutcome, InstanceState, WavePlan, WaveProgress, WaveRequest,
 };
 use figloft::model::amount::{MemoryMib, MilliCores};
-use figloft::model::id::{InstanceId, PoolId, WorkerId};
+use figloft::model::id::{InstanceId, OrganisationId, PoolId, WorkerId};
 use figloft::model::resource::ResourceSet;
 use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
 
@@ -402,3 +402,60 @@
         assert!(granted >= wanted, "{granted} of {wanted} beside {backlog}");
     }
 }
+
+/// Guards against an allowance that a pool keeps because it never confirms the newest plan: while the usage of a pool
+/// changes all the time, its reports name the plan before the newest one, and what an early plan allowed counted
+/// for ever.
+#[test]
+fn allowance_falls_while_plans_change_all_the_time() {
+    let mut now = Instant::now();
+    let mut config = site_config(&["pool-a", "pool-b"]);
+    let organisation = OrganisationId::new("org").expect("organisation");
+    let cores = |cores: u64| ResourceSet::new(MilliCores::new(cores * 1_000), MemoryMib::new(cores * 1_000));
+    let limited = OrganisationConfig {
+        limit: cores(64),
+        ..OrganisationConfig::default()
+    };
+    config.organisations.insert(organisation.clone(), limited);
+    let mut planner = FleetPlanner::new();
+    planner.set_config(&config);
+    let mut plans: BTreeMap<&str, Vec<PoolPlan>> = BTreeMap::new();
+    for round in 0..60_u64 {
+        let (used, wanted) = if round < 10 {
+            ([0, 30 + round], [0, 20])
+        } else {
+            ([0, 10 + round % 7], [20, 0])
+        };
+        for (number, pool) in ["pool-a", "pool-b"].into_iter().enumerate() {
+            let known = plans.get(pool).map_or(&[][..], Vec::as_slice);
+            let confirmed = known.len().checked_sub(2).map(|before| known[before].version);
+            let report = PoolReport {
+                plan: confirmed.unwrap_or_default(),
+                usage: [(organisation.clone(), cores(used[number]))].into(),
+                wanted: [(organisation.clone(), cores(wanted[number]))].into(),
+                ..PoolReport::default()
+            };
+            planner.set_report(pool_id(pool), report);
+        }
+        let commands = planner.decide(now);
+        for pool in ["pool-a", "pool-b"] {
+            if let Some(plan) = published(&commands, pool) {
+                plans.entry(pool).or_default().push(plan);
+            }
+        }
+        now += Duration::from_millis(100);
+    }
+    let granted = |pool: &str| {
+        let newest = plans[pool].last().expect("plan");
+        newest.allowances[&organisation].cores.get()
+    };
+    let used_under = plans["pool-b"].iter().rev().take(2);
+    let most = used_under
+        .map(|plan| plan.allowances[&organisation].cores.get())
+        .max();
+    assert!(granted("pool-a") >= 20_000, "{}", granted("pool-a"));
+    assert!(
+        granted("pool-a") + most.unwrap_or(0) <= 64_000,
+        "within the limit"
+    );
+}
