Count a moved instance until its worker is usable

Pools got a second instance for one demand, which left again after a second. A moved instance stopped counting as an arrival as soon as its worker was listed in the pool's report, but counted as available only once the worker had answered a poll.

--- a/src/dispatch/pool_size.rs
+++ b/src/dispatch/pool_size.rs
@@ -116,7 +116,7 @@
         self.assign_free_instances(now, input, &mut needs, is_evacuated)
     }
 
-    /// Removes arrivals that appear in the report of their pool or timed out, and evacuations of instances
+    /// Removes arrivals that are usable in the report of their pool or timed out, and evacuations of instances
     /// that have left their pool or are reserved for maintenance.
     fn remove_finished_moves(&mut self, now: Instant, input: SizingInput<'_>) {
         self.arrivals.retain(|id, arrival| {
@@ -128,7 +128,9 @@
             } else {
                 let worker = entry.and_then(|entry| entry.worker.as_ref());
                 let report = input.reports.get(&arrival.to);
-                worker.is_some_and(|worker| report.is_some_and(|report| report.workers.contains_key(worker)))
+                let usage = worker.and_then(|worker| report?.workers.get(worker));
+                // A worker that is listed and has not answered yet is about to become usable.
+                usage.is_some_and(|usage| usage.is_usable || usage.is_evacuating)
             };
             let is_old = now.saturating_duration_since(arrival.accepted_at) > ARRIVAL_TIMEOUT;
             !has_arrived && !is_old
--- a/tests/pool_decisions/crash_world.rs
+++ b/tests/pool_decisions/crash_world.rs
@@ -237,6 +237,25 @@
         }
     }
 
+    /// Replaces the worker on an instance by one that runs nothing, possibly of another pool.
+    pub fn replace_worker(&mut self, number: usize, change: impl FnOnce(&mut WorkerEntry)) {
+        let worker = &mut self.workers[number];
+        let former = worker.entry.id.clone();
+        worker.runs.clear();
+        worker.ended.clear();
+        worker.sequence = 0;
+        change(&mut worker.entry);
+        let entry = worker.entry.clone();
+        self.scheduler.remove_worker(&former);
+        self.scheduler.observe_entry(self.now, &entry);
+        self.scheduler.set_worker(self.now, entry);
+    }
+
+    /// Time since the begin, in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.now.saturating_duration_since(self.begin).as_millis() as u64
+    }
+
     /// Publishes a plan of the fleet leader.
     pub fn set_plan(&mut self, plan: PoolPlan) {
         self.plan = plan.clone();
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -14,5 +14,6 @@
 mod scheduler;
 mod setup;
 mod simulation;
+mod unplaced;
 mod waiting_tasks;
 mod worker_lease;
--- /dev/null
+++ b/tests/pool_decisions/unplaced.rs
@@ -0,0 +1,164 @@
+//! Tasks that fit no present worker: the pool gets instances for them, and gives them back.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use figloft::dispatch::fleet_planner::{FleetCommand, FleetPlanner};
+use figloft::dispatch::job_record::JobRecord;
+use figloft::dispatch::job_spec::StepSpec;
+use figloft::dispatch::site_config::{PoolConfig, SiteConfig};
+use figloft::dispatch::wave_plan::{InstanceEntry, InstanceOutcome, InstanceState};
+use figloft::model::amount::{MemoryMib, MilliCores};
+use figloft::model::id::{InstanceId, PoolId, WorkerId};
+use figloft::model::resource::ResourceSet;
+use figloft::model::unix_time::UnixMillis;
+
+use crate::crash_world::CrashWorld;
+use crate::setup::{instance_id, pool, record};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Time between two decisions of the fleet leader.
+const ROUND: Duration = Duration::from_millis(100);
+
+/// Time that a moved instance needs until its worker is listed in the new pool.
+const MOVE_TIME: Duration = Duration::from_millis(1_500);
+
+/// A pool together with the fleet leader that moves instances between it and the spare pool.
+struct MovingFleet {
+    world: CrashWorld,
+    planner: FleetPlanner,
+    instances: BTreeMap<InstanceId, InstanceEntry>,
+    arrivals: Vec<(Instant, usize, PoolId)>,
+    moves_in: u32,
+    moves_out: u32,
+}
+
+impl MovingFleet {
+    /// Creates a pool of `present` of the instances; the others are spare.
+    fn new(size: usize, present: usize) -> Self {
+        let spare = PoolConfig {
+            is_spare: true,
+            ..PoolConfig::default()
+        };
+        let mut config = SiteConfig::default();
+        config.pools.insert(pool(), PoolConfig::default());
+        config.pools.insert(spare_pool(), spare);
+        let mut planner = FleetPlanner::new();
+        planner.set_config(&config);
+        let mut fleet = Self {
+            world: CrashWorld::new(size, 32),
+            planner,
+            instances: BTreeMap::new(),
+            arrivals: Vec::new(),
+            moves_in: 0,
+            moves_out: 0,
+        };
+        for number in 0..size {
+            let entry = InstanceEntry {
+                pool: pool(),
+                state: InstanceState::Up,
+                worker: Some(fleet.world.worker(number)),
+            };
+            fleet.instances.insert(instance_id(number), entry);
+            if number >= present {
+                fleet.place(number, &spare_pool());
+            }
+        }
+        fleet
+    }
+
+    /// Lets an instance appear in a pool with a new worker.
+    fn place(&mut self, number: usize, to: &PoolId) {
+        let life = self.world.now_ms();
+        let worker = WorkerId::new(format!("i-{number}-at-{life}")).expect("worker");
+        self.world.replace_worker(number, |entry| {
+            entry.pool = to.clone();
+            entry.id = worker.clone();
+            entry.incarnation = Some(UnixMillis::new(2 + life));
+        });
+        let entry = InstanceEntry {
+            pool: to.clone(),
+            state: InstanceState::Up,
+            worker: Some(worker),
+        };
+        self.instances.insert(instance_id(number), entry);
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.world.now + time;
+        while self.world.now < end {
+            self.world.run(ROUND);
+            let now = self.world.now;
+            let due: Vec<_> = self.arrivals.extract_if(.., |(at, ..)| *at <= now).collect();
+            for (_, number, to) in due {
+                self.place(number, &to);
+            }
+            self.planner.set_instances(now, self.instances.clone());
+            self.planner.set_report(pool(), self.world.scheduler.report(now));
+            for command in self.planner.decide(now) {
+                match command {
+                    FleetCommand::PublishPlan(of, plan) if of == pool() => self.world.set_plan(plan),
+                    FleetCommand::MoveInstance(instance, to) => self.start_move(&instance, &to),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn start_move(&mut self, instance: &InstanceId, to: &PoolId) {
+        let numbers = 0..self.world.size();
+        let number = numbers
+            .into_iter()
+            .find(|number| instance_id(*number) == *instance);
+        let number = number.expect("instance");
+        if *to == pool() {
+            self.moves_in += 1;
+        } else {
+            self.moves_out += 1;
+            assert_eq!(self.world.tasks_on(number).count(), 0, "runs on a moved instance");
+        }
+        self.place(number, &spare_pool());
+        if let Some(entry) = self.instances.get_mut(instance) {
+            entry.state = InstanceState::Moving;
+        }
+        self.arrivals
+            .push((self.world.now + MOVE_TIME, number, to.clone()));
+        self.planner
+            .handle_move_outcome(self.world.now, instance, to, InstanceOutcome::Done);
+    }
+}
+
+fn spare_pool() -> PoolId {
+    PoolId::new("spare").expect("pool")
+}
+
+/// Job of one long-running step.
+fn service(number: usize, tasks: u32, memory_mib: u64, max_per_worker: u32) -> JobRecord {
+    let spec = StepSpec {
+        tasks,
+        demand: ResourceSet::new(MilliCores::new(4_000), MemoryMib::new(memory_mib)),
+        max_per_worker: Some(max_per_worker),
+        is_long_running: true,
+        ..StepSpec::default()
+    };
+    record(number, vec![spec])
+}
+
+/// Guards against an instance that is moved twice for one demand: a worker that has just been listed neither counted as
+/// moving nor as usable until it had answered.
+#[test]
+fn listed_worker_counts_before_it_has_answered() {
+    let mut fleet = MovingFleet::new(6, 2);
+    fleet.world.submit(service(1, 3, 25_600, 1));
+    fleet.run(SECOND + ROUND * 3);
+    assert_eq!(fleet.moves_in, 1);
+    for _ in 0..20 {
+        // The arrived worker answers no poll yet.
+        for number in 2..fleet.world.size() {
+            fleet.world.cut(number, SECOND);
+        }
+        fleet.run(ROUND);
+    }
+    assert_eq!((fleet.moves_in, fleet.moves_out), (1, 0));
+}
