--- a/tests/pool_decisions/waiting_tasks.rs
+++ b/tests/pool_decisions/waiting_tasks.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use figloft::dispatch::hold_reason::HoldReason;
 use figloft::dispatch::job_record::JobState;
 use figloft::dispatch::job_spec::StepSpec;
 use figloft::dispatch::job_state::TaskState;
@@ -345,7 +346,7 @@
             ("backoff", worker.health.is_in_backoff(now)),
             (
                 "probation",
-                worker.health.is_on_probation() && !worker.runs.is_empty(),
+                worker.hold_reason(now) == Some(HoldReason::Probation),
             ),
             ("unreserved runs", worker.unreserved_runs > 0),
             ("isolated", worker.isolated_for.is_some()),
