Call for instances when waiting tasks have no place on the present workers

The sums do not show that free memory is scattered, that workers have shrunk, are in backoff or isolated, or that a step has its most tasks on each open worker.

The pool leader now reports how many workers tasks need that none could take for 1 s, packed on workers as large as any of its term; target_workers adds them to the usable ones. Finite jobs count if they are 3 s old, nothing of them runs and less than half of the capacity is in use, and call for one worker together. Tasks outside their organisation's limit, or whose label or size no worker had, call for none. The new field of the report is left out when zero, and earlier builds ignore it.

The new tests play a pool with the fleet leader. With it each pool gets one instance, once, and gives it back when the task has ended.

--- a/src/dispatch/pool_plan.rs
+++ b/src/dispatch/pool_plan.rs
@@ -80,6 +80,10 @@
     pub long_running: ResourceSet,
     /// Largest number of workers that a step needs because it limits its tasks per worker.
     pub spread: u32,
+    /// Number of further workers that waiting tasks need because none of the present ones has had a place for them
+    /// for some time. Absent in reports of earlier versions.
+    #[serde(skip_serializing_if = "default_value::is_default")]
+    pub unplaced: u32,
 }
 
 impl PoolReport {
@@ -88,11 +92,12 @@
         self.workers.values().filter(|usage| usage.is_usable).count() as u32
     }
 
-    /// Whether the change from `old` has to be reported to the fleet leader at once: the plan in force or the
-    /// state of a worker changed, the ready work or the capacity changed by more than 1/4 of a worker's, or
+    /// Whether the change from `old` has to be reported to the fleet leader at once: the plan in force, the
+    /// state of a worker or the number of workers for unplaced tasks changed, the ready work or the capacity changed by more than 1/4 of a worker's, or
     /// the used or forecast CPU by more than one worker's. In a large pool the changes have to be larger.
     pub fn is_significant_change(&self, old: &Self) -> bool {
         let has_new_state = self.plan != old.plan
+            || self.unplaced != old.unplaced
             || self.workers.len() != old.workers.len()
             || self.workers.iter().any(|(id, usage)| {
                 let known = old.workers.get(id);
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -4,7 +4,7 @@
 //! `task_starts` chooses the tasks to start, `evacuation` moves tasks off workers, and `worker_commands`
 //! issues stops, speeds and polls. `worker_losses` records runs that end with their worker and gives up
 //! tasks that crash workers; `isolation` starts suspects without other jobs beside them. `demand_report`
-//! reports demand and capacity to the fleet leader, and `progress_flush` collects the changes that have to be
+//! reports demand and capacity to the fleet leader, with the tasks that `unplaced_tasks` finds no worker for, and `progress_flush` collects the changes that have to be
 //! stored.
 
 mod command_outcomes;
@@ -13,6 +13,7 @@
 mod isolation;
 mod progress_flush;
 mod task_starts;
+mod unplaced_tasks;
 mod worker_commands;
 mod worker_losses;
 mod worker_reports;
@@ -34,6 +35,7 @@
 use crate::dispatch::poll_pace::{MIN_POLL_INTERVAL, PollPace};
 use crate::dispatch::pool_plan::PoolPlan;
 use crate::dispatch::pool_scheduler::isolation::{IsolatedJob, PlannedStart};
+use crate::dispatch::pool_scheduler::unplaced_tasks::UnplacedSteps;
 use crate::dispatch::scheduler_timing::SchedulerTiming;
 use crate::dispatch::site_config::{OrganisationConfig, SiteConfig};
 use crate::dispatch::takeover::TakeoverState;
@@ -99,6 +101,8 @@
     most_losses: u32,
     /// Workers that may take tasks in the present pass.
     free_index: FreeIndex,
+    /// Steps with waiting tasks that no worker can take.
+    unplaced: UnplacedSteps,
     plan: PoolPlan,
     organisations: BTreeMap<OrganisationId, OrganisationConfig>,
     /// Whether the workers of the pool start what exceeds their capacity instead of refusing it.
@@ -145,6 +149,7 @@
             planned_starts: BTreeMap::new(),
             most_losses: 0,
             free_index: FreeIndex::default(),
+            unplaced: UnplacedSteps::default(),
             plan: PoolPlan::default(),
             organisations: BTreeMap::new(),
             is_unguarded: true,
@@ -468,6 +473,7 @@
             }
             self.review_isolated_jobs(now);
             self.issue_starts(now, &mut commands);
+            self.find_unplaced_steps(now);
             self.issue_speeds(&mut commands);
         }
         self.issue_polls(now, is_leadership_valid, &mut commands);
--- a/src/dispatch/pool_scheduler/demand_report.rs
+++ b/src/dispatch/pool_scheduler/demand_report.rs
@@ -28,6 +28,7 @@
             plan: self.plan.version,
             usage: self.usage.clone(),
             inflow: self.inflow.expected_usage(now),
+            unplaced: self.unplaced_workers(now),
             ..PoolReport::default()
         };
         report.usage.retain(|_, usage| *usage != ResourceSet::default());
--- a/src/dispatch/pool_size.rs
+++ b/src/dispatch/pool_size.rs
@@ -364,5 +364,10 @@
     let memory = ratio(|set| set.memory.get());
     let accelerators = ratio(|set| u64::from(set.accelerators.get()));
     let workers = cores.max(memory).max(accelerators) / MAX_UTILISATION;
-    min_workers.max(workers.ceil() as u32)
+    let workers = min_workers.max(workers.ceil() as u32);
+    if report.unplaced == 0 {
+        return workers;
+    }
+    // Tasks without a place need workers beyond the present ones, whatever the sums say.
+    workers.max(usable.saturating_add(report.unplaced))
 }
--- a/tests/pool_decisions/crash_world.rs
+++ b/tests/pool_decisions/crash_world.rs
@@ -251,6 +251,11 @@
         self.scheduler.set_worker(self.now, entry);
     }
 
+    /// Cancels a job.
+    pub fn cancel(&mut self, job: &JobId) {
+        self.scheduler.cancel(job);
+    }
+
     /// Time since the begin, in milliseconds.
     pub fn now_ms(&self) -> u64 {
         self.now.saturating_duration_since(self.begin).as_millis() as u64
--- a/tests/pool_decisions/unplaced.rs
+++ b/tests/pool_decisions/unplaced.rs
@@ -6,15 +6,18 @@
 use figloft::dispatch::fleet_planner::{FleetCommand, FleetPlanner};
 use figloft::dispatch::job_record::JobRecord;
 use figloft::dispatch::job_spec::StepSpec;
-use figloft::dispatch::site_config::{PoolConfig, SiteConfig};
+use figloft::dispatch::pool_size;
+use figloft::dispatch::site_config::{OrganisationConfig, PoolConfig, SiteConfig};
+use figloft::dispatch::task_id::{StepId, TaskId};
 use figloft::dispatch::wave_plan::{InstanceEntry, InstanceOutcome, InstanceState};
+use figloft::dispatch::worker_report::RunOutcome;
 use figloft::model::amount::{MemoryMib, MilliCores};
-use figloft::model::id::{InstanceId, PoolId, WorkerId};
+use figloft::model::id::{InstanceId, OrganisationId, PoolId, WorkerId};
 use figloft::model::resource::ResourceSet;
 use figloft::model::unix_time::UnixMillis;
 
 use crate::crash_world::CrashWorld;
-use crate::setup::{instance_id, pool, record};
+use crate::setup::{WALL, instance_id, job_id, pool, record, step};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -127,6 +130,18 @@
         self.planner
             .handle_move_outcome(self.world.now, instance, to, InstanceOutcome::Done);
     }
+
+    fn is_running(&self, task: &TaskId) -> bool {
+        !self.world.places(task).is_empty()
+    }
+
+    /// Instances of the pool.
+    fn members(&self) -> usize {
+        let members = self.instances.values();
+        members
+            .filter(|entry| entry.pool == pool() && entry.state == InstanceState::Up)
+            .count()
+    }
 }
 
 fn spare_pool() -> PoolId {
@@ -145,6 +160,105 @@
     record(number, vec![spec])
 }
 
+fn task(job: usize, index: u32) -> TaskId {
+    StepId::new(job_id(job), 0, 0).task(index)
+}
+
+/// Guards against a task that waits for ever because the free memory of the pool is scattered: the sum of the demand
+/// needs no further worker. Also guards against an instance that the pool keeps when the task has ended.
+#[test]
+fn scattered_room_calls_for_one_instance() {
+    let mut fleet = MovingFleet::new(6, 2);
+    fleet.world.submit(record(9, vec![step(1, 1, 1_000)]));
+    fleet.world.submit(service(1, 4, 20_480, 2));
+    fleet.run(SECOND);
+    // Each worker has 24 GB left.
+    fleet.world.submit(service(2, 1, 25_600, 1));
+    fleet.run(SECOND * 6);
+    assert!(fleet.is_running(&task(2, 0)), "{} members", fleet.members());
+    assert_eq!(fleet.moves_in, 1);
+    fleet.run(SECOND * 10);
+    assert_eq!((fleet.moves_in, fleet.moves_out), (1, 0), "one move, no return");
+    fleet.world.cancel(&job_id(2));
+    fleet.run(SECOND * 10);
+    assert_eq!((fleet.moves_in, fleet.moves_out), (1, 1));
+    assert_eq!(fleet.members(), 2);
+}
+
+/// Guards against a task that waits because a worker has shrunk and each other one has its most tasks of the step: all
+/// three workers counted as available.
+#[test]
+fn shrunken_worker_of_a_spread_step_is_replaced() {
+    let mut fleet = MovingFleet::new(6, 3);
+    fleet.world.submit(service(1, 3, 25_600, 1));
+    fleet.run(SECOND);
+    let shrunken = fleet.world.places(&task(1, 0))[0];
+    fleet.world.change_entry(shrunken, |entry| {
+        entry.capacity = ResourceSet::new(MilliCores::new(12_800), MemoryMib::new(20_000));
+    });
+    fleet.world.end_run(shrunken, &task(1, 0), RunOutcome::Failed);
+    fleet.run(SECOND * 6);
+    assert!(fleet.is_running(&task(1, 0)));
+    assert_eq!(fleet.moves_in, 1);
+    fleet.run(SECOND * 10);
+    assert_eq!(fleet.moves_in, 1, "moved once");
+}
+
+/// Guards against a late job of which nothing runs on a pool that is half empty: late jobs call for no capacity, and
+/// none of the workers has room for a task of this size.
+#[test]
+fn late_job_without_a_place_calls_for_an_instance() {
+    let mut fleet = MovingFleet::new(6, 2);
+    fleet.world.submit(service(1, 2, 30_000, 1));
+    fleet.run(SECOND);
+    let mut large = step(1, 4, 200);
+    large.demand.memory = MemoryMib::new(37_000);
+    let mut job = record(2, vec![large]);
+    job.accepted_at = WALL;
+    fleet.world.submit(job);
+    // Spare instances are lent elsewhere until the job is late.
+    let spare: Vec<_> = fleet
+        .instances
+        .extract_if(.., |_, entry| entry.pool == spare_pool())
+        .collect();
+    fleet.run(SECOND * 3);
+    fleet.instances.extend(spare);
+    fleet.run(SECOND * 6);
+    assert_eq!(fleet.world.starts.get(&task(2, 0)), Some(&1));
+    fleet.run(SECOND * 10);
+    assert_eq!(fleet.moves_in, 1);
+    assert_eq!(fleet.members(), 2, "the instance was given back");
+}
+
+/// Guards against pools that grow for tasks which no instance can take, or whose organisation has reached its limit.
+#[test]
+fn tasks_that_fit_no_instance_call_for_none() {
+    let mut fleet = MovingFleet::new(8, 2);
+    fleet.run(SECOND);
+    fleet.world.submit(service(1, 1, 70_000, 1));
+    let mut labelled = service(2, 1, 1_000, 1);
+    labelled.spec.steps[0].label = Some("unknown".into());
+    fleet.world.submit(labelled);
+    let organisation = OrganisationId::new("org").expect("organisation");
+    let mut config = SiteConfig::default();
+    let limited = OrganisationConfig {
+        limit: ResourceSet::new(MilliCores::new(1_000), MemoryMib::new(1_000)),
+        ..OrganisationConfig::default()
+    };
+    config.organisations.insert(organisation.clone(), limited);
+    fleet.world.scheduler.set_config(&config);
+    let mut over_limit = service(3, 1, 25_600, 1);
+    over_limit.organisation = Some(organisation);
+    fleet.world.submit(over_limit);
+    fleet.run(SECOND * 4);
+    let report = fleet.world.scheduler.report(fleet.world.now);
+    assert_eq!(report.unplaced, 0);
+    // The sum of the demand calls for a third worker; nothing calls for more.
+    assert!(pool_size::target_workers(&report) <= 3);
+    fleet.run(SECOND * 20);
+    assert!(fleet.members() <= 3, "{} members", fleet.members());
+}
+
 /// Guards against an instance that is moved twice for one demand: a worker that has just been listed neither counted as
 /// moving nor as usable until it had answered.
 #[test]
