--- a/tests/pool_decisions/waiting_tasks.rs
+++ b/tests/pool_decisions/waiting_tasks.rs
@@ -343,10 +343,7 @@
             ("drains", worker.entry.is_draining),
             ("full", worker.full_until.is_some_and(|until| now < until)),
             ("backoff", worker.health.is_in_backoff(now)),
-            (
-                "probation",
-                worker.health.is_on_probation() && !worker.runs.is_empty(),
-            ),
+            ("not usable", !worker.is_usable(now)),
             ("unreserved runs", worker.unreserved_runs > 0),
             ("isolated", worker.isolated_for.is_some()),
             ("starts in flight", worker.starts_in_flight > 0),
