--- a/src/dispatch/worker_health.rs
+++ b/src/dispatch/worker_health.rs
@@ -63,16 +63,21 @@
         if jobs.len() < MIN_FAILED_JOBS && self.probation_since.is_none() {
             return false;
         }
-        self.start_backoff(now);
-        true
+        self.start_backoff(now)
     }
 
-    fn start_backoff(&mut self, now: Instant) {
+    /// Starts a backoff, unless one goes on: what fails or stays unanswered meanwhile was started before. Returns
+    /// whether it did.
+    fn start_backoff(&mut self, now: Instant) -> bool {
+        if self.probation_since.is_some() && self.is_in_backoff(now) {
+            return false;
+        }
         let backoff = INITIAL_BACKOFF * 2_u32.saturating_pow(self.backoffs.min(8));
         self.backoffs += 1;
         self.probation_since = Some(now);
         self.failures.clear();
         self.backoff_until = Some(now + backoff.min(MAX_BACKOFF));
+        true
     }
 
     /// Records a successful run. It offsets the oldest failure in the window, ends the probation and resets
--- a/tests/pool_decisions/held_tasks.rs
+++ b/tests/pool_decisions/held_tasks.rs
@@ -8,6 +8,7 @@
 use figloft::dispatch::job_spec::StepSpec;
 use figloft::dispatch::pool_scheduler::PoolScheduler;
 use figloft::dispatch::takeover::TakeoverState;
+use figloft::dispatch::worker_health::WorkerHealth;
 use figloft::dispatch::worker_report::{ActiveRun, WorkerReport};
 use figloft::model::unix_time::UnixMillis;
 
@@ -207,3 +208,16 @@
     }
     assert_eq!(restarts, 1, "{:?}", scheduler.take_held_counts());
 }
+
+/// Guards against a backoff that doubles with each of several runs that were started together and fail together: on
+/// grown Guardanieve six failures within a millisecond kept a worker closed for 12 s.
+#[test]
+fn failures_of_one_burst_start_one_backoff() {
+    let now = Instant::now();
+    let mut health = WorkerHealth::default();
+    for number in 0..6 {
+        health.record_failure(now, &job_id(number));
+    }
+    assert!(health.is_in_backoff(now + Duration::from_millis(1_900)));
+    assert!(!health.is_in_backoff(now + Duration::from_millis(2_100)));
+}
