--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -275,6 +275,20 @@
             if placed.phase != RunPhase::Running && placed.stop_sent_at.is_none() {
                 placed.phase = RunPhase::Running;
             }
+            let late_stop = placed
+                .stop_sent_at
+                .filter(|_| placed.phase == RunPhase::Unknown && placed.stop_acknowledged_at.is_none());
+            if let Some(at) = late_stop {
+                let inputs = format!(
+                    "run {} of task {} at {} %, stop sent {} ms ago",
+                    row.run,
+                    row.task,
+                    row.progress_percent,
+                    now.saturating_duration_since(at).as_millis()
+                );
+                let job = Some(row.task.step.job.clone());
+                self.note("run listed despite a stop", job, Some(worker_id.clone()), inputs);
+            }
             self.mark_started(&row.task.step.job, worker_id);
             return;
         }
@@ -411,6 +425,7 @@
         };
         let mut ended = Vec::new();
         let mut lost = Vec::new();
+        let mut unlisted = Vec::new();
         for (task, placed) in &mut worker.runs {
             let is_listed = running
                 .iter()
@@ -432,6 +447,7 @@
                 ended.push(run_id(task, placed));
                 continue;
             }
+            let was_stopped = placed.must_stop;
             if placed.unknown_since.is_some_and(|since| since <= sent_at) {
                 placed.must_stop = true;
             }
@@ -439,6 +455,18 @@
                 placed.missed_polls += 1;
                 placed.must_stop |= placed.missed_polls >= MAX_MISSING_POLLS;
             }
+            if placed.must_stop && !was_stopped {
+                let sent_ms = now.saturating_duration_since(placed.placed_at).as_millis();
+                unlisted.push((run_id(task, placed), placed.phase, sent_ms));
+            }
+        }
+        for (run, phase, sent_ms) in unlisted {
+            let inputs = format!(
+                "run {} of task {}, {phase:?}, start sent {sent_ms} ms ago",
+                run.number, run.task
+            );
+            let job = Some(run.task.step.job.clone());
+            self.note("unlisted run stopped", job, Some(worker_id.clone()), inputs);
         }
         for run in ended {
             self.drop_run(now, worker_id, &run, true);
