Keep the run of a start that is carried out late instead of stopping it

Cause: a start without an answer is settled by a stop once a report does not list its run. The stop was repeated every 0.5 to 1 s until it was acknowledged, whatever was known of the run by then: also while the worker did not answer, and after a report listed the run at work. A worker that carries the start out late and answers a later stop ended it.

Change: such a stop is sent only within 250 ms of a report that does not list the run, and it is withdrawn when a report lists the run, unless the worker has accepted it. Stops for other reasons replace it and are repeated as before. The task starts again under the same conditions as before.

--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -42,7 +42,7 @@
 use crate::dispatch::task_id::{StepId, TaskId};
 use crate::dispatch::work_average::WorkAverage;
 use crate::dispatch::worker_entry::WorkerEntry;
-use crate::dispatch::worker_state::{PlacedRun, WorkerState};
+use crate::dispatch::worker_state::{PlacedRun, StopRule, WorkerState};
 
 use crate::model::id::{JobId, LeaderTerm, OrganisationId, PoolId, WorkerId};
 use crate::model::resource::ResourceSet;
@@ -544,7 +544,7 @@
             .get_mut(worker)
             .and_then(|worker| worker.runs.get_mut(task));
         if let Some(placed) = placed {
-            placed.must_stop = true;
+            placed.request_stop(StopRule::Always);
         }
     }
 }
--- a/src/dispatch/pool_scheduler/evacuation.rs
+++ b/src/dispatch/pool_scheduler/evacuation.rs
@@ -5,7 +5,7 @@
 
 use crate::dispatch::pool_scheduler::PoolScheduler;
 use crate::dispatch::task_id::TaskId;
-use crate::dispatch::worker_state::RunPhase;
+use crate::dispatch::worker_state::{RunPhase, StopRule};
 use crate::model::id::WorkerId;
 
 /// Progress that a long-running task reports once it is up, in percent.
@@ -37,7 +37,7 @@
                 .get_mut(&worker)
                 .and_then(|worker| worker.runs.get_mut(&task));
             if let Some(placed) = placed {
-                placed.must_stop = true;
+                placed.request_stop(StopRule::Always);
             }
             self.note(
                 "task moves",
--- a/src/dispatch/pool_scheduler/worker_commands.rs
+++ b/src/dispatch/pool_scheduler/worker_commands.rs
@@ -51,8 +51,7 @@
         for worker in self.workers.values_mut() {
             let target = worker.target();
             for (task, run) in &mut worker.runs {
-                let is_due = run.stop_sent_at.is_none_or(|at| now >= at + retry);
-                if !run.must_stop || run.phase == RunPhase::Starting || !is_due {
+                if !run.is_stop_due(now, retry) {
                     continue;
                 }
                 run.stop_sent_at = Some(now);
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -9,7 +9,7 @@
 use crate::dispatch::pool_scheduler::{MAX_MISSING_POLLS, PoolScheduler, request_stops, run_id};
 use crate::dispatch::task_id::TaskId;
 use crate::dispatch::worker_report::{ActiveRun, EndedRun, RunOutcome, WorkerReport};
-use crate::dispatch::worker_state::{OutcomeLog, PlacedRun, RunPhase};
+use crate::dispatch::worker_state::{OutcomeLog, PlacedRun, RunPhase, StopRule};
 use crate::model::id::{JobId, WorkerId};
 use crate::model::unix_time::UnixMillis;
 
@@ -272,22 +272,24 @@
             if !row.checkpoint.is_empty() {
                 placed.checkpoint = Arc::clone(&row.checkpoint);
             }
-            if placed.phase != RunPhase::Running && placed.stop_sent_at.is_none() {
+            placed.unknown_since = None;
+            let is_withdrawn = placed.withdraw_settling_stop();
+            if placed.phase != RunPhase::Running && (placed.stop_sent_at.is_none() || !placed.must_stop) {
                 placed.phase = RunPhase::Running;
             }
-            let late_stop = placed
-                .stop_sent_at
-                .filter(|_| placed.phase == RunPhase::Unknown && placed.stop_acknowledged_at.is_none());
-            if let Some(at) = late_stop {
+            if is_withdrawn {
+                let stop_sent_ms = placed
+                    .stop_sent_at
+                    .map(|at| now.saturating_duration_since(at).as_millis());
                 let inputs = format!(
-                    "run {} of task {} at {} %, stop sent {} ms ago",
+                    "run {} of task {} at {} %, start sent {} ms ago, stop {stop_sent_ms:?} ms ago",
                     row.run,
                     row.task,
                     row.progress_percent,
-                    now.saturating_duration_since(at).as_millis()
+                    now.saturating_duration_since(placed.placed_at).as_millis()
                 );
                 let job = Some(row.task.step.job.clone());
-                self.note("run listed despite a stop", job, Some(worker_id.clone()), inputs);
+                self.note("late start kept", job, Some(worker_id.clone()), inputs);
             }
             self.mark_started(&row.task.step.job, worker_id);
             return;
@@ -395,7 +397,7 @@
         let mut stalled = Vec::new();
         for (task, placed) in &mut worker.runs {
             if placed.is_stalled(now) {
-                placed.must_stop = true;
+                placed.request_stop(StopRule::Always);
                 worker.health.record_failure(now, &task.step.job);
                 stalled.push((run_id(task, placed), placed.progress_percent));
             }
@@ -448,12 +450,13 @@
                 continue;
             }
             let was_stopped = placed.must_stop;
-            if placed.unknown_since.is_some_and(|since| since <= sent_at) {
-                placed.must_stop = true;
-            }
+            placed.unlisted_at = Some(now);
             if placed.phase == RunPhase::Running {
                 placed.missed_polls += 1;
-                placed.must_stop |= placed.missed_polls >= MAX_MISSING_POLLS;
+            }
+            let is_unanswered = placed.unknown_since.is_some_and(|since| since <= sent_at);
+            if is_unanswered || placed.missed_polls >= MAX_MISSING_POLLS {
+                placed.request_stop(StopRule::WhileUnlisted);
             }
             if placed.must_stop && !was_stopped {
                 let sent_ms = now.saturating_duration_since(placed.placed_at).as_millis();
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -27,6 +27,10 @@
 /// predicts within [`STALL_FRACTION`], so that a slow run does not count as stalled.
 const MIN_PROGRESS_PERCENT: f64 = 3.0;
 
+/// Age of a report up to which a run that it does not list is stopped. A run that starts meanwhile is not at work
+/// yet; decisions follow a report within 40 ms.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(250);
+
 /// Whether a placed run is known to be on the worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunPhase {
@@ -38,6 +42,16 @@
     Unknown,
 }
 
+/// Condition under which the requested stop of a run is sent, and sent again until it is acknowledged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopRule {
+    /// In any case: nothing needs the run.
+    Always,
+    /// Only while the worker's reports do not list the run. The stop settles that it never starts; a run that
+    /// turns out to be active is wanted.
+    WhileUnlisted,
+}
+
 /// A run that is, or may be, on a worker.
 #[derive(Debug, Clone)]
 #[expect(
@@ -92,6 +106,10 @@
     pub is_unsized: bool,
     /// Whether the run has to be stopped.
     pub must_stop: bool,
+    /// When the stop is sent.
+    pub stop_rule: StopRule,
+    /// Time of the latest report that did not list the run.
+    pub unlisted_at: Option<Instant>,
     /// Time of the last stop command.
     pub stop_sent_at: Option<Instant>,
     /// Time at which the worker accepted the stop command.
@@ -144,6 +162,8 @@
             unknown_since: None,
             is_unsized: false,
             must_stop: false,
+            stop_rule: StopRule::Always,
+            unlisted_at: None,
             stop_sent_at: None,
             stop_acknowledged_at: None,
             missed_polls: 0,
@@ -159,6 +179,38 @@
         self.progress_percent = percent;
     }
 
+    /// Requests the stop of the run. A request that holds in any case replaces the others.
+    pub fn request_stop(&mut self, rule: StopRule) {
+        if !self.must_stop || rule == StopRule::Always {
+            self.must_stop = true;
+            self.stop_rule = rule;
+        }
+    }
+
+    /// Withdraws the stop that should have settled a run which its worker lists after all, unless the worker has
+    /// accepted the stop and therefore ends the run. Returns whether there was one.
+    pub fn withdraw_settling_stop(&mut self) -> bool {
+        let is_withdrawn = self.must_stop
+            && self.stop_rule == StopRule::WhileUnlisted
+            && self.stop_acknowledged_at.is_none();
+        if is_withdrawn {
+            self.must_stop = false;
+            self.stop_rule = StopRule::Always;
+        }
+        is_withdrawn
+    }
+
+    /// Whether the stop may be sent as far as reports about the run tell.
+    pub fn is_stop_due(&self, now: Instant, retry: Duration) -> bool {
+        let is_due = self.stop_sent_at.is_none_or(|at| now >= at + retry);
+        let is_unlisted = || {
+            let is_fresh = |at: Instant| now.saturating_duration_since(at) <= MAX_REPORT_AGE;
+            self.unlisted_at.is_some_and(is_fresh) && self.unlisted_at > self.stop_sent_at
+        };
+        let is_known = self.phase != RunPhase::Starting;
+        self.must_stop && is_known && is_due && (self.stop_rule != StopRule::WhileUnlisted || is_unlisted())
+    }
+
     /// Whether a confirmed run makes no progress. Long-running and best-effort tasks never count as stalled.
     pub fn is_stalled(&self, now: Instant) -> bool {
         let limit = MIN_STALL_TIME.max(self.estimate.mul_f64(STALL_FRACTION));
