Check again before each stop of a move whether the step can spare the task

Change: the stop of a move is sent only under a valid lease and while the step can spare the task (StopRule::WhileSpared); workers that drain are left out as before.

--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -458,7 +458,7 @@
             return commands;
         }
         self.expire_runs(now);
-        self.issue_stops(now, &mut commands);
+        self.issue_stops(now, is_leadership_valid, &mut commands);
         if is_leadership_valid {
             self.start_due_occurrences(now, wall_time);
             let previous_stops_end = now + self.timing.stop_timeout + POLL_WAIT + MIN_POLL_INTERVAL;
--- a/src/dispatch/pool_scheduler/evacuation.rs
+++ b/src/dispatch/pool_scheduler/evacuation.rs
@@ -26,7 +26,8 @@
                 if is_immovable || moves.iter().any(|(_, other)| other.step == task.step) {
                     continue;
                 }
-                if (is_draining || self.is_move_allowed(task)) && self.can_be_placed_elsewhere(now, task) {
+                if (is_draining || self.is_move_allowed(now, task)) && self.can_be_placed_elsewhere(now, task)
+                {
                     moves.push((id.clone(), task.clone()));
                 }
             }
@@ -37,7 +38,7 @@
                 .get_mut(&worker)
                 .and_then(|worker| worker.runs.get_mut(&task));
             if let Some(placed) = placed {
-                placed.request_stop(StopRule::Always);
+                placed.request_stop(StopRule::WhileSpared);
             }
             self.note(
                 "task moves",
@@ -48,9 +49,17 @@
         }
     }
 
+    /// Whether the stop of a task that moves may be sent now. Other tasks may have become unavailable since the move
+    /// was decided or the stop was last sent.
+    pub(super) fn is_move_due(&self, now: Instant, worker_id: &WorkerId, task: &TaskId) -> bool {
+        let worker = self.workers.get(worker_id);
+        let is_draining = worker.is_some_and(|worker| worker.entry.is_draining && worker.is_listed);
+        is_draining || self.is_move_allowed(now, task)
+    }
+
     /// Whether one more task of the step may be interrupted: fewer of the others are unavailable than the step
     /// allows.
-    fn is_move_allowed(&self, task: &TaskId) -> bool {
+    fn is_move_allowed(&self, now: Instant, task: &TaskId) -> bool {
         let Some(job) = self.jobs.get(&task.step.job) else {
             return true;
         };
@@ -64,7 +73,10 @@
                 continue;
             }
             let id = task.step.task(index);
-            let is_working = state.copies.iter().any(|copy| self.is_working(&copy.worker, &id));
+            let is_working = state
+                .copies
+                .iter()
+                .any(|copy| self.is_working(now, &copy.worker, &id));
             if !is_working {
                 unavailable += 1;
             }
@@ -72,14 +84,15 @@
         unavailable < spec.max_unavailable.max(1)
     }
 
-    fn is_working(&self, worker: &WorkerId, task: &TaskId) -> bool {
+    fn is_working(&self, now: Instant, worker: &WorkerId, task: &TaskId) -> bool {
         let run = self
             .workers
             .get(worker)
             .filter(|worker| worker.poll.failures == 0)
             .and_then(|worker| worker.runs.get(task));
         run.is_some_and(|run| {
-            run.phase == RunPhase::Running && run.progress_percent >= WORKING_PERCENT && !run.must_stop
+            let is_up = run.phase == RunPhase::Running && run.progress_percent >= WORKING_PERCENT;
+            is_up && !run.may_be_stopped(now)
         })
     }
 
--- a/src/dispatch/pool_scheduler/worker_commands.rs
+++ b/src/dispatch/pool_scheduler/worker_commands.rs
@@ -6,7 +6,7 @@
 use crate::dispatch::command::{PollCommand, PoolCommand};
 use crate::dispatch::poll_pace::MIN_POLL_INTERVAL;
 use crate::dispatch::pool_scheduler::{POLL_WAIT, PoolScheduler, run_id};
-use crate::dispatch::worker_state::RunPhase;
+use crate::dispatch::worker_state::{RunPhase, StopRule};
 
 /// Shortest time before a stop is sent again.
 const STOP_RETRY: Duration = Duration::from_millis(500);
@@ -46,16 +46,31 @@
         }
     }
 
-    pub(super) fn issue_stops(&mut self, now: Instant, commands: &mut Vec<PoolCommand>) {
+    pub(super) fn issue_stops(
+        &mut self,
+        now: Instant,
+        is_leadership_valid: bool,
+        commands: &mut Vec<PoolCommand>,
+    ) {
         let retry = STOP_RETRY.max(self.timing.stop_timeout + MIN_POLL_INTERVAL);
-        for worker in self.workers.values_mut() {
-            let target = worker.target();
-            for (task, run) in &mut worker.runs {
-                if !run.is_stop_due(now, retry) {
-                    continue;
+        let mut due = Vec::new();
+        for (id, worker) in &self.workers {
+            for (task, run) in &worker.runs {
+                let is_allowed = run.stop_rule != StopRule::WhileSpared
+                    || (is_leadership_valid && self.is_move_due(now, id, task));
+                if run.is_stop_due(now, retry) && is_allowed {
+                    due.push((id.clone(), task.clone()));
                 }
+            }
+        }
+        for (id, task) in due {
+            let Some(worker) = self.workers.get_mut(&id) else {
+                continue;
+            };
+            let target = worker.target();
+            if let Some(run) = worker.runs.get_mut(&task) {
                 run.stop_sent_at = Some(now);
-                commands.push(PoolCommand::Stop(target.clone(), run_id(task, run)));
+                commands.push(PoolCommand::Stop(target, run_id(&task, run)));
             }
         }
         for ((worker, run), sent_at) in &mut self.duplicate_runs {
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -31,6 +31,10 @@
 /// yet; decisions follow a report within 40 ms.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(250);
 
+/// Time for which a stop without an answer counts as one that the worker may still carry out. Commands were seen to
+/// take effect up to 5.5 s after they were sent.
+const MAX_COMMAND_DELAY: Duration = Duration::from_secs(6);
+
 /// Whether a placed run is known to be on the worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunPhase {
@@ -50,6 +54,8 @@
     /// Only while the worker's reports do not list the run. The stop settles that it never starts; a run that
     /// turns out to be active is wanted.
     WhileUnlisted,
+    /// Only while the step can spare the task, which is moved to another worker.
+    WhileSpared,
 }
 
 /// A run that is, or may be, on a worker.
@@ -200,6 +206,12 @@
         is_withdrawn
     }
 
+    /// Whether a stop may end the run: it is requested, accepted, or withdrawn without an answer.
+    pub fn may_be_stopped(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < MAX_COMMAND_DELAY;
+        self.must_stop || self.stop_acknowledged_at.is_some() || self.stop_sent_at.is_some_and(is_recent)
+    }
+
     /// Whether the stop may be sent as far as reports about the run tell.
     pub fn is_stop_due(&self, now: Instant, retry: Duration) -> bool {
         let is_due = self.stop_sent_at.is_none_or(|at| now >= at + retry);
--- a/tests/pool_decisions/late_starts.rs
+++ b/tests/pool_decisions/late_starts.rs
@@ -4,10 +4,12 @@
 
 use figloft::dispatch::command::{PollError, PoolCommand, RunId, StartCommand, StartOutcome, StopOutcome};
 use figloft::dispatch::job_spec::StepSpec;
+use figloft::dispatch::pool_plan::PoolPlan;
 use figloft::dispatch::pool_scheduler::PoolScheduler;
 use figloft::dispatch::worker_report::RunOutcome;
+use figloft::model::id::PlanVersion;
 
-use crate::setup::{WALL, job_id, record, report, scheduler, starts, step, worker_id};
+use crate::setup::{WALL, job_id, record, report, scheduler, start_all, starts, step, worker_id};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -94,6 +96,14 @@
     stopped
 }
 
+fn evacuate(scheduler: &mut PoolScheduler, start: &StartCommand) {
+    scheduler.set_plan(PoolPlan {
+        version: PlanVersion::new(1),
+        evacuating: [start.target.worker.clone()].into(),
+        ..PoolPlan::default()
+    });
+}
+
 /// Guards against ending a long-running task at work (AVAIL, own day deadly-and-lost-racks, seed 1, grown
 /// Dialworks): its start was carried out late, and the stop that should have settled it was sent again and again.
 #[test]
@@ -187,3 +197,47 @@
     let stopped = stops_until(&mut scheduler, now + MS * 1_600, now + MS * 3_600, &started);
     assert!(stopped.len() >= 2, "until the worker accepts one: {stopped:?}");
 }
+
+/// Guards against moving a task while another of its step may be ended by a stop that was withdrawn without an answer:
+/// the worker may still carry it out.
+#[test]
+fn task_is_not_moved_while_a_late_stop_may_end_another() {
+    let now = Instant::now();
+    let (mut scheduler, started) = unsettled_start(now, 4, 2);
+    evacuate(&mut scheduler, &started[1]);
+    let early = stops_until(&mut scheduler, now + MS * 1_220, now + MS * 6_000, &started);
+    assert_eq!(early, Vec::new());
+    let later = stops_until(&mut scheduler, now + MS * 6_000, now + MS * 8_000, &started);
+    assert!(
+        later.contains(&started[1].run),
+        "the move is only delayed: {later:?}"
+    );
+}
+
+/// Guards against ending a task at work while another is away: the stop of a task that moves got no answer, the
+/// worker of the other task went silent, and the stop was sent again.
+#[test]
+fn stop_of_a_move_is_not_repeated_while_another_task_is_away() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 4, 8);
+    scheduler.submit(now, now, record(1, vec![long_running(2)]), None);
+    let started = start_all(&mut scheduler, now);
+    let (moved, other) = (&started[0], &started[1]);
+    evacuate(&mut scheduler, moved);
+    let first = stops_until(&mut scheduler, now + MS * 100, now + MS * 2_400, &started);
+    assert_eq!(first, std::slice::from_ref(&moved.run));
+    scheduler.handle_poll_error(
+        now + MS * 2_400,
+        &other.target.worker,
+        &PollError::NoAnswer("time-out".into()),
+    );
+    let running = std::slice::from_ref(moved);
+    let during = stops_until(&mut scheduler, now + MS * 2_400, now + MS * 5_000, running);
+    assert_eq!(during, Vec::new());
+    let after = stops_until(&mut scheduler, now + MS * 5_000, now + MS * 5_300, &started);
+    assert_eq!(
+        after,
+        std::slice::from_ref(&moved.run),
+        "the other is at work again"
+    );
+}
