Do not repeat the stop of a duplicate run once the run is the wanted one

A run that a worker lists beside an expected run of the same task is stopped as a duplicate until the worker accepts that. If the expected run is rejected meanwhile, for example for lack of room, the listed one is adopted as the run of the task, and the repeated stop ended it at work.

Change: adopting a run withdraws the stop; the run counts as away while the stop may still take effect.

--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -316,6 +316,8 @@
                 .or_insert(None);
             return;
         }
+        // A stop of the run as a duplicate is not repeated, but may still take effect.
+        let duplicate = self.duplicate_runs.remove(&(worker_id.clone(), run.clone()));
         let job = self.jobs.get(&row.task.step.job);
         let spec = job.and_then(|job| job.record.spec.steps.get(row.task.step.step as usize));
         // A run of an unknown job reserves no resources and is stopped.
@@ -332,6 +334,7 @@
             speed_percent: 0,
             is_unsized,
             must_stop: !is_wanted,
+            stop_sent_at: duplicate.flatten(),
             ..PlacedRun::new(now, row.run, phase, &spec, organisation.clone())
         };
         if let Some(organisation) = organisation {
--- a/tests/pool_decisions/late_starts.rs
+++ b/tests/pool_decisions/late_starts.rs
@@ -7,7 +7,7 @@
 use figloft::dispatch::pool_plan::PoolPlan;
 use figloft::dispatch::pool_scheduler::PoolScheduler;
 use figloft::dispatch::worker_report::RunOutcome;
-use figloft::model::id::PlanVersion;
+use figloft::model::id::{PlanVersion, RunNumber};
 
 use crate::setup::{WALL, job_id, record, report, scheduler, start_all, starts, step, worker_id};
 
@@ -241,3 +241,31 @@
         "the other is at work again"
     );
 }
+
+/// Guards against stopping a run that has become the wanted one: it was a second run of its task on the worker, which
+/// then rejected the first one for lack of room.
+#[test]
+fn adopted_duplicate_is_not_stopped() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 1, 8);
+    scheduler.submit(now, now, record(1, vec![long_running(1)]), None);
+    let start = starts(scheduler.decide(now, WALL, true)).remove(0);
+    let mut duplicate = start.clone();
+    duplicate.run.number = RunNumber::new(7);
+    report(&mut scheduler, now + MS, 0, &[&duplicate], &[]);
+    assert_eq!(
+        stops(&scheduler.decide(now + MS * 2, WALL, true)),
+        std::slice::from_ref(&duplicate.run)
+    );
+    scheduler.handle_stop_outcome(
+        now + MS * 602,
+        &worker_id(0),
+        &duplicate.run,
+        StopOutcome::Unknown,
+    );
+    scheduler.handle_start_outcome(now + MS * 603, &worker_id(0), &start.run, StartOutcome::NoRoom);
+    report(&mut scheduler, now + MS * 604, 0, &[&duplicate], &[]);
+    assert!(!scheduler.workers()[&worker_id(0)].runs[&start.run.task].must_stop);
+    let stopped = stops_until(&mut scheduler, now + MS * 1_000, now + MS * 4_000, &[duplicate]);
+    assert_eq!(stopped, Vec::new());
+}
