--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -48,7 +48,7 @@
 use crate::dispatch::task_id::{StepId, TaskId};
 use crate::dispatch::work_average::WorkAverage;
 use crate::dispatch::worker_entry::WorkerEntry;
-use crate::dispatch::worker_state::{PlacedRun, WorkerState};
+use crate::dispatch::worker_state::{PlacedRun, StopRule, WorkerState};
 
 use crate::model::id::{JobId, LeaderTerm, OrganisationId, PoolId, WorkerId};
 use crate::model::resource::ResourceSet;
@@ -477,7 +477,7 @@
             return commands;
         }
         self.expire_runs(now);
-        self.issue_stops(now, &mut commands);
+        self.issue_stops(now, is_leadership_valid, &mut commands);
         if is_leadership_valid {
             self.start_due_occurrences(now, wall_time);
             let previous_stops_end = now + self.timing.stop_timeout + POLL_WAIT + MIN_POLL_INTERVAL;
@@ -565,7 +565,7 @@
             .get_mut(worker)
             .and_then(|worker| worker.runs.get_mut(task));
         if let Some(placed) = placed {
-            placed.must_stop = true;
+            placed.request_stop(StopRule::Always);
         }
     }
 }
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -10,7 +10,7 @@
 use crate::dispatch::pool_scheduler::{MAX_MISSING_POLLS, PoolScheduler, request_stops, run_id};
 use crate::dispatch::task_id::TaskId;
 use crate::dispatch::worker_report::{ActiveRun, EndedRun, RunOutcome, WorkerReport};
-use crate::dispatch::worker_state::{OutcomeLog, PlacedRun, RunPhase};
+use crate::dispatch::worker_state::{OutcomeLog, PlacedRun, RunPhase, StopRule};
 use crate::model::id::{JobId, WorkerId};
 use crate::model::unix_time::UnixMillis;
 
@@ -297,9 +297,25 @@
             if !row.checkpoint.is_empty() {
                 placed.checkpoint = Arc::clone(&row.checkpoint);
             }
-            if placed.phase != RunPhase::Running && placed.stop_sent_at.is_none() {
+            placed.unknown_since = None;
+            let is_withdrawn = placed.withdraw_settling_stop();
+            if placed.phase != RunPhase::Running && (placed.stop_sent_at.is_none() || !placed.must_stop) {
                 placed.phase = RunPhase::Running;
             }
+            if is_withdrawn {
+                let stop_sent_ms = placed
+                    .stop_sent_at
+                    .map(|at| now.saturating_duration_since(at).as_millis());
+                let inputs = format!(
+                    "run {} of task {} at {} %, start sent {} ms ago, stop {stop_sent_ms:?} ms ago",
+                    row.run,
+                    row.task,
+                    row.progress_percent,
+                    now.saturating_duration_since(placed.placed_at).as_millis()
+                );
+                let job = Some(row.task.step.job.clone());
+                self.note("late start kept", job, Some(worker_id.clone()), inputs);
+            }
             self.mark_started(&row.task.step.job, worker_id);
             return;
         }
@@ -325,6 +341,8 @@
                 .or_insert(None);
             return;
         }
+        // A stop of the run as a duplicate is not repeated, but may still take effect.
+        let duplicate = self.duplicate_runs.remove(&(worker_id.clone(), run.clone()));
         let job = self.jobs.get(&row.task.step.job);
         let spec = job.and_then(|job| job.record.spec.steps.get(row.task.step.step as usize));
         // A run of an unknown job reserves no resources and is stopped.
@@ -341,6 +359,7 @@
             speed_percent: 0,
             is_unsized,
             must_stop: !is_wanted,
+            stop_sent_at: duplicate.flatten(),
             ..PlacedRun::new(now, row.run, phase, &spec, organisation.clone())
         };
         if let Some(organisation) = organisation {
@@ -406,7 +425,7 @@
         let mut stalled = Vec::new();
         for (task, placed) in &mut worker.runs {
             if placed.is_stalled(now) {
-                placed.must_stop = true;
+                placed.request_stop(StopRule::Always);
                 worker.health.record_failure(now, &task.step.job);
                 stalled.push((run_id(task, placed), placed.progress_percent));
             }
@@ -436,6 +455,7 @@
         };
         let mut ended = Vec::new();
         let mut lost = Vec::new();
+        let mut unlisted = Vec::new();
         for (task, placed) in &mut worker.runs {
             let is_listed = running
                 .iter()
@@ -457,13 +477,27 @@
                 ended.push(run_id(task, placed));
                 continue;
             }
-            if placed.unknown_since.is_some_and(|since| since <= sent_at) {
-                placed.must_stop = true;
-            }
+            let was_stopped = placed.must_stop;
+            placed.unlisted_at = Some(now);
             if placed.phase == RunPhase::Running {
                 placed.missed_polls += 1;
-                placed.must_stop |= placed.missed_polls >= MAX_MISSING_POLLS;
             }
+            let is_unanswered = placed.unknown_since.is_some_and(|since| since <= sent_at);
+            if is_unanswered || placed.missed_polls >= MAX_MISSING_POLLS {
+                placed.request_stop(StopRule::WhileUnlisted);
+            }
+            if placed.must_stop && !was_stopped {
+                let sent_ms = now.saturating_duration_since(placed.placed_at).as_millis();
+                unlisted.push((run_id(task, placed), placed.phase, sent_ms));
+            }
+        }
+        for (run, phase, sent_ms) in unlisted {
+            let inputs = format!(
+                "run {} of task {}, {phase:?}, start sent {sent_ms} ms ago",
+                run.number, run.task
+            );
+            let job = Some(run.task.step.job.clone());
+            self.note("unlisted run stopped", job, Some(worker_id.clone()), inputs);
         }
         for run in ended {
             self.drop_run(now, worker_id, &run, true);
