Clear suspects wherever they run

Callers saw long-running tasks wait in small pools after a storm of crashes although workers had room.

A suspect whose run outlasted its losses was cleared only while its job had an isolated worker. One that had started beside other jobs stayed a suspect for as long as it ran, and since no suspect starts beside another one, a few of them kept all further suspects off the workers of a small pool.

Tasks with recorded losses are kept in a set, and each pass looks at their present runs, wherever they are.

The test failed before: suspect_that_runs_beside_other_jobs_is_cleared: assertion failed: !job.has_suspects()

--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -93,6 +93,8 @@
     open_losses: OpenLosses,
     /// Jobs with suspects that have a worker for themselves.
     isolated: BTreeMap<JobId, IsolatedJob>,
+    /// Tasks with recorded losses, which a run clears once it has outlasted them.
+    tasks_with_losses: BTreeSet<TaskId>,
     /// Starts of suspects that are being stored before they are sent.
     planned_starts: BTreeMap<TaskId, PlannedStart>,
     /// Largest number of losses on record of one task in this term.
@@ -142,6 +144,7 @@
             instance_workers: InstanceWorkers::default(),
             open_losses: OpenLosses::default(),
             isolated: BTreeMap::new(),
+            tasks_with_losses: BTreeSet::new(),
             planned_starts: BTreeMap::new(),
             most_losses: 0,
             free_index: FreeIndex::default(),
--- a/src/dispatch/pool_scheduler/isolation.rs
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -11,7 +11,7 @@
 use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::job_state::{JobRun, TaskState};
 use crate::dispatch::placement;
-use crate::dispatch::pool_scheduler::PoolScheduler;
+use crate::dispatch::pool_scheduler::{PoolScheduler, run_id};
 use crate::dispatch::run_loss::{LossState, MAX_SUSPECT_AGE, RunLoss};
 use crate::dispatch::task_id::{StepId, TaskId};
 use crate::dispatch::worker_state::{PlacedRun, RunPhase, WorkerState};
@@ -265,6 +265,7 @@
             state.last_run = run;
             state.losses.insert(run, loss);
         }
+        self.tasks_with_losses.insert(task.clone());
         self.mark_progress_changed(&task.step.job)
     }
 
@@ -281,9 +282,9 @@
     /// Clears suspects whose runs have been active long enough, and releases workers whose job needs them no
     /// longer.
     pub(super) fn review_isolated_jobs(&mut self, now: Instant) {
+        self.clear_suspects(now);
         let jobs: Vec<JobId> = self.isolated.keys().cloned().collect();
         for id in jobs {
-            self.clear_suspects(now, &id);
             let Some(isolated) = self.isolated.get_mut(&id) else {
                 continue;
             };
@@ -302,31 +303,40 @@
         }
     }
 
-    /// Forgets the losses of tasks whose present run has outlasted them.
-    fn clear_suspects(&mut self, now: Instant, id: &JobId) {
-        let mut cleared: Vec<RunId> = Vec::new();
-        for worker in self.workers.values().filter(|worker| worker.poll.failures == 0) {
-            let runs = worker.runs.iter().filter(|(task, _)| task.step.job == *id);
-            for (task, run) in runs.filter(|(_, run)| run.phase == RunPhase::Running && !run.must_stop) {
-                let state = self.task(task);
-                let active_for = now.saturating_duration_since(run.placed_at);
-                if state.is_some_and(|state| state.is_suspect() && active_for >= state.losses.clearing_time())
-                {
-                    cleared.push(RunId {
-                        task: task.clone(),
-                        number: run.run,
-                    });
-                }
-            }
-        }
-        for run in cleared {
+    /// Forgets the losses of tasks whose present run has outlasted them, wherever it is.
+    fn clear_suspects(&mut self, now: Instant) {
+        let mut tasks = std::mem::take(&mut self.tasks_with_losses);
+        tasks.retain(|task| {
+            let state = self.task(task);
+            state.is_some_and(|state| !state.is_done && !state.losses.is_empty())
+        });
+        let outlasted = tasks.iter().filter_map(|task| self.outlasting_run(now, task));
+        let outlasted: Vec<RunId> = outlasted.collect();
+        for run in outlasted {
+            tasks.remove(&run.task);
             if let Some(task) = self.task_mut(&run.task) {
                 task.losses.clear();
             }
-            self.mark_progress_changed(id);
+            let job = &run.task.step.job;
+            self.mark_progress_changed(job);
             let inputs = format!("run {} of task {} outlasted its losses", run.number, run.task);
-            self.note("suspect cleared", Some(id.clone()), None, inputs);
+            self.note("suspect cleared", Some(job.clone()), None, inputs);
         }
+        self.tasks_with_losses = tasks;
+    }
+
+    /// Run of a suspect that has been active for long enough to show that its task does not crash workers.
+    fn outlasting_run(&self, now: Instant, task: &TaskId) -> Option<RunId> {
+        let state = self.task(task).filter(|state| state.is_suspect())?;
+        let mut copies = state.copies.iter().filter_map(|copy| {
+            let worker = self.workers.get(&copy.worker)?;
+            let run = worker.runs.get(task).filter(|_| worker.poll.failures == 0)?;
+            let is_active = run.run == copy.run && run.phase == RunPhase::Running && !run.must_stop;
+            is_active.then_some(run)
+        });
+        let active_for = |run: &PlacedRun| now.saturating_duration_since(run.placed_at);
+        let run = copies.find(|run| active_for(run) >= state.losses.clearing_time())?;
+        Some(run_id(task, run))
     }
 
     /// Opens the worker of an isolated job to other jobs. Starts of the job that were stored and not sent are
--- a/src/dispatch/pool_scheduler/worker_losses.rs
+++ b/src/dispatch/pool_scheduler/worker_losses.rs
@@ -194,6 +194,7 @@
             return;
         };
         loss.state = LossState::Crashed;
+        self.tasks_with_losses.insert(run.task.clone());
         if self.is_mass_loss(worker_id)
             && let Some(loss) = self.loss_mut(run)
         {
@@ -261,6 +262,8 @@
             return;
         };
         let recorded: Vec<(RunId, RunLoss)> = job.recorded_losses().collect();
+        let tasks = recorded.iter().map(|(run, _)| run.task.clone());
+        self.tasks_with_losses.extend(tasks);
         for (run, loss) in &recorded {
             if loss.state != LossState::Crashed {
                 self.open_losses
--- a/tests/pool_decisions/crash_world.rs
+++ b/tests/pool_decisions/crash_world.rs
@@ -33,7 +33,7 @@
     pub now: Instant,
     pub scheduler: PoolScheduler,
     pub deadly: BTreeSet<TaskId>,
-    /// Run time of the tasks that are not deadly.
+    /// Run time of the finite tasks that are not deadly.
     pub run_time: Duration,
     /// Time after which a crashed worker is back.
     pub restart_time: Duration,
@@ -185,11 +185,12 @@
             if self.workers[number].crash_at.is_some_and(|at| at <= now) {
                 self.crash(number);
             }
-            let worker = &mut self.workers[number];
+            let (records, worker) = (&self.records, &mut self.workers[number]);
             worker.cut_until = worker.cut_until.filter(|until| *until > now);
             let (run_time, sequence, ended) = (self.run_time, &mut worker.sequence, &mut worker.ended);
             worker.runs.retain(|(start, started)| {
-                let is_active = now < *started + run_time;
+                let task = &start.run.task;
+                let is_active = is_long_running(records, task) || now < *started + run_time;
                 if !is_active {
                     *sequence += 1;
                     ended.push(EndedRun {
@@ -293,3 +294,8 @@
         self.scheduler.confirm_flush();
     }
 }
+
+fn is_long_running(records: &BTreeMap<JobId, JobRecord>, task: &TaskId) -> bool {
+    let record = records.get(&task.step.job);
+    record.is_some_and(|record| record.spec.steps[task.step.step as usize].is_long_running)
+}
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod flush;
 mod forecast;
+mod isolation;
 mod load;
 mod malformed;
 mod narrow_link;
