Start long-running suspects within 9 s of their loss

A suspect waited 2 s for an isolated worker after one loss and 6 s after several, counted from its first attempt, which comes only when the lease of the lost run has ended (4.7 s) or its replacement is seen (3.3 s). It also waited without a bound for a worker without another suspect.

A long-running suspect waits 2 s, however often it was lost, and joins another suspect after 3 s. Finite tasks wait as before. A pool on a virtual clock now finds long-running tasks that do not run although two workers have room and nothing disturbs the pool.

--- a/src/dispatch/pool_scheduler/isolation.rs
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -24,9 +24,14 @@
 /// Time after which a suspect with a single loss starts beside other jobs if no worker could be isolated.
 const MAX_ISOLATION_WAIT: Duration = Duration::from_secs(2);
 
-/// The same for a suspect with several losses.
+/// The same for a finite suspect with several losses. A long-running one has to run again within 9 s of the loss,
+/// of which up to 4.7 s pass until the lease of the lost run has ended.
 const MAX_REPEATED_WAIT: Duration = Duration::from_secs(6);
 
+/// Time after which a long-running suspect starts even beside another suspect. In a small pool each worker may
+/// have one.
+const MAX_SEPARATION_WAIT: Duration = Duration::from_secs(3);
+
 /// Time after which a worker on which the job could start nothing is opened again. Other jobs may still run there, or
 /// leave too little room.
 const MAX_RESERVATION: Duration = Duration::from_secs(3);
@@ -119,25 +124,38 @@
     fn shared_worker(&mut self, now: Instant, task: &TaskId, spec: &StepSpec) -> Option<WorkerId> {
         let state = self.task_mut(task)?;
         let since = *state.suspect_since.get_or_insert(now);
-        let max_wait = if state.losses.lost_runs() > 1 {
+        let max_wait = if state.losses.lost_runs() > 1 && !spec.is_long_running {
             MAX_REPEATED_WAIT
         } else {
             MAX_ISOLATION_WAIT
         };
-        if now.saturating_duration_since(since) < max_wait {
+        let waited = now.saturating_duration_since(since);
+        if waited < max_wait {
             return None;
         }
-        self.find_worker_without_suspects(now, task, spec)
+        let may_join_suspects = spec.is_long_running && waited >= MAX_SEPARATION_WAIT;
+        self.find_shared_worker(now, task, spec, may_join_suspects)
     }
 
-    /// Finds a worker without a suspect of another job, so that a crash there points at this task.
-    fn find_worker_without_suspects(&self, now: Instant, task: &TaskId, spec: &StepSpec) -> Option<WorkerId> {
+    /// Finds a worker without a suspect of another job, so that a crash there points at this task. With
+    /// `may_join_suspects` any worker will do if there is none.
+    fn find_shared_worker(
+        &self,
+        now: Instant,
+        task: &TaskId,
+        spec: &StepSpec,
+        may_join_suspects: bool,
+    ) -> Option<WorkerId> {
         let request = self.placement_request(task, spec, true)?;
-        let candidates = self.workers.iter().filter(|(_, worker)| {
-            placement::is_candidate(now, worker, &request) && self.is_free_of_suspects(worker, task)
-        });
-        let emptiest = candidates.min_by_key(|(_, worker)| worker.runs.len())?;
-        Some(emptiest.0.clone())
+        let candidates = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| placement::is_candidate(now, worker, &request));
+        let ranked = candidates
+            .map(|(id, worker)| (!self.is_free_of_suspects(worker, task), worker.runs.len(), id))
+            .filter(|(has_suspects, ..)| may_join_suspects || !has_suspects);
+        let (.., id) = ranked.min()?;
+        Some(id.clone())
     }
 
     /// Whether no suspect of another job runs on the worker.
--- a/tests/pool_decisions/crash_world.rs
+++ b/tests/pool_decisions/crash_world.rs
@@ -6,11 +6,13 @@
 
 use figloft::dispatch::command::{PollError, PoolCommand, StartCommand, StartOutcome, StopOutcome};
 use figloft::dispatch::job_record::{JobProgress, JobRecord, JobState, JobSummary};
+use figloft::dispatch::job_spec::StepSpec;
 use figloft::dispatch::pool_scheduler::PoolScheduler;
 use figloft::dispatch::takeover::TakeoverState;
-use figloft::dispatch::task_id::TaskId;
+use figloft::dispatch::task_id::{StepId, TaskId};
 use figloft::dispatch::worker_report::{EndedRun, RunOutcome, WorkerReport};
 use figloft::model::id::{JobId, WorkerId};
+use figloft::model::resource::ResourceSet;
 use figloft::model::unix_time::UnixMillis;
 
 use crate::setup::{WALL, empty_scheduler, entry, running_row};
@@ -19,6 +21,15 @@
 
 const RESTART_TIME: Duration = Duration::from_millis(3_300);
 
+/// Time after its last run from which a long-running task that does not run may count as late.
+const MAX_INTERRUPTION: Duration = Duration::from_secs(6);
+
+/// Time for which two workers have to have room for such a task.
+const ROOM_TIME: Duration = Duration::from_secs(3);
+
+/// Time before that for which nothing may have disturbed the pool.
+const CALM_TIME: Duration = Duration::from_secs(4);
+
 struct CrashingWorker {
     entry: figloft::dispatch::worker_entry::WorkerEntry,
     runs: Vec<(StartCommand, Instant)>,
@@ -48,6 +59,15 @@
     pub notes: Vec<String>,
     /// Stored changes of progress.
     pub writes: u32,
+    /// Long-running tasks that did not run although two workers had room for them, with the time at which
+    /// this was noticed.
+    pub late: BTreeMap<TaskId, Duration>,
+    /// Time since which a long-running task does not run.
+    stopped_at: BTreeMap<TaskId, Instant>,
+    /// Time since which two workers have room for a long-running task that should run.
+    roomy_since: BTreeMap<TaskId, Instant>,
+    /// Time of the last crash, cut or take-over that no task caused.
+    disturbed_at: Instant,
     workers: Vec<CrashingWorker>,
     records: BTreeMap<JobId, JobRecord>,
     pub progress: BTreeMap<JobId, JobProgress>,
@@ -80,6 +100,10 @@
             summaries: BTreeMap::new(),
             notes: Vec::new(),
             writes: 0,
+            late: BTreeMap::new(),
+            stopped_at: BTreeMap::new(),
+            roomy_since: BTreeMap::new(),
+            disturbed_at: now,
             workers: workers.collect(),
             records: BTreeMap::new(),
             progress: BTreeMap::new(),
@@ -134,11 +158,22 @@
                     .map(|note| format!("{}: {}", note.decision, note.inputs)),
             );
             self.flush();
+            self.find_late_tasks();
         }
     }
 
+    /// Time since the beginning.
+    pub fn elapsed(&self) -> Duration {
+        self.now.saturating_duration_since(self.begin)
+    }
+
     /// Ends the worker's process with all runs; it is back after a few seconds.
     pub fn crash(&mut self, number: usize) {
+        self.disturbed_at = self.disturbed_at.max(self.now);
+        self.end_process(number);
+    }
+
+    fn end_process(&mut self, number: usize) {
         let worker = &mut self.workers[number];
         for (start, _) in worker.runs.drain(..) {
             *self.crashes.entry(start.run.task).or_default() += 1;
@@ -150,11 +185,13 @@
 
     /// Cuts the worker off from the leader; its runs go on until their lease expires.
     pub fn cut(&mut self, number: usize, time: Duration) {
+        self.disturbed_at = self.disturbed_at.max(self.now + time);
         self.workers[number].cut_until = Some(self.now + time);
     }
 
     /// Replaces the leader by one that knows what is stored.
     pub fn take_over(&mut self) {
+        self.disturbed_at = self.disturbed_at.max(self.now);
         self.term += 1;
         let former = self.scheduler.workers().keys().cloned().collect();
         let lease = Duration::from_millis(4_500);
@@ -183,7 +220,7 @@
         for number in 0..self.workers.len() {
             let now = self.now;
             if self.workers[number].crash_at.is_some_and(|at| at <= now) {
-                self.crash(number);
+                self.end_process(number);
             }
             let (records, worker) = (&self.records, &mut self.workers[number]);
             worker.cut_until = worker.cut_until.filter(|until| *until > now);
@@ -278,6 +315,75 @@
         }
     }
 
+    /// Finds long-running tasks that have not run for too long although two workers have room for them and
+    /// nothing has disturbed the pool.
+    fn find_late_tasks(&mut self) {
+        let open = self
+            .records
+            .values()
+            .filter(|record| !self.state(&record.id).is_some_and(JobState::is_final));
+        let long_running = open.flat_map(|record| {
+            let steps = (0_u32..).zip(&record.spec.steps);
+            let steps = steps.filter(|(_, spec)| spec.is_long_running);
+            steps.flat_map(|(number, spec)| {
+                let step = StepId::new(record.id.clone(), 0, number);
+                (0..spec.tasks).map(move |index| (step.task(index), spec))
+            })
+        });
+        let waiting = long_running.filter(|(task, _)| self.places(task).is_empty());
+        let waiting: BTreeMap<TaskId, bool> = waiting
+            .map(|(task, spec)| {
+                let roomy = self
+                    .workers
+                    .iter()
+                    .filter(|worker| self.has_room(worker, &task, spec));
+                let is_roomy = roomy.count() >= 2;
+                (task, is_roomy)
+            })
+            .collect();
+        self.stopped_at.retain(|task, _| waiting.contains_key(task));
+        let is_calm = self.now >= self.disturbed_at + CALM_TIME;
+        for (task, is_roomy) in &waiting {
+            let stopped_at = *self.stopped_at.entry(task.clone()).or_insert(self.now);
+            if !is_roomy || !is_calm || self.now < stopped_at + MAX_INTERRUPTION {
+                self.roomy_since.remove(task);
+                continue;
+            }
+            let since = *self.roomy_since.entry(task.clone()).or_insert(self.now);
+            if self.now >= since + ROOM_TIME {
+                let elapsed = self.elapsed();
+                self.late.entry(task.clone()).or_insert(elapsed);
+            }
+        }
+        self.roomy_since.retain(|task, _| waiting.contains_key(task));
+    }
+
+    /// Whether the worker could start the task now.
+    fn has_room(&self, worker: &CrashingWorker, task: &TaskId, spec: &StepSpec) -> bool {
+        if worker.back_at.is_some() || worker.cut_until.is_some() {
+            return false;
+        }
+        let demand =
+            |other: &TaskId| self.records[&other.step.job].spec.steps[other.step.step as usize].reserved();
+        let used = worker
+            .runs
+            .iter()
+            .fold(ResourceSet::default(), |used, (start, _)| {
+                used.plus(&demand(&start.run.task))
+            });
+        let siblings = worker
+            .runs
+            .iter()
+            .filter(|(start, _)| start.run.task.step == task.step);
+        let siblings = siblings.count() as u32;
+        worker
+            .entry
+            .capacity
+            .saturating_sub(&used)
+            .covers(&spec.reserved())
+            && spec.max_per_worker.is_none_or(|max| siblings < max)
+    }
+
     fn flush(&mut self) {
         if !self.is_storing || !self.scheduler.has_changes() {
             return;
--- a/tests/pool_decisions/isolation.rs
+++ b/tests/pool_decisions/isolation.rs
@@ -5,6 +5,8 @@
 use figloft::dispatch::job_record::JobRecord;
 use figloft::dispatch::job_spec::StepSpec;
 use figloft::dispatch::task_id::{StepId, TaskId};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 use crate::crash_world::CrashWorld;
 use crate::setup::{job_id, record, step};
@@ -45,6 +47,27 @@
     world.now.saturating_duration_since(stopped_at)
 }
 
+/// Guards against an innocent long-running task that waits for an isolated worker for longer than its callers
+/// may miss it: two workers crashed under it, and on each other worker a task has just started.
+#[test]
+fn long_running_suspect_runs_again_in_time() {
+    for restart_time in [Duration::from_millis(3_300), SECOND * 30] {
+        let mut world = CrashWorld::new(8, 32);
+        world.restart_time = restart_time;
+        world.submit(long_running_job(1, 1, 4));
+        for crash in 0..2 {
+            world.run(EARLY);
+            crash_under(&mut world, &task(1, 0));
+            world.submit(long_running_job(10 + crash, 8, 1));
+            let time = interruption(&mut world, &task(1, 0));
+            assert!(
+                time < SECOND * 9,
+                "not at work for {time:?} after crash {crash}, restart time {restart_time:?}"
+            );
+        }
+    }
+}
+
 /// Guards against suspects that stay suspects while they run beside other jobs: in a small pool each worker has
 /// one before long, and the next suspect finds none.
 #[test]
@@ -60,3 +83,63 @@
     let job = world.scheduler.job(&job_id(1)).expect("job");
     assert!(!job.has_suspects());
 }
+
+/// Job of finite tasks.
+fn finite_job(number: usize, tasks: u32, cores: u64) -> JobRecord {
+    record(number, vec![step(tasks, cores, 1_000)])
+}
+
+/// Guards against long-running tasks that wait in small pools after a storm of crashes although two workers have
+/// room for them.
+#[test]
+fn long_running_tasks_run_again_after_a_storm() {
+    let mut late = Vec::new();
+    for seed in 1..=20 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let size = random.random_range(2..7);
+        let mut world = CrashWorld::new(size, 16);
+        world.run_time = Duration::from_millis(random.random_range(300..2_500));
+        world.restart_time = Duration::from_millis(random.random_range(400..8_000));
+        world.keeps_id = random.random();
+        for number in 1..=random.random_range(1..5) {
+            let mut job = long_running_job(
+                number,
+                random.random_range(1..=size as u32),
+                random.random_range(1..5),
+            );
+            job.spec.steps[0].max_per_worker = random.random_bool(0.7).then_some(random.random_range(1..3));
+            world.submit(job);
+        }
+        world.run(SECOND * random.random_range(0..12));
+        let mut number = 10;
+        for second in 0..60 {
+            for _ in 0..random.random_range(0..3) {
+                number += 1;
+                world.submit(finite_job(
+                    number,
+                    random.random_range(1..5),
+                    random.random_range(1..7),
+                ));
+                if second < 20 && random.random_bool(0.15) {
+                    world.deadly.insert(task(number, 0));
+                }
+            }
+            if second < 20 {
+                let on = random.random_range(0..world.size());
+                match random.random_range(0..16) {
+                    0 | 1 => world.crash(on),
+                    2 => world.cut(on, SECOND * 3),
+                    3 => world.take_over(),
+                    _ => {}
+                }
+            }
+            world.run(SECOND);
+        }
+        for (task, at) in &world.late {
+            late.push(format!(
+                "seed {seed}, {size} workers: {task} noticed after {at:?}"
+            ));
+        }
+    }
+    assert!(late.is_empty(), "{late:#?}");
+}
