Open isolated workers that their job cannot use

Callers saw long-running tasks wait for good for a worker that was isolated for a job which never started its suspect there.

Three causes: a worker counted as used while any task of the job ran there, so that a job whose suspect was held by the limit of its organisation, or by a sibling on the same worker, kept it for ever; a worker was reserved although its long-running tasks or the limit of tasks per worker left no room for the suspect; and a worker that was given back unused was isolated again in the same pass, by the same or another job.

Only suspects count as use, a reserved worker must have room beside its long-running tasks, and a worker that was isolated in vain stays open for 1 s.

The tests failed before: worker_without_room_for_a_suspect_stays_open: the only worker was closed for 60s suspect_beyond_the_limit_keeps_no_worker: task 1 waited for 60s worker_that_was_isolated_in_vain_opens: task 1 waited for 11.36s

--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -93,6 +93,8 @@
     open_losses: OpenLosses,
     /// Jobs with suspects that have a worker for themselves.
     isolated: BTreeMap<JobId, IsolatedJob>,
+    /// Workers that were isolated in vain, with the time at which they were opened again.
+    reopened_workers: BTreeMap<WorkerId, Instant>,
     /// Tasks with recorded losses, which a run clears once it has outlasted them.
     tasks_with_losses: BTreeSet<TaskId>,
     /// Starts of suspects that are being stored before they are sent.
@@ -144,6 +146,7 @@
             instance_workers: InstanceWorkers::default(),
             open_losses: OpenLosses::default(),
             isolated: BTreeMap::new(),
+            reopened_workers: BTreeMap::new(),
             tasks_with_losses: BTreeSet::new(),
             planned_starts: BTreeMap::new(),
             most_losses: 0,
--- a/src/dispatch/pool_scheduler/isolation.rs
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -10,12 +10,13 @@
 use crate::dispatch::command::{PoolCommand, RunId};
 use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::job_state::{JobRun, TaskState};
-use crate::dispatch::placement;
+use crate::dispatch::placement::{self, PlacementRequest};
 use crate::dispatch::pool_scheduler::{PoolScheduler, run_id};
 use crate::dispatch::run_loss::{LossState, MAX_SUSPECT_AGE, RunLoss};
 use crate::dispatch::task_id::{StepId, TaskId};
 use crate::dispatch::worker_state::{PlacedRun, RunPhase, WorkerState};
 use crate::model::id::{JobId, RunNumber, WorkerId};
+use crate::model::resource::ResourceSet;
 
 /// Part of the usable workers (1/2) that may be isolated at the same time, so that a wave of crashes leaves
 /// room for other work.
@@ -36,6 +37,9 @@
 /// leave too little room.
 const MAX_RESERVATION: Duration = Duration::from_secs(3);
 
+/// Time for which such a worker is not isolated again, so that tasks of other jobs that wait for it can start.
+const MIN_OPEN_TIME: Duration = Duration::from_secs(1);
+
 /// Pause after which a job searches a worker again; each search looks at all workers and their runs.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -51,7 +55,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct IsolatedJob {
     worker: WorkerId,
-    /// Time at which the job last had a run there, or got the worker.
+    /// Time at which the job last had a suspect there, or got the worker.
     used_at: Instant,
 }
 
@@ -217,6 +221,9 @@
         };
         let mut candidates = Vec::new();
         for (id, worker) in &self.workers {
+            if self.reopened_workers.contains_key(id) {
+                continue;
+            }
             let is_free = is_free_of_other_jobs(now, worker, &task.step.job);
             let long_running = worker.runs.values().filter(|run| run.is_long_running);
             let age = |run: &PlacedRun| now.saturating_duration_since(run.placed_at);
@@ -226,7 +233,10 @@
                 placement::is_candidate(now, worker, &request)
             } else {
                 let is_open = worker.is_usable(now) && worker.isolated_for.is_none();
-                can_become_free && is_open && placement::is_admitted(worker, &request)
+                can_become_free
+                    && is_open
+                    && placement::is_admitted(worker, &request)
+                    && has_room_beside_long_running(worker, &request)
             };
             if can_take {
                 candidates.push((
@@ -301,21 +311,35 @@
     /// longer.
     pub(super) fn review_isolated_jobs(&mut self, now: Instant) {
         self.clear_suspects(now);
+        self.reopened_workers
+            .retain(|_, reopened_at| now < *reopened_at + MIN_OPEN_TIME);
         let jobs: Vec<JobId> = self.isolated.keys().cloned().collect();
         for id in jobs {
-            let Some(isolated) = self.isolated.get_mut(&id) else {
+            let Some(isolated) = self.isolated.get(&id) else {
                 continue;
             };
-            let worker = self.workers.get(&isolated.worker);
-            let has_runs = worker.is_some_and(|worker| worker.runs.keys().any(|task| task.step.job == id));
-            if has_runs {
-                isolated.used_at = now;
+            let worker_id = isolated.worker.clone();
+            let mut used_at = isolated.used_at;
+            let worker = self.workers.get(&worker_id);
+            let mut own_runs = worker
+                .into_iter()
+                .flat_map(|worker| worker.runs.keys())
+                .filter(|task| task.step.job == id);
+            let has_suspect = own_runs.any(|task| self.task(task).is_some_and(TaskState::is_suspect));
+            if has_suspect {
+                used_at = now;
             }
-            let is_unused = now.saturating_duration_since(isolated.used_at) > MAX_RESERVATION;
+            let is_unused = now.saturating_duration_since(used_at) > MAX_RESERVATION;
             let is_open = worker.is_some_and(|worker| worker.is_usable(now))
-                && !self.plan.evacuating.contains(&isolated.worker);
+                && !self.plan.evacuating.contains(&worker_id);
             let has_suspects = self.jobs.get(&id).is_some_and(JobRun::has_suspects);
-            if !has_suspects || is_unused || (!is_open && !has_runs) {
+            if let Some(isolated) = self.isolated.get_mut(&id) {
+                isolated.used_at = used_at;
+            }
+            if is_unused {
+                self.reopened_workers.insert(worker_id, now);
+            }
+            if !has_suspects || is_unused || (!is_open && !has_suspect) {
                 self.release_isolation(&id);
             }
         }
@@ -379,3 +403,19 @@
         task.step.job == *job || now.saturating_duration_since(run.placed_at) >= MAX_SUSPECT_AGE
     })
 }
+
+/// Whether the worker has room for the task once its finite runs have ended.
+fn has_room_beside_long_running(worker: &WorkerState, request: &PlacementRequest<'_>) -> bool {
+    let staying = worker.runs.iter().filter(|(_, run)| run.is_long_running);
+    let used = staying
+        .clone()
+        .fold(ResourceSet::default(), |used, (_, run)| used.plus(&run.reserved));
+    let siblings = staying.filter(|(task, _)| task.step == request.task.step);
+    let siblings = siblings.count() as u32;
+    worker
+        .entry
+        .capacity
+        .saturating_sub(&used)
+        .covers(&request.spec.reserved())
+        && request.spec.max_per_worker.is_none_or(|max| siblings < max)
+}
--- a/tests/pool_decisions/crash_world.rs
+++ b/tests/pool_decisions/crash_world.rs
@@ -189,6 +189,15 @@
         self.workers[number].cut_until = Some(self.now + time);
     }
 
+    /// Changes the capacity of an instance, also of its later workers.
+    pub fn set_cores(&mut self, number: usize, cores: u64) {
+        let worker = &mut self.workers[number];
+        worker.entry.capacity = entry(number, cores).capacity;
+        if worker.back_at.is_none() {
+            self.scheduler.set_worker(self.now, worker.entry.clone());
+        }
+    }
+
     /// Replaces the leader by one that knows what is stored.
     pub fn take_over(&mut self) {
         self.disturbed_at = self.disturbed_at.max(self.now);
--- a/tests/pool_decisions/isolation.rs
+++ b/tests/pool_decisions/isolation.rs
@@ -4,7 +4,12 @@
 
 use figloft::dispatch::job_record::JobRecord;
 use figloft::dispatch::job_spec::StepSpec;
+use figloft::dispatch::pool_plan::PoolPlan;
+use figloft::dispatch::site_config::{OrganisationConfig, SiteConfig};
 use figloft::dispatch::task_id::{StepId, TaskId};
+use figloft::model::amount::{MemoryMib, MilliCores};
+use figloft::model::id::{OrganisationId, PlanVersion};
+use figloft::model::resource::ResourceSet;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -89,6 +94,96 @@
     record(number, vec![step(tasks, cores, 1_000)])
 }
 
+/// Guards against an isolated worker that its job can never use and never gives back: a task of the same step runs
+/// there, and the step may have only one on a worker.
+#[test]
+fn worker_without_room_for_a_suspect_stays_open() {
+    let mut world = CrashWorld::new(2, 32);
+    world.submit(long_running_job(1, 2, 4));
+    world.run(EARLY);
+    let crashed = crash_under(&mut world, &task(1, 0));
+    world.set_cores(crashed, 0);
+    for number in 10..32 {
+        world.submit(finite_job(number, 1, 1));
+        world.run(Duration::from_millis(600));
+    }
+    world.submit(long_running_job(2, 1, 1));
+    let time = interruption(&mut world, &task(2, 0));
+    assert!(time < SECOND * 4, "the only worker was closed for {time:?}");
+}
+
+/// Guards against an isolated worker that is kept although the limit of the organisation leaves no room for the
+/// suspect: another task of its job runs there.
+#[test]
+fn suspect_beyond_the_limit_keeps_no_worker() {
+    let mut world = CrashWorld::new(2, 32);
+    let organisation = OrganisationId::new("house-a").expect("organisation");
+    let mut config = SiteConfig::default();
+    let limit = ResourceSet::new(MilliCores::new(100_000), MemoryMib::new(0));
+    config
+        .organisations
+        .insert(organisation.clone(), OrganisationConfig { weight: 0.0, limit });
+    world.scheduler.set_config(&config);
+    let plan = |version, cores| {
+        let allowance = ResourceSet::new(MilliCores::new(cores), MemoryMib::new(1_000_000));
+        PoolPlan {
+            version: PlanVersion::new(version),
+            allowances: [(organisation.clone(), allowance)].into(),
+            ..PoolPlan::default()
+        }
+    };
+    world.scheduler.set_plan(plan(1, 8_000));
+    let mut job = record(
+        1,
+        vec![StepSpec {
+            is_long_running: true,
+            ..step(2, 4, 0)
+        }],
+    );
+    job.organisation = Some(organisation.clone());
+    world.submit(job);
+    world.run(EARLY);
+    crash_under(&mut world, &task(1, 0));
+    world.run(SECOND);
+    world.is_storing = false;
+    world.run(SECOND * 4);
+    assert!(world.notes.iter().any(|note| note.starts_with("job isolated")));
+    world.scheduler.set_plan(plan(2, 4_000));
+    world.is_storing = true;
+    world.submit(long_running_job(2, 2, 1));
+    for index in 0..2 {
+        let time = interruption(&mut world, &task(2, index));
+        assert!(time < SECOND * 4, "task {index} waited for {time:?}");
+    }
+}
+
+/// Guards against jobs that isolate the same worker in turn while its runs last: other jobs start nothing there
+/// meanwhile.
+#[test]
+fn worker_that_was_isolated_in_vain_opens() {
+    let mut world = CrashWorld::new(4, 32);
+    world.run_time = Duration::from_millis(9_500);
+    world.submit(long_running_job(1, 2, 10));
+    world.run(SECOND * 11);
+    // Both jobs run on the empty workers; on the others they have no room until the finite runs end.
+    for job in 2..4 {
+        world.submit(long_running_job(job, 1, 20));
+        world.run(EARLY);
+        let crashed = crash_under(&mut world, &task(job, 0));
+        world.set_cores(crashed, 0);
+    }
+    world.run(SECOND * 3);
+    world.submit(finite_job(4, 2, 20));
+    while !world.notes.iter().any(|note| note.starts_with("job isolated")) {
+        world.run(Duration::from_millis(10));
+    }
+    world.submit(long_running_job(5, 2, 1));
+    for index in 0..2 {
+        let time = interruption(&mut world, &task(5, index));
+        assert!(time < SECOND * 4, "task {index} waited for {time:?}");
+    }
+}
+
 /// Guards against long-running tasks that wait in small pools after a storm of crashes although two workers have
 /// room for them.
 #[test]
