Store that a run cleared its task when its worker is lost

The next leader read losses that a long run had cleared, and treated the task as a suspect again.

A run that is lost after it has outlasted the earlier losses clears them; if the run itself was too old to be recorded, or its worker was leaving, the progress was not marked as changed.

The test failed before: losses_cleared_by_a_long_run_are_not_read_again: left: 1, right: 0 losses in the stored progress

--- a/src/dispatch/pool_scheduler/worker_losses.rs
+++ b/src/dispatch/pool_scheduler/worker_losses.rs
@@ -107,13 +107,17 @@
         let Some(task) = self.open_task_mut(&run.task) else {
             return;
         };
-        if listed_for >= task.losses.clearing_time() {
+        if listed_for >= task.losses.clearing_time() && !task.losses.is_empty() {
             // The run has outlasted the earlier ones: their losses had another cause.
             task.losses.clear();
+            self.mark_progress_changed(&run.task.step.job);
         }
         if is_leaving || is_too_old {
             return;
         }
+        let Some(task) = self.open_task_mut(&run.task) else {
+            return;
+        };
         let known = task.losses.get_mut(run.number);
         if known.is_some_and(|known| known.state != LossState::Started) {
             return;
--- a/tests/pool_decisions/crashes.rs
+++ b/tests/pool_decisions/crashes.rs
@@ -371,3 +371,23 @@
         world.writes
     );
 }
+
+/// Guards against losses that a run has cleared, but that the next leader reads again: the run was too old to be
+/// recorded when its worker was lost.
+#[test]
+fn losses_cleared_by_a_long_run_are_not_read_again() {
+    let mut world = CrashWorld::new(2, 8);
+    world.run_time = SECOND * 40;
+    world.restart_time = SECOND * 7;
+    world.submit(record(1, vec![step(1, 2, 40_000)]));
+    world.submit(record(2, vec![step(2, 2, 40_000)]));
+    for time in [SECOND, SECOND * 12] {
+        world.run(time);
+        let number = world.places(&task(1, 0, 0))[0];
+        world.crash(number);
+        world.run(SECOND * 6);
+    }
+    let stored = &world.progress[&job_id(1)];
+    let losses = stored.occurrences[&0].iter().flat_map(|step| &step.losses);
+    assert_eq!(losses.count(), 0, "{stored:?}");
+}
