Give up tasks that crash their workers late after five crashes

Only early and isolated crashes counted. On a busy pool the first three crashes of such a task were neither, so that three isolated ones followed.

Three crashes count whenever they came, if two of them were isolated on different instances; five crashes are enough in any case, for pools that cannot isolate.

--- a/src/dispatch/run_loss.rs
+++ b/src/dispatch/run_loss.rs
@@ -24,7 +24,7 @@
 /// Lost runs of any age that make a task a suspect.
 const MAX_LOST_RUNS: usize = 3;
 
-/// Early or isolated crashes that are needed to give a task up.
+/// Crashes that are needed to give a task up. Those in a mass loss count only if they are early or isolated.
 const MIN_CRASHES: usize = 3;
 
 /// Instances that have to crash while the task was isolated there, so that neither a run of another job nor one
@@ -35,6 +35,9 @@
 /// together with the leader that saw it.
 const MAX_EARLY_CRASHES: usize = 4;
 
+/// Crashes after which a task is given up whenever they came: no more than two starts may follow the third crash.
+const MAX_CRASHES: usize = 5;
+
 /// Shortest time for which an isolated run has to be active to show that its task is not the cause.
 const MIN_CLEARING_TIME: Duration = Duration::from_secs(2);
 
@@ -146,7 +149,9 @@
     /// Whether the task has to be given up.
     pub fn is_faulty(&self) -> bool {
         let early = self.crashes().filter(|loss| loss.is_early()).count();
-        let counted = self.crashes().filter(|loss| loss.is_early() || loss.is_isolated);
+        let counted = self
+            .crashes()
+            .filter(|loss| loss.is_early() || loss.is_isolated || !loss.is_mass_loss);
         let isolated = self.crashes().filter(|loss| loss.is_isolated);
         let instances: BTreeSet<&str> = isolated
             .map(|loss| match &loss.instance {
@@ -155,7 +160,7 @@
             })
             .collect();
         let is_proved = counted.count() >= MIN_CRASHES && instances.len() >= MIN_ISOLATED_INSTANCES;
-        is_proved || early >= MAX_EARLY_CRASHES
+        is_proved || early >= MAX_EARLY_CRASHES || self.crashes().count() >= MAX_CRASHES
     }
 
     /// Whether the next run has to be isolated from other jobs.
--- a/tests/pool_decisions/crash_world.rs
+++ b/tests/pool_decisions/crash_world.rs
@@ -44,6 +44,8 @@
     pub now: Instant,
     pub scheduler: PoolScheduler,
     pub deadly: BTreeSet<TaskId>,
+    /// Time from the start of a deadly task until its worker crashes.
+    pub crash_delay: Duration,
     /// Run time of the finite tasks that are not deadly.
     pub run_time: Duration,
     /// Time after which a crashed worker is back.
@@ -91,6 +93,7 @@
             now,
             scheduler: empty_scheduler(1, TakeoverState::default()),
             deadly: BTreeSet::new(),
+            crash_delay: TICK,
             run_time: Duration::from_secs(1),
             restart_time: RESTART_TIME,
             keeps_id: false,
@@ -231,12 +234,14 @@
             if self.workers[number].crash_at.is_some_and(|at| at <= now) {
                 self.end_process(number);
             }
-            let (records, worker) = (&self.records, &mut self.workers[number]);
+            let (records, deadly) = (&self.records, &self.deadly);
+            let worker = &mut self.workers[number];
             worker.cut_until = worker.cut_until.filter(|until| *until > now);
             let (run_time, sequence, ended) = (self.run_time, &mut worker.sequence, &mut worker.ended);
             worker.runs.retain(|(start, started)| {
                 let task = &start.run.task;
-                let is_active = is_long_running(records, task) || now < *started + run_time;
+                let is_endless = is_long_running(records, task) || deadly.contains(task);
+                let is_active = is_endless || now < *started + run_time;
                 if !is_active {
                     *sequence += 1;
                     ended.push(EndedRun {
@@ -286,7 +291,8 @@
                     Some(worker) => {
                         *self.starts.entry(start.run.task.clone()).or_default() += 1;
                         if self.deadly.contains(&start.run.task) {
-                            worker.crash_at = Some(now + TICK);
+                            let crash_at = now + self.crash_delay;
+                            worker.crash_at = Some(worker.crash_at.map_or(crash_at, |at| at.min(crash_at)));
                         }
                         worker.runs.push((start.clone(), now));
                         StartOutcome::Started
--- a/tests/pool_decisions/crashes.rs
+++ b/tests/pool_decisions/crashes.rs
@@ -391,3 +391,35 @@
     let losses = stored.occurrences[&0].iter().flat_map(|step| &step.losses);
     assert_eq!(losses.count(), 0, "{stored:?}");
 }
+
+/// Guards against a task that crashes its workers later than most: its crashes are not early, and on a busy pool
+/// the first ones are not isolated, so that they proved nothing.
+#[test]
+fn task_that_crashes_its_workers_late_is_given_up() {
+    let mut seen = Vec::new();
+    for delay in [10, 400, 1_000, 3_000].map(Duration::from_millis) {
+        for seed in 1..=3 {
+            let mut random = StdRng::seed_from_u64(seed);
+            let mut world = CrashWorld::new(random.random_range(2..9), 16);
+            world.crash_delay = delay;
+            let job = deadly_job(&mut world, 1, vec![step(2, 2, 1_000)]);
+            world.submit(job);
+            let must_take_over = random.random_bool(0.5);
+            for number in 10..310 {
+                world.submit(record(number, vec![step(2, 2, 1_000)]));
+                world.run(Duration::from_millis(random.random_range(50..350)));
+                if must_take_over && random.random_bool(0.01) {
+                    world.take_over();
+                }
+            }
+            let starts = world.starts[&task(1, 0, 0)];
+            if starts > MAX_STARTS || world.state(&job_id(1)) != Some(JobState::Failed) {
+                seen.push(format!(
+                    "crash after {delay:?}, seed {seed}: {starts} starts, {:?}",
+                    world.state(&job_id(1))
+                ));
+            }
+        }
+    }
+    assert!(seen.is_empty(), "{seen:#?}");
+}
