--- a/src/dispatch/pool_scheduler/isolation.rs
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -10,12 +10,13 @@
 use crate::dispatch::command::{PoolCommand, RunId};
 use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::job_state::{JobRun, TaskState};
-use crate::dispatch::placement;
-use crate::dispatch::pool_scheduler::PoolScheduler;
+use crate::dispatch::placement::{self, PlacementRequest};
+use crate::dispatch::pool_scheduler::{PoolScheduler, run_id};
 use crate::dispatch::run_loss::{LossState, MAX_SUSPECT_AGE, RunLoss};
 use crate::dispatch::task_id::{StepId, TaskId};
 use crate::dispatch::worker_state::{PlacedRun, RunPhase, WorkerState};
 use crate::model::id::{JobId, RunNumber, WorkerId};
+use crate::model::resource::ResourceSet;
 
 /// Part of the usable workers (1/2) that may be isolated at the same time, so that a wave of crashes leaves
 /// room for other work.
@@ -24,13 +25,21 @@
 /// Time after which a suspect with a single loss starts beside other jobs if no worker could be isolated.
 const MAX_ISOLATION_WAIT: Duration = Duration::from_secs(2);
 
-/// The same for a suspect with several losses.
+/// The same for a finite suspect with several losses. A long-running one has to run again within 9 s of the loss,
+/// of which up to 4.7 s pass until the lease of the lost run has ended.
 const MAX_REPEATED_WAIT: Duration = Duration::from_secs(6);
 
+/// Time after which a long-running suspect starts even beside another suspect. In a small pool each worker may
+/// have one.
+const MAX_SEPARATION_WAIT: Duration = Duration::from_secs(3);
+
 /// Time after which a worker on which the job could start nothing is opened again. Other jobs may still run there, or
 /// leave too little room.
 const MAX_RESERVATION: Duration = Duration::from_secs(3);
 
+/// Time for which such a worker is not isolated again, so that tasks of other jobs that wait for it can start.
+const MIN_OPEN_TIME: Duration = Duration::from_secs(1);
+
 /// Pause after which a job searches a worker again; each search looks at all workers and their runs.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -46,7 +55,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct IsolatedJob {
     worker: WorkerId,
-    /// Time at which the job last had a run there, or got the worker.
+    /// Time at which the job last had a suspect there, or got the worker.
     used_at: Instant,
 }
 
@@ -119,25 +128,38 @@
     fn shared_worker(&mut self, now: Instant, task: &TaskId, spec: &StepSpec) -> Option<WorkerId> {
         let state = self.task_mut(task)?;
         let since = *state.suspect_since.get_or_insert(now);
-        let max_wait = if state.losses.lost_runs() > 1 {
+        let max_wait = if state.losses.lost_runs() > 1 && !spec.is_long_running {
             MAX_REPEATED_WAIT
         } else {
             MAX_ISOLATION_WAIT
         };
-        if now.saturating_duration_since(since) < max_wait {
+        let waited = now.saturating_duration_since(since);
+        if waited < max_wait {
             return None;
         }
-        self.find_worker_without_suspects(now, task, spec)
+        let may_join_suspects = spec.is_long_running && waited >= MAX_SEPARATION_WAIT;
+        self.find_shared_worker(now, task, spec, may_join_suspects)
     }
 
-    /// Finds a worker without a suspect of another job, so that a crash there points at this task.
-    fn find_worker_without_suspects(&self, now: Instant, task: &TaskId, spec: &StepSpec) -> Option<WorkerId> {
+    /// Finds a worker without a suspect of another job, so that a crash there points at this task. With
+    /// `may_join_suspects` any worker will do if there is none.
+    fn find_shared_worker(
+        &self,
+        now: Instant,
+        task: &TaskId,
+        spec: &StepSpec,
+        may_join_suspects: bool,
+    ) -> Option<WorkerId> {
         let request = self.placement_request(task, spec, true)?;
-        let candidates = self.workers.iter().filter(|(_, worker)| {
-            placement::is_candidate(now, worker, &request) && self.is_free_of_suspects(worker, task)
-        });
-        let emptiest = candidates.min_by_key(|(_, worker)| worker.runs.len())?;
-        Some(emptiest.0.clone())
+        let candidates = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| placement::is_candidate(now, worker, &request));
+        let ranked = candidates
+            .map(|(id, worker)| (!self.is_free_of_suspects(worker, task), worker.runs.len(), id))
+            .filter(|(has_suspects, ..)| may_join_suspects || !has_suspects);
+        let (.., id) = ranked.min()?;
+        Some(id.clone())
     }
 
     /// Whether no suspect of another job runs on the worker.
@@ -199,6 +221,9 @@
         };
         let mut candidates = Vec::new();
         for (id, worker) in &self.workers {
+            if self.reopened_workers.contains_key(id) {
+                continue;
+            }
             let is_free = is_free_of_other_jobs(now, worker, &task.step.job);
             let long_running = worker.runs.values().filter(|run| run.is_long_running);
             let age = |run: &PlacedRun| now.saturating_duration_since(run.placed_at);
@@ -208,7 +233,10 @@
                 placement::is_candidate(now, worker, &request)
             } else {
                 let is_open = worker.is_usable(now) && worker.isolated_for.is_none();
-                can_become_free && is_open && placement::is_admitted(worker, &request)
+                can_become_free
+                    && is_open
+                    && placement::is_admitted(worker, &request)
+                    && has_room_beside_long_running(worker, &request)
             };
             if can_take {
                 candidates.push((
@@ -265,6 +293,7 @@
             state.last_run = run;
             state.losses.insert(run, loss);
         }
+        self.tasks_with_losses.insert(task.clone());
         self.mark_progress_changed(&task.step.job)
     }
 
@@ -281,52 +310,75 @@
     /// Clears suspects whose runs have been active long enough, and releases workers whose job needs them no
     /// longer.
     pub(super) fn review_isolated_jobs(&mut self, now: Instant) {
+        self.clear_suspects(now);
+        self.reopened_workers
+            .retain(|_, reopened_at| now < *reopened_at + MIN_OPEN_TIME);
         let jobs: Vec<JobId> = self.isolated.keys().cloned().collect();
         for id in jobs {
-            self.clear_suspects(now, &id);
-            let Some(isolated) = self.isolated.get_mut(&id) else {
+            let Some(isolated) = self.isolated.get(&id) else {
                 continue;
             };
-            let worker = self.workers.get(&isolated.worker);
-            let has_runs = worker.is_some_and(|worker| worker.runs.keys().any(|task| task.step.job == id));
-            if has_runs {
-                isolated.used_at = now;
+            let worker_id = isolated.worker.clone();
+            let mut used_at = isolated.used_at;
+            let worker = self.workers.get(&worker_id);
+            let mut own_runs = worker
+                .into_iter()
+                .flat_map(|worker| worker.runs.keys())
+                .filter(|task| task.step.job == id);
+            let has_suspect = own_runs.any(|task| self.task(task).is_some_and(TaskState::is_suspect));
+            if has_suspect {
+                used_at = now;
             }
-            let is_unused = now.saturating_duration_since(isolated.used_at) > MAX_RESERVATION;
+            let is_unused = now.saturating_duration_since(used_at) > MAX_RESERVATION;
             let is_open = worker.is_some_and(|worker| worker.is_usable(now))
-                && !self.plan.evacuating.contains(&isolated.worker);
+                && !self.plan.evacuating.contains(&worker_id);
             let has_suspects = self.jobs.get(&id).is_some_and(JobRun::has_suspects);
-            if !has_suspects || is_unused || (!is_open && !has_runs) {
+            if let Some(isolated) = self.isolated.get_mut(&id) {
+                isolated.used_at = used_at;
+            }
+            if is_unused {
+                self.reopened_workers.insert(worker_id, now);
+            }
+            if !has_suspects || is_unused || (!is_open && !has_suspect) {
                 self.release_isolation(&id);
             }
         }
     }
 
-    /// Forgets the losses of tasks whose present run has outlasted them.
-    fn clear_suspects(&mut self, now: Instant, id: &JobId) {
-        let mut cleared: Vec<RunId> = Vec::new();
-        for worker in self.workers.values().filter(|worker| worker.poll.failures == 0) {
-            let runs = worker.runs.iter().filter(|(task, _)| task.step.job == *id);
-            for (task, run) in runs.filter(|(_, run)| run.phase == RunPhase::Running && !run.must_stop) {
-                let state = self.task(task);
-                let active_for = now.saturating_duration_since(run.placed_at);
-                if state.is_some_and(|state| state.is_suspect() && active_for >= state.losses.clearing_time())
-                {
-                    cleared.push(RunId {
-                        task: task.clone(),
-                        number: run.run,
-                    });
-                }
-            }
-        }
-        for run in cleared {
+    /// Forgets the losses of tasks whose present run has outlasted them, wherever it is.
+    fn clear_suspects(&mut self, now: Instant) {
+        let mut tasks = std::mem::take(&mut self.tasks_with_losses);
+        tasks.retain(|task| {
+            let state = self.task(task);
+            state.is_some_and(|state| !state.is_done && !state.losses.is_empty())
+        });
+        let outlasted = tasks.iter().filter_map(|task| self.outlasting_run(now, task));
+        let outlasted: Vec<RunId> = outlasted.collect();
+        for run in outlasted {
+            tasks.remove(&run.task);
             if let Some(task) = self.task_mut(&run.task) {
                 task.losses.clear();
             }
-            self.mark_progress_changed(id);
+            let job = &run.task.step.job;
+            self.mark_progress_changed(job);
             let inputs = format!("run {} of task {} outlasted its losses", run.number, run.task);
-            self.note("suspect cleared", Some(id.clone()), None, inputs);
+            self.note("suspect cleared", Some(job.clone()), None, inputs);
         }
+        self.tasks_with_losses = tasks;
+    }
+
+    /// Run of a suspect that has been active for long enough to show that its task does not crash workers.
+    fn outlasting_run(&self, now: Instant, task: &TaskId) -> Option<RunId> {
+        let state = self.task(task).filter(|state| state.is_suspect())?;
+        let mut copies = state.copies.iter().filter_map(|copy| {
+            let worker = self.workers.get(&copy.worker)?;
+            let run = worker.runs.get(task).filter(|_| worker.poll.failures == 0)?;
+            let is_active = run.run == copy.run && run.phase == RunPhase::Running && !run.must_stop;
+            is_active.then_some(run)
+        });
+        let active_for = |run: &PlacedRun| now.saturating_duration_since(run.placed_at);
+        let run = copies.find(|run| active_for(run) >= state.losses.clearing_time())?;
+        Some(run_id(task, run))
     }
 
     /// Opens the worker of an isolated job to other jobs. Starts of the job that were stored and not sent are
@@ -351,3 +403,19 @@
         task.step.job == *job || now.saturating_duration_since(run.placed_at) >= MAX_SUSPECT_AGE
     })
 }
+
+/// Whether the worker has room for the task once its finite runs have ended.
+fn has_room_beside_long_running(worker: &WorkerState, request: &PlacementRequest<'_>) -> bool {
+    let staying = worker.runs.iter().filter(|(_, run)| run.is_long_running);
+    let used = staying
+        .clone()
+        .fold(ResourceSet::default(), |used, (_, run)| used.plus(&run.reserved));
+    let siblings = staying.filter(|(task, _)| task.step == request.task.step);
+    let siblings = siblings.count() as u32;
+    worker
+        .entry
+        .capacity
+        .saturating_sub(&used)
+        .covers(&request.spec.reserved())
+        && request.spec.max_per_worker.is_none_or(|max| siblings < max)
+}
--- a/src/dispatch/pool_scheduler/worker_losses.rs
+++ b/src/dispatch/pool_scheduler/worker_losses.rs
@@ -107,13 +107,17 @@
         let Some(task) = self.open_task_mut(&run.task) else {
             return;
         };
-        if listed_for >= task.losses.clearing_time() {
+        if listed_for >= task.losses.clearing_time() && !task.losses.is_empty() {
             // The run has outlasted the earlier ones: their losses had another cause.
             task.losses.clear();
+            self.mark_progress_changed(&run.task.step.job);
         }
         if is_leaving || is_too_old {
             return;
         }
+        let Some(task) = self.open_task_mut(&run.task) else {
+            return;
+        };
         let known = task.losses.get_mut(run.number);
         if known.is_some_and(|known| known.state != LossState::Started) {
             return;
@@ -194,6 +198,7 @@
             return;
         };
         loss.state = LossState::Crashed;
+        self.tasks_with_losses.insert(run.task.clone());
         if self.is_mass_loss(worker_id)
             && let Some(loss) = self.loss_mut(run)
         {
@@ -261,6 +266,8 @@
             return;
         };
         let recorded: Vec<(RunId, RunLoss)> = job.recorded_losses().collect();
+        let tasks = recorded.iter().map(|(run, _)| run.task.clone());
+        self.tasks_with_losses.extend(tasks);
         for (run, loss) in &recorded {
             if loss.state != LossState::Crashed {
                 self.open_losses
--- a/tests/pool_decisions/crash_world.rs
+++ b/tests/pool_decisions/crash_world.rs
@@ -11,10 +11,11 @@
 use figloft::dispatch::pool_plan::PoolPlan;
 use figloft::dispatch::pool_scheduler::PoolScheduler;
 use figloft::dispatch::takeover::TakeoverState;
-use figloft::dispatch::task_id::TaskId;
+use figloft::dispatch::task_id::{StepId, TaskId};
 use figloft::dispatch::worker_entry::WorkerEntry;
 use figloft::dispatch::worker_report::{EndedRun, RunOutcome, WorkerReport};
 use figloft::model::id::{JobId, RunNumber, WorkerId};
+use figloft::model::resource::ResourceSet;
 use figloft::model::unix_time::UnixMillis;
 
 use crate::setup::{WALL, empty_scheduler, entry, running_row};
@@ -23,7 +24,16 @@
 
 const RESTART_TIME: Duration = Duration::from_millis(3_300);
 
-/// Run time of long-running tasks, which only end on command.
+/// Time after its last run from which a long-running task that does not run may count as late.
+const MAX_INTERRUPTION: Duration = Duration::from_secs(6);
+
+/// Time for which two workers have to have room for such a task.
+const ROOM_TIME: Duration = Duration::from_secs(3);
+
+/// Time before that for which nothing may have disturbed the pool.
+const CALM_TIME: Duration = Duration::from_secs(4);
+
+/// Run time of long-running and deadly tasks, which end only on command or with their worker.
 const UNLIMITED_TIME: Duration = Duration::from_hours(1_000);
 
 /// Time after which a start without an answer times out.
@@ -56,7 +66,9 @@
     pub now: Instant,
     pub scheduler: PoolScheduler,
     pub deadly: BTreeSet<TaskId>,
-    /// Run time of the tasks that are not deadly.
+    /// Time from the start of a deadly task until its worker crashes.
+    pub crash_delay: Duration,
+    /// Run time of the finite tasks that are not deadly.
     pub run_time: Duration,
     /// Time after which a crashed worker is back.
     pub restart_time: Duration,
@@ -71,6 +83,15 @@
     pub notes: Vec<String>,
     /// Stored changes of progress.
     pub writes: u32,
+    /// Long-running tasks that did not run although two workers had room for them, with the time at which
+    /// this was noticed.
+    pub late: BTreeMap<TaskId, Duration>,
+    /// Time since which a long-running task does not run.
+    stopped_at: BTreeMap<TaskId, Instant>,
+    /// Time since which two workers have room for a long-running task that should run.
+    roomy_since: BTreeMap<TaskId, Instant>,
+    /// Time of the last crash, cut or take-over that no task caused.
+    disturbed_at: Instant,
     workers: Vec<CrashingWorker>,
     records: BTreeMap<JobId, JobRecord>,
     pub progress: BTreeMap<JobId, JobProgress>,
@@ -101,6 +122,7 @@
             now,
             scheduler: empty_scheduler(1, TakeoverState::default()),
             deadly: BTreeSet::new(),
+            crash_delay: TICK,
             run_time: Duration::from_secs(1),
             restart_time: RESTART_TIME,
             keeps_id: false,
@@ -110,6 +132,10 @@
             summaries: BTreeMap::new(),
             notes: Vec::new(),
             writes: 0,
+            late: BTreeMap::new(),
+            stopped_at: BTreeMap::new(),
+            roomy_since: BTreeMap::new(),
+            disturbed_at: now,
             workers: workers.collect(),
             records: BTreeMap::new(),
             progress: BTreeMap::new(),
@@ -189,11 +215,22 @@
                     .map(|note| format!("{}: {}", note.decision, note.inputs)),
             );
             self.flush();
+            self.find_late_tasks();
         }
     }
 
+    /// Time since the beginning.
+    pub fn elapsed(&self) -> Duration {
+        self.now.saturating_duration_since(self.begin)
+    }
+
     /// Ends the worker's process with all runs; it is back after a few seconds.
     pub fn crash(&mut self, number: usize) {
+        self.disturbed_at = self.disturbed_at.max(self.now);
+        self.end_process(number);
+    }
+
+    fn end_process(&mut self, number: usize) {
         let worker = &mut self.workers[number];
         for (start, _) in worker.runs.drain(..) {
             *self.crashes.entry(start.run.task).or_default() += 1;
@@ -210,6 +247,7 @@
 
     /// Cuts the worker off from the leader; its runs go on until their lease expires.
     pub fn cut(&mut self, number: usize, time: Duration) {
+        self.disturbed_at = self.disturbed_at.max(self.now + time);
         self.workers[number].cut_until = Some(self.now + time);
     }
 
@@ -267,8 +305,18 @@
         self.scheduler.set_plan(plan);
     }
 
+    /// Changes the capacity of an instance, also of its later workers.
+    pub fn set_cores(&mut self, number: usize, cores: u64) {
+        let worker = &mut self.workers[number];
+        worker.entry.capacity = entry(number, cores).capacity;
+        if worker.back_at.is_none() {
+            self.scheduler.set_worker(self.now, worker.entry.clone());
+        }
+    }
+
     /// Replaces the leader by one that knows what is stored.
     pub fn take_over(&mut self) {
+        self.disturbed_at = self.disturbed_at.max(self.now);
         self.term += 1;
         // Workers reject the starts of the former leader, which does not learn of their outcomes.
         self.delayed.clear();
@@ -300,7 +348,7 @@
         for number in 0..self.workers.len() {
             let now = self.now;
             if self.workers[number].crash_at.is_some_and(|at| at <= now) {
-                self.crash(number);
+                self.end_process(number);
             }
             let worker = &mut self.workers[number];
             worker.cut_until = worker.cut_until.filter(|until| *until > now);
@@ -395,7 +443,8 @@
     /// Carries a start out on its worker.
     fn carry_out(&mut self, start: &StartCommand) -> StartOutcome {
         let now = self.now;
-        let run_time = if self.spec(&start.run.task).is_long_running {
+        let is_deadly = self.deadly.contains(&start.run.task);
+        let run_time = if is_deadly || self.spec(&start.run.task).is_long_running {
             UNLIMITED_TIME
         } else {
             self.run_time
@@ -417,8 +466,9 @@
             return StartOutcome::LateOrder;
         }
         *self.starts.entry(start.run.task.clone()).or_default() += 1;
-        if self.deadly.contains(&start.run.task) {
-            worker.crash_at = Some(now + TICK);
+        if is_deadly {
+            let crash_at = now + self.crash_delay;
+            worker.crash_at = Some(worker.crash_at.map_or(crash_at, |at| at.min(crash_at)));
         }
         worker.lease_end_ms = worker.lease_end_ms.max(start.deadline_ms);
         worker.runs.push((start.clone(), now + run_time));
@@ -453,6 +503,75 @@
         }
     }
 
+    /// Finds long-running tasks that have not run for too long although two workers have room for them and
+    /// nothing has disturbed the pool.
+    fn find_late_tasks(&mut self) {
+        let open = self
+            .records
+            .values()
+            .filter(|record| !self.state(&record.id).is_some_and(JobState::is_final));
+        let long_running = open.flat_map(|record| {
+            let steps = (0_u32..).zip(&record.spec.steps);
+            let steps = steps.filter(|(_, spec)| spec.is_long_running);
+            steps.flat_map(|(number, spec)| {
+                let step = StepId::new(record.id.clone(), 0, number);
+                (0..spec.tasks).map(move |index| (step.task(index), spec))
+            })
+        });
+        let waiting = long_running.filter(|(task, _)| self.places(task).is_empty());
+        let waiting: BTreeMap<TaskId, bool> = waiting
+            .map(|(task, spec)| {
+                let roomy = self
+                    .workers
+                    .iter()
+                    .filter(|worker| self.has_room(worker, &task, spec));
+                let is_roomy = roomy.count() >= 2;
+                (task, is_roomy)
+            })
+            .collect();
+        self.stopped_at.retain(|task, _| waiting.contains_key(task));
+        let is_calm = self.now >= self.disturbed_at + CALM_TIME;
+        for (task, is_roomy) in &waiting {
+            let stopped_at = *self.stopped_at.entry(task.clone()).or_insert(self.now);
+            if !is_roomy || !is_calm || self.now < stopped_at + MAX_INTERRUPTION {
+                self.roomy_since.remove(task);
+                continue;
+            }
+            let since = *self.roomy_since.entry(task.clone()).or_insert(self.now);
+            if self.now >= since + ROOM_TIME {
+                let elapsed = self.elapsed();
+                self.late.entry(task.clone()).or_insert(elapsed);
+            }
+        }
+        self.roomy_since.retain(|task, _| waiting.contains_key(task));
+    }
+
+    /// Whether the worker could start the task now.
+    fn has_room(&self, worker: &CrashingWorker, task: &TaskId, spec: &StepSpec) -> bool {
+        if worker.back_at.is_some() || worker.cut_until.is_some() {
+            return false;
+        }
+        let demand =
+            |other: &TaskId| self.records[&other.step.job].spec.steps[other.step.step as usize].reserved();
+        let used = worker
+            .runs
+            .iter()
+            .fold(ResourceSet::default(), |used, (start, _)| {
+                used.plus(&demand(&start.run.task))
+            });
+        let siblings = worker
+            .runs
+            .iter()
+            .filter(|(start, _)| start.run.task.step == task.step);
+        let siblings = siblings.count() as u32;
+        worker
+            .entry
+            .capacity
+            .saturating_sub(&used)
+            .covers(&spec.reserved())
+            && spec.max_per_worker.is_none_or(|max| siblings < max)
+    }
+
     fn flush(&mut self) {
         if !self.is_storing || !self.scheduler.has_changes() {
             return;
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -8,6 +8,7 @@
 mod flush;
 mod forecast;
 mod held_tasks;
+mod isolation;
 mod late_starts;
 mod load;
 mod malformed;
