--- a/src/dispatch/pool_scheduler/worker_losses.rs
+++ b/src/dispatch/pool_scheduler/worker_losses.rs
@@ -210,7 +210,10 @@
 
     /// Ends the job of a task that has crashed too many workers.
     pub(super) fn give_up_faulty_task(&mut self, task_id: &TaskId) {
-        let Some(task) = self.open_task_mut(task_id).filter(|task| task.losses.is_faulty()) else {
+        let spec = self.step_spec(&task_id.step);
+        let is_long_running = spec.is_some_and(|spec| spec.is_long_running);
+        let task = self.open_task_mut(task_id);
+        let Some(task) = task.filter(|task| task.losses.is_faulty(is_long_running)) else {
             return;
         };
         let workers: Vec<&str> = task.losses.crashes().map(|loss| loss.worker.as_str()).collect();
--- a/src/dispatch/run_loss.rs
+++ b/src/dispatch/run_loss.rs
@@ -146,20 +146,22 @@
         self.losses.values().filter(is_lost).count()
     }
 
-    /// Whether the task has to be given up.
-    pub fn is_faulty(&self) -> bool {
+    /// Whether the task has to be given up. Of a long-running task only early crashes
+    /// count, up to a limit: a later one is most likely not its fault, and the end of the job stops its other tasks.
+    pub fn is_faulty(&self, is_long_running: bool) -> bool {
         let early = self.crashes().filter(|loss| loss.is_early()).count();
-        let counted = self
-            .crashes()
-            .filter(|loss| loss.is_early() || loss.is_isolated || !loss.is_mass_loss);
-        let isolated = self.crashes().filter(|loss| loss.is_isolated);
+        let is_counted = |loss: &&RunLoss| {
+            loss.is_early() || (!is_long_running && (loss.is_isolated || !loss.is_mass_loss))
+        };
+        let counted: Vec<&RunLoss> = self.crashes().filter(is_counted).collect();
+        let isolated = counted.iter().filter(|loss| loss.is_isolated);
         let instances: BTreeSet<&str> = isolated
             .map(|loss| match &loss.instance {
                 Some(instance) => instance.as_str(),
                 None => loss.worker.as_str(),
             })
             .collect();
-        let is_proved = counted.count() >= MIN_CRASHES && instances.len() >= MIN_ISOLATED_INSTANCES;
+        let is_proved = counted.len() >= MIN_CRASHES && instances.len() >= MIN_ISOLATED_INSTANCES;
         is_proved || early >= MAX_EARLY_CRASHES || self.crashes().count() >= MAX_CRASHES
     }
 
--- a/tests/pool_decisions/isolation.rs
+++ b/tests/pool_decisions/isolation.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use figloft::dispatch::job_record::JobRecord;
+use figloft::dispatch::job_record::{JobRecord, JobState};
 use figloft::dispatch::job_spec::StepSpec;
 use figloft::dispatch::pool_plan::PoolPlan;
 use figloft::dispatch::site_config::{OrganisationConfig, SiteConfig};
@@ -238,3 +238,19 @@
     }
     assert!(late.is_empty(), "{late:#?}");
 }
+
+/// Guards against a long-running job that is given up with its other tasks at work: three workers crashed, for other
+/// reasons, some time after one of its tasks had started on each (AVAIL on grown Guardanieve).
+#[test]
+fn long_running_job_outlives_crashes_of_its_workers() {
+    let mut world = CrashWorld::new(6, 8);
+    let job = long_running_job(1, 3, 2);
+    world.submit(job.clone());
+    world.run(Duration::from_secs(1));
+    for _ in 0..3 {
+        world.run(Duration::from_secs(2));
+        crash_under(&mut world, &task(1, 0));
+        interruption(&mut world, &task(1, 0));
+    }
+    assert_eq!(world.state(&job.id), Some(JobState::Running));
+}
