--- a/tests/pool_decisions/availability.rs
+++ b/tests/pool_decisions/availability.rs
@@ -256,10 +256,10 @@
         for (_, event) in due {
             match event {
                 Event::Started(run, worker, outcome) => {
-                    scheduler.handle_start_outcome(now, &worker, &run, outcome)
+                    scheduler.handle_start_outcome(now, &worker, &run, outcome);
                 }
                 Event::Stopped(run, worker, outcome) => {
-                    scheduler.handle_stop_outcome(now, &worker, &run, outcome)
+                    scheduler.handle_stop_outcome(now, &worker, &run, outcome);
                 }
                 Event::LateStart(number, start) => {
                     self.apply_start(number, &start);
@@ -326,7 +326,7 @@
         while self.time < SIMULATION_MS {
             self.advance();
             self.deliver(&mut scheduler);
-            if self.time % 3_000 == 0 {
+            if self.time.is_multiple_of(3_000) {
                 self.change_plan(&mut scheduler, 1 + self.time / 3_000);
             }
             for command in scheduler.decide(self.now(), WALL, true) {
