Show suspects that are never cleared beside other jobs, and check the leader's records

A suspect that runs beside other jobs is cleared only if its job is isolated. Its worker takes no suspect of another job until then. A job whose isolated worker has no room for its other suspects keeps it as long as a long-running task of it runs there.

suspects_beside_other_jobs_are_cleared shows that with two workers and three services.

--- a/tests/pool_decisions/waiting_tasks.rs
+++ b/tests/pool_decisions/waiting_tasks.rs
@@ -11,7 +11,7 @@
 use figloft::dispatch::task_id::{StepId, TaskId};
 use figloft::dispatch::worker_report::RunOutcome;
 use figloft::model::amount::{MemoryMib, MilliCores};
-use figloft::model::id::{JobId, PlanVersion};
+use figloft::model::id::{JobId, OrganisationId, PlanVersion};
 use figloft::model::resource::ResourceSet;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -46,6 +46,9 @@
 /// Workers that need room for a task before its waiting counts.
 const MIN_WORKERS_WITH_ROOM: usize = 2;
 
+/// Time without submissions, faults and failures after which the leader's records have to match the workers.
+const SETTLING_TIME: Duration = Duration::from_secs(8);
+
 /// Chance that a long-running run fails in a round.
 const FAILURE_CHANCE: f64 = 0.002;
 
@@ -114,7 +117,8 @@
                 ..StepSpec::default()
             };
             memory += spec.demand.memory.get() * u64::from(spec.tasks);
-            let job = record(self.services.len(), vec![spec.clone()]);
+            let mut job = record(self.services.len(), vec![spec.clone()]);
+            job.organisation = Some(organisation());
             self.services.push(job.id.clone());
             for index in 0..spec.tasks {
                 let task = StepId::new(job.id.clone(), 0, 0).task(index);
@@ -136,6 +140,7 @@
             self.fail_runs();
             self.check();
         }
+        self.check_records();
         self.findings
     }
 
@@ -319,6 +324,39 @@
         }
     }
 
+    /// Records where the leader counts room, usage or starts that no worker has.
+    fn check_records(&mut self) {
+        self.world.run(SETTLING_TIME);
+        if (0..self.world.size()).any(|number| self.world.entry(number).is_none()) {
+            // A crashing task was not given up by the end of the day.
+            return;
+        }
+        let scheduler = &self.world.scheduler;
+        let mut service_usage = ResourceSet::default();
+        for number in 0..self.world.size() {
+            let specs = self.world.tasks_on(number).map(|task| self.world.spec(task));
+            let specs: Vec<&StepSpec> = specs.collect();
+            let used = specs
+                .iter()
+                .fold(ResourceSet::default(), |sum, spec| sum.plus(&spec.demand));
+            let of_services = specs.iter().filter(|spec| spec.is_long_running);
+            service_usage = of_services.fold(service_usage, |sum, spec| sum.plus(&spec.demand));
+            let id = self.world.worker(number);
+            let worker = &scheduler.workers()[&id];
+            if worker.used != used || worker.starts_in_flight > 0 {
+                let (counted, starts) = (worker.used, worker.starts_in_flight);
+                let finding = format!("  {id} uses {used:?}, counted {counted:?} and {starts} starts\n");
+                self.findings.push_str(&finding);
+            }
+        }
+        let usage = scheduler.report(self.world.now).usage;
+        let counted = usage.get(&organisation()).copied().unwrap_or_default();
+        if counted != service_usage {
+            let finding = format!("  the organisation uses {service_usage:?}, counted {counted:?}\n");
+            self.findings.push_str(&finding);
+        }
+    }
+
     /// Why the scheduler places the task on none of the workers, or not on this one. Only explains a finding.
     fn refusal(&self, number: usize, task: &TaskId) -> String {
         let scheduler = &self.world.scheduler;
@@ -375,7 +413,13 @@
     }
 }
 
-/// Guards against long-running tasks that wait although workers have room for them: on grown Guardanieve a task did
+/// Organisation of the services.
+fn organisation() -> OrganisationId {
+    OrganisationId::new("org").expect("organisation")
+}
+
+/// Guards against long-running tasks that wait although workers have room for them, and against room, usage and starts
+/// that the leader counts for ever: on grown Guardanieve a task did
 /// not run on days with crashing tasks and shrinking capacity (issue 26).
 #[test]
 fn long_running_tasks_start_where_there_is_room() {
@@ -386,3 +430,36 @@
         .collect();
     assert!(findings.is_empty(), "\n{}", findings.concat());
 }
+
+/// Guards against a task that waits for ever because suspects beside other jobs are never cleared: their workers take
+/// no suspect of another job, and the job that waits keeps an isolated worker on which its other task runs (seeds 2,
+/// 59, 94 and 127 of the simulated days).
+#[test]
+fn suspects_beside_other_jobs_are_cleared() {
+    let mut world = CrashWorld::new(2, WORKER_CORES);
+    let spec = StepSpec {
+        demand: ResourceSet::new(MilliCores::new(2_000), MemoryMib::new(4_096)),
+        max_per_worker: Some(1),
+        is_long_running: true,
+        ..StepSpec::default()
+    };
+    let mut services = Vec::new();
+    for (number, tasks) in [(1, 1), (2, 2), (3, 2)] {
+        world.submit(record(
+            number,
+            vec![StepSpec {
+                tasks,
+                ..spec.clone()
+            }],
+        ));
+        let step = StepId::new(job_id(number), 0, 0);
+        services.extend((0..tasks).map(|index| step.task(index)));
+    }
+    world.run(ROUND);
+    world.crash(0);
+    world.crash(1);
+    world.run(world.restart_time + Duration::from_secs(15));
+    for task in services {
+        assert!(!world.places(&task).is_empty(), "{task} waits");
+    }
+}
