--- a/tests/pool_decisions/unplaced.rs
+++ b/tests/pool_decisions/unplaced.rs
@@ -15,6 +15,8 @@
 use figloft::model::id::{InstanceId, OrganisationId, PoolId, WorkerId};
 use figloft::model::resource::ResourceSet;
 use figloft::model::unix_time::UnixMillis;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 use crate::crash_world::CrashWorld;
 use crate::setup::{WALL, instance_id, job_id, pool, record, step};
@@ -27,6 +29,20 @@
 /// Time that a moved instance needs until its worker is listed in the new pool.
 const MOVE_TIME: Duration = Duration::from_millis(1_500);
 
+/// Longest time for which a long-running task may wait while instances are spare: a second without a place, the move and
+/// the exchange of the records.
+const MAX_PLACEMENT_TIME: Duration = Duration::from_secs(4);
+
+/// Rounds of a random day.
+const ROUNDS: u32 = 600;
+
+/// Instances that may come to the pool on a random day. Without calls for tasks that have no place up to 18 came, because
+/// the load changes.
+const MAX_MOVES: u32 = 20;
+
+/// Instances that the pool may have on average. Without such calls it had up to 8.
+const MAX_MEAN_MEMBERS: usize = 9;
+
 /// A pool together with the fleet leader that moves instances between it and the spare pool.
 struct MovingFleet {
     world: CrashWorld,
@@ -276,3 +292,70 @@
     }
     assert_eq!((fleet.moves_in, fleet.moves_out), (1, 0));
 }
+
+/// Guards against pools that move instances to and fro for tasks without a place, and against tasks that find none
+/// although instances are spare: random services, whose runs fail now and then, beside finite jobs at a changing rate.
+#[test]
+fn random_services_find_places_without_many_moves() {
+    for seed in 0..8 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut fleet = MovingFleet::new(24, 3);
+        let mut last_run: BTreeMap<TaskId, Instant> = BTreeMap::new();
+        let mut longest = Duration::ZERO;
+        let mut member_rounds = 0;
+        for round in 0..ROUNDS {
+            let number = round as usize;
+            if round % 40 == 0 && round < 240 {
+                let job = service(
+                    number,
+                    random.random_range(1..=6),
+                    random.random_range(8_192..=25_600),
+                    random.random_range(1..=2),
+                );
+                let tasks = 0..job.spec.steps[0].tasks;
+                last_run.extend(tasks.map(|index| (task(number, index), fleet.world.now)));
+                fleet.world.submit(job);
+            }
+            let chance = if round % 200 < 50 { 0.6 } else { 0.2 };
+            if random.random_bool(chance) {
+                let tasks = random.random_range(1..8);
+                let cores = random.random_range(1..8);
+                fleet
+                    .world
+                    .submit(record(1_000 + number, vec![step(tasks, cores, 1_000)]));
+            }
+            let running: Vec<TaskId> = last_run
+                .keys()
+                .filter(|task| fleet.is_running(task))
+                .cloned()
+                .collect();
+            for task in running {
+                last_run.insert(task.clone(), fleet.world.now);
+                if random.random_bool(0.002) {
+                    let place = fleet.world.places(&task)[0];
+                    fleet.world.end_run(place, &task, RunOutcome::Failed);
+                }
+            }
+            let waits = last_run
+                .values()
+                .map(|at| fleet.world.now.saturating_duration_since(*at));
+            longest = longest.max(waits.max().unwrap_or_default());
+            member_rounds += fleet.members();
+            fleet.run(ROUND);
+        }
+        assert!(
+            longest <= MAX_PLACEMENT_TIME,
+            "seed {seed}: a task waited for {longest:?}"
+        );
+        let (moves_in, moves_out) = (fleet.moves_in, fleet.moves_out);
+        assert!(
+            moves_in <= MAX_MOVES,
+            "seed {seed}: {moves_in} instances came and {moves_out} left"
+        );
+        let mean = member_rounds / ROUNDS as usize;
+        assert!(
+            mean <= MAX_MEAN_MEMBERS,
+            "seed {seed}: {mean} instances on average"
+        );
+    }
+}
