Check in the soak that long-running tasks are at work after the faults

It now submits two services of four tasks, two of a step on a worker at most, which have to be at work 25 s after the last fault; their runs must not overlap either. The checks of finite jobs are unchanged.

A service may be given up instead if three workers crashed under one of its tasks, which the fake workers' records have to show.

--- a/tests/platform_soak/checker.rs
+++ b/tests/platform_soak/checker.rs
@@ -16,6 +16,22 @@
     pub is_refused: bool,
     /// Time at which the job was first reported as completed.
     pub completed_at: Option<Instant>,
+    /// Whether the tasks run until the job is cancelled, which nobody does.
+    pub is_long_running: bool,
+    /// Time at which a long-running job was first reported as failed.
+    pub failed_at: Option<Instant>,
+}
+
+/// Crashes of workers under one task after which its job may be given up. By chance some seeds have as many.
+const MIN_CRASHES: usize = 3;
+
+/// Tasks of a job that have no run in progress.
+pub fn waiting_tasks(job: &str, view: &JobView, records: &[RunRecord]) -> impl Iterator<Item = String> {
+    let tasks = (0..view.tasks).map(move |index| format!("{job}.0.0.{index}"));
+    tasks.filter(|task| {
+        let mut runs = records.iter().filter(|run| run.task == *task);
+        !runs.any(|run| run.ended.is_none())
+    })
 }
 
 /// Compares the run records of all workers with the callers' views. Returns a message for each violated
@@ -49,6 +65,18 @@
         if !view.is_accepted {
             continue;
         }
+        if view.is_long_running {
+            let is_crashed = |run: &&RunRecord| run.ended.is_some_and(|(_, outcome)| outcome == "crashed");
+            let of_job = tasks.iter().filter(|(task, _)| task.starts_with(job.as_str()));
+            let mut crashes = of_job.map(|(_, runs)| runs.iter().copied().filter(is_crashed).count());
+            let is_given_up = view.failed_at.is_some() && crashes.any(|count| count >= MIN_CRASHES);
+            if !is_given_up {
+                // Each task has to be at work at the end.
+                let waiting = waiting_tasks(job, view, records);
+                violations.extend(waiting.map(|task| format!("{task}: has no run")));
+            }
+            continue;
+        }
         let Some(completed_at) = view.completed_at else {
             violations.push(format!("{job}: accepted but not completed"));
             continue;
--- a/tests/platform_soak/fake_worker.rs
+++ b/tests/platform_soak/fake_worker.rs
@@ -11,6 +11,12 @@
 
 use crate::fake_server::{self, FakeResponse, json_response};
 
+/// Prefix of jobs whose tasks run until they are stopped.
+pub const LONG_RUNNING_PREFIX: &str = "ffffffff";
+
+/// Run time of such tasks.
+const UNLIMITED_TIME: Duration = Duration::from_hours(1);
+
 /// A run of a task as the worker observed it.
 #[derive(Debug, Clone)]
 pub struct RunRecord {
@@ -117,6 +123,11 @@
                 }
                 let duration =
                     Duration::from_millis(60 + (key.1 * 53 + key.0.len() as u64 * 31 + clock_ms % 97) % 300);
+                let duration = if key.0.starts_with(LONG_RUNNING_PREFIX) {
+                    UNLIMITED_TIME
+                } else {
+                    duration
+                };
                 self.records.push(RunRecord {
                     task: key.0.clone(),
                     started_at: Instant::now(),
--- a/tests/platform_soak/scenario.rs
+++ b/tests/platform_soak/scenario.rs
@@ -19,18 +19,22 @@
 
 use crate::checker::{self, JobView};
 use crate::fake_store::FakeStore;
-use crate::fake_worker::FakeWorker;
+use crate::fake_worker::{FakeWorker, LONG_RUNNING_PREFIX};
 use crate::link_proxy::{LinkMode, LinkProxy};
 use crate::node_process::NodeProcess;
 
+/// Jobs with long-running tasks, and their tasks, of which two may share a worker.
+const LONG_RUNNING_JOBS: u32 = 2;
+const LONG_RUNNING_TASKS: u32 = 4;
+
 const NODE_COUNT: usize = 3;
 const WORKER_COUNT: usize = 4;
 /// Time for which the address of a crashed worker accepts no connections.
 const WORKER_RESTART_TIME: Duration = Duration::from_millis(200);
 /// Duration of the phase in which faults are injected and jobs are submitted.
 const FAULT_PHASE: Duration = Duration::from_secs(10);
-/// Time after the last fault within which every accepted job has to be completed. It covers the longest
-/// lease, a leader change and the jobs themselves.
+/// Time after the last fault within which every accepted job has to be completed, or all its long-running tasks have
+/// to be at work. It covers the longest lease, a leader change and the jobs themselves.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(25);
 
 type JobViews = Arc<Mutex<BTreeMap<String, JobView>>>;
@@ -183,17 +187,20 @@
     let client = Client::builder(TokioExecutor::new()).build_http();
     let end = Instant::now() + FAULT_PHASE;
     let mut submissions = Vec::new();
+    for number in 0..LONG_RUNNING_JOBS {
+        let job = format!("{LONG_RUNNING_PREFIX}{number:08x}");
+        let step = json!({"count": LONG_RUNNING_TASKS, "cpu": 500, "mem-mb": 1500, "anti-affinity": 2,
+            "long-running": true});
+        let submission = submit(client.clone(), nodes.clone(), job, step, Arc::clone(&views));
+        submissions.push(tokio::spawn(submission));
+    }
     while Instant::now() < end {
         let job = format!("{:016x}", rng.random::<u64>());
         let tasks = rng.random_range(1..6);
         let attempts: Vec<SocketAddr> = (0..4).map(|_| nodes[rng.random_range(0..NODE_COUNT)]).collect();
-        submissions.push(tokio::spawn(submit(
-            client.clone(),
-            attempts,
-            job,
-            tasks,
-            Arc::clone(&views),
-        )));
+        let step = json!({"count": tasks, "cpu": 1000, "mem-mb": 256, "estimate-ms": 200});
+        let submission = submit(client.clone(), attempts, job, step, Arc::clone(&views));
+        submissions.push(tokio::spawn(submission));
         tokio::time::sleep(Duration::from_millis(rng.random_range(40..160))).await;
     }
     for submission in submissions {
@@ -202,14 +209,14 @@
 }
 
 /// Submits a job to one node after the other until one accepts it.
-async fn submit(client: HttpClient, nodes: Vec<SocketAddr>, job: String, tasks: u32, views: JobViews) {
-    let body =
-        json!({"spec": "text", "steps": [{"count": tasks, "cpu": 1000, "mem-mb": 256, "estimate-ms": 200}]});
+async fn submit(client: HttpClient, nodes: Vec<SocketAddr>, job: String, step: Value, views: JobViews) {
     let mut view = JobView {
-        tasks,
+        tasks: step["count"].as_u64().map_or(0, |count| count as u32),
+        is_long_running: step["long-running"] == true,
         is_refused: true,
         ..JobView::default()
     };
+    let body = json!({"spec": "text", "steps": [step]});
     for node in nodes {
         let (status, _) = send_request(&client, "POST", node, &job, &body).await;
         view.is_accepted = status == 200;
@@ -259,7 +266,8 @@
     (status, serde_json::from_slice(&body).unwrap_or(Value::Null))
 }
 
-/// Reads the state of every accepted job until it is reported as completed. Processes that exit meanwhile are
+/// Reads the state of every accepted job until it is reported as completed or all its long-running tasks are at work.
+/// Processes that exit meanwhile are
 /// restarted, as the platform does.
 async fn await_completion(cluster: &mut Cluster, nodes: &[SocketAddr], views: &JobViews) {
     let client: HttpClient = Client::builder(TokioExecutor::new()).build_http();
@@ -269,10 +277,16 @@
         round += 1;
         cluster.nodes.iter_mut().for_each(NodeProcess::start);
         let pending: Vec<String> = {
+            let records: Vec<_> = cluster.workers.iter().flat_map(FakeWorker::records).collect();
             let views = views.lock().expect("views");
-            let pending = views
-                .iter()
-                .filter(|(_, view)| view.is_accepted && view.completed_at.is_none());
+            let pending = views.iter().filter(|(job, view)| {
+                let is_open = if view.is_long_running {
+                    view.failed_at.is_none() && checker::waiting_tasks(job, view, &records).next().is_some()
+                } else {
+                    view.completed_at.is_none()
+                };
+                view.is_accepted && is_open
+            });
             pending.map(|(job, _)| job.clone()).collect()
         };
         if pending.is_empty() {
@@ -281,11 +295,14 @@
         for (number, job) in pending.iter().enumerate() {
             let node = nodes[(number + round) % nodes.len()];
             let (status, body) = send_request(&client, "GET", node, job, &Value::Null).await;
-            if status == 200 && body["state"] == "completed" {
-                let mut views = views.lock().expect("views");
-                if let Some(view) = views.get_mut(job) {
+            let mut views = views.lock().expect("views");
+            if let Some(view) = views.get_mut(job).filter(|_| status == 200) {
+                if body["state"] == "completed" {
                     view.completed_at = Some(Instant::now());
                 }
+                if view.is_long_running && body["state"] == "failed" {
+                    view.failed_at = Some(Instant::now());
+                }
             }
         }
         tokio::time::sleep(Duration::from_millis(200)).await;
