Forget each loss of a task when a run has outlasted it

An innocent long-running task that was lost once after 6 s and once early kept a worker for itself for 10 s.

All losses of a task were cleared together, after twice the longest time that a lost run had been active. Only the early loss made the task a suspect, and 2 s refute that.

Each loss is forgotten when a run has been active for twice its own time. Records of starts stay while the task is a suspect, so that a crash under the present run is still known to the next leader.

--- a/src/dispatch/pool_scheduler/isolation.rs
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -345,40 +345,44 @@
         }
     }
 
-    /// Forgets the losses of tasks whose present run has outlasted them, wherever it is.
+    /// Forgets the losses that the present run of their task has outlasted, wherever it is.
     fn clear_suspects(&mut self, now: Instant) {
         let mut tasks = std::mem::take(&mut self.tasks_with_losses);
         tasks.retain(|task| {
             let state = self.task(task);
             state.is_some_and(|state| !state.is_done && !state.losses.is_empty())
         });
-        let outlasted = tasks.iter().filter_map(|task| self.outlasting_run(now, task));
-        let outlasted: Vec<RunId> = outlasted.collect();
-        for run in outlasted {
-            tasks.remove(&run.task);
-            if let Some(task) = self.task_mut(&run.task) {
-                task.losses.clear();
+        let runs = tasks.iter().filter_map(|task| self.active_suspect(now, task));
+        let runs: Vec<(RunId, Duration)> = runs.collect();
+        self.tasks_with_losses = tasks;
+        for (run, active_for) in runs {
+            let Some(task) = self.task_mut(&run.task) else {
+                continue;
+            };
+            if !task.losses.forget_outlasted(active_for) {
+                continue;
             }
+            let is_cleared = !task.is_suspect();
             let job = &run.task.step.job;
             self.mark_progress_changed(job);
-            let inputs = format!("run {} of task {} outlasted its losses", run.number, run.task);
-            self.note("suspect cleared", Some(job.clone()), None, inputs);
+            if is_cleared {
+                let inputs = format!("run {} of task {} outlasted its losses", run.number, run.task);
+                self.note("suspect cleared", Some(job.clone()), None, inputs);
+            }
         }
-        self.tasks_with_losses = tasks;
     }
 
-    /// Run of a suspect that has been active for long enough to show that its task does not crash workers.
-    fn outlasting_run(&self, now: Instant, task: &TaskId) -> Option<RunId> {
+    /// Active run of a suspect, and the time for which it has been active.
+    fn active_suspect(&self, now: Instant, task: &TaskId) -> Option<(RunId, Duration)> {
         let state = self.task(task).filter(|state| state.is_suspect())?;
-        let mut copies = state.copies.iter().filter_map(|copy| {
+        let runs = state.copies.iter().filter_map(|copy| {
             let worker = self.workers.get(&copy.worker)?;
             let run = worker.runs.get(task).filter(|_| worker.poll.failures == 0)?;
             let is_active = run.run == copy.run && run.phase == RunPhase::Running && !run.must_stop;
             is_active.then_some(run)
         });
-        let active_for = |run: &PlacedRun| now.saturating_duration_since(run.placed_at);
-        let run = copies.find(|run| active_for(run) >= state.losses.clearing_time())?;
-        Some(run_id(task, run))
+        let run = runs.min_by_key(|run| run.placed_at)?;
+        Some((run_id(task, run), now.saturating_duration_since(run.placed_at)))
     }
 
     /// Opens the worker of an isolated job to other jobs. Starts of the job that were stored and not sent are
--- a/src/dispatch/pool_scheduler/worker_losses.rs
+++ b/src/dispatch/pool_scheduler/worker_losses.rs
@@ -107,9 +107,8 @@
         let Some(task) = self.open_task_mut(&run.task) else {
             return;
         };
-        if listed_for >= task.losses.clearing_time() && !task.losses.is_empty() {
-            // The run has outlasted the earlier ones: their losses had another cause.
-            task.losses.clear();
+        // What the run has outlasted had another cause.
+        if task.losses.forget_outlasted(listed_for) {
             self.mark_progress_changed(&run.task.step.job);
         }
         if is_leaving || is_too_old {
--- a/src/dispatch/run_loss.rs
+++ b/src/dispatch/run_loss.rs
@@ -38,10 +38,10 @@
 /// Crashes after which a task is given up whenever they came: no more than two starts may follow the third crash.
 const MAX_CRASHES: usize = 5;
 
-/// Shortest time for which an isolated run has to be active to show that its task is not the cause.
+/// Shortest time for which a run has to be active to show that its task was not the cause of a loss.
 const MIN_CLEARING_TIME: Duration = Duration::from_secs(2);
 
-/// Factor from the longest time that a lost run was active to the time that clears its task.
+/// Factor from the time for which a lost run was active to the time after which another run has outlasted it.
 const CLEARING_FACTOR: u32 = 2;
 
 /// What is known of a run and its worker.
@@ -85,6 +85,12 @@
     fn is_early(&self) -> bool {
         self.active_for < EARLY_CRASH_AGE
     }
+
+    /// Whether a run that has been active for this time shows that the task was not the cause.
+    fn is_outlasted(&self, active_for: Duration) -> bool {
+        let time = self.active_for * CLEARING_FACTOR;
+        active_for >= time.clamp(MIN_CLEARING_TIME, MAX_SUSPECT_AGE)
+    }
 }
 
 /// Losses of the runs of one task, by run number: a loss that is seen again, or by another leader, is the
@@ -128,9 +134,16 @@
         is_removable
     }
 
-    /// Forgets all losses, because a run of the task has outlasted them.
-    pub fn clear(&mut self) {
-        self.losses.clear();
+    /// Forgets the losses that a run has outlasted. Starts stay on record while the task is a suspect. Returns
+    /// whether anything was forgotten.
+    pub fn forget_outlasted(&mut self, active_for: Duration) -> bool {
+        let count = self.losses.len();
+        self.losses
+            .retain(|_, loss| loss.state == LossState::Started || !loss.is_outlasted(active_for));
+        if !self.is_suspect() {
+            self.losses.retain(|_, loss| !loss.is_outlasted(active_for));
+        }
+        self.losses.len() < count
     }
 
     /// Crashes of workers under the task.
@@ -174,11 +187,4 @@
         let is_early = |loss: &RunLoss| loss.state != LossState::Started && loss.is_early();
         self.losses.values().any(is_early)
     }
-
-    /// Time after which an active run shows that its task does not crash workers.
-    pub fn clearing_time(&self) -> Duration {
-        let longest = self.losses.values().map(|loss| loss.active_for).max();
-        let time = longest.unwrap_or_default() * CLEARING_FACTOR;
-        time.clamp(MIN_CLEARING_TIME, MAX_SUSPECT_AGE)
-    }
 }
--- a/tests/pool_decisions/isolation.rs
+++ b/tests/pool_decisions/isolation.rs
@@ -89,6 +89,24 @@
     assert!(!job.has_suspects());
 }
 
+/// Guards against an innocent long-running task that keeps a worker for itself for 10 s: it was lost once late and
+/// once early, and only the early loss makes it a suspect.
+#[test]
+fn early_loss_is_outlasted_soon() {
+    let mut world = CrashWorld::new(4, 32);
+    world.submit(long_running_job(1, 1, 4));
+    world.run(SECOND * 6);
+    crash_under(&mut world, &task(1, 0));
+    interruption(&mut world, &task(1, 0));
+    world.run(EARLY);
+    crash_under(&mut world, &task(1, 0));
+    interruption(&mut world, &task(1, 0));
+    assert!(world.notes.iter().any(|note| note.starts_with("job isolated")));
+    world.run(SECOND * 3);
+    let job = world.scheduler.job(&job_id(1)).expect("job");
+    assert!(!job.has_suspects());
+}
+
 /// Job of finite tasks.
 fn finite_job(number: usize, tasks: u32, cores: u64) -> JobRecord {
     record(number, vec![step(tasks, cores, 1_000)])
