Count only workers that answer as isolated

Suspects found no worker to isolate in storms of crashes and started beside other jobs, whose runs were lost with them.

At most half of the usable workers are isolated. A worker that had crashed under its suspect counted as isolated until its lease had ended (4.7 s) or its replacement was seen, but not as usable.

--- a/src/dispatch/pool_scheduler/isolation.rs
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -193,7 +193,12 @@
             .values()
             .filter(|worker| worker.is_usable(now))
             .count();
-        if self.isolated.len() >= (usable / MAX_ISOLATED_PART).max(1) {
+        // A lost worker is none of the usable ones.
+        let isolated = self.isolated.values().filter(|isolated| {
+            let worker = self.workers.get(&isolated.worker);
+            worker.is_some_and(|worker| worker.poll.failures == 0)
+        });
+        if isolated.count() >= (usable / MAX_ISOLATED_PART).max(1) {
             return None;
         }
         let (is_free, worker) = self.find_isolated_worker(now, task, spec)?;
--- a/tests/pool_decisions/isolation.rs
+++ b/tests/pool_decisions/isolation.rs
@@ -202,6 +202,25 @@
     }
 }
 
+/// Guards against a job that can isolate no worker because of one that has crashed: it counted as isolated until its
+/// lease had ended.
+#[test]
+fn crashed_worker_keeps_no_other_isolated() {
+    let mut world = CrashWorld::new(4, 32);
+    world.deadly.insert(task(1, 0));
+    world.submit(finite_job(1, 1, 4));
+    world.run(EARLY);
+    world.submit(long_running_job(2, 1, 4));
+    world.run(EARLY);
+    crash_under(&mut world, &task(2, 0));
+    world.run(SECOND * 4);
+    let isolated = |job| format!("job isolated: task {}", task(job, 0));
+    for job in 1..=2 {
+        let has_worker = world.notes.iter().any(|note| note.starts_with(&isolated(job)));
+        assert!(has_worker, "job {job}: {:#?}", world.notes);
+    }
+}
+
 /// Guards against long-running tasks that wait in small pools after a storm of crashes although two workers have
 /// room for them.
 #[test]
