--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -278,15 +278,17 @@
                 placed.phase = RunPhase::Running;
             }
             if is_withdrawn {
-                let stop_sent_ms = placed
-                    .stop_sent_at
-                    .map(|at| now.saturating_duration_since(at).as_millis());
+                let sent_ms = |at: Instant| now.saturating_duration_since(at).as_millis();
+                let stop = placed.stop_sent_at.map_or_else(
+                    || "no stop sent".to_owned(),
+                    |at| format!("stop sent {} ms ago", sent_ms(at)),
+                );
                 let inputs = format!(
-                    "run {} of task {} at {} %, start sent {} ms ago, stop {stop_sent_ms:?} ms ago",
+                    "run {} of task {} at {} %, start sent {} ms ago, {stop}",
                     row.run,
                     row.task,
                     row.progress_percent,
-                    now.saturating_duration_since(placed.placed_at).as_millis()
+                    sent_ms(placed.placed_at)
                 );
                 let job = Some(row.task.step.job.clone());
                 self.note("late start kept", job, Some(worker_id.clone()), inputs);
