Count a task as away until a report follows the time at which its stop would have taken effect

A stop that was withdrawn counted for 6 s; after that the other task counted as at work, although the last report was older than the 6 s and the stop had taken effect in between. The task now counts as away until a report lists its run after that time.

--- a/src/dispatch/pool_scheduler/evacuation.rs
+++ b/src/dispatch/pool_scheduler/evacuation.rs
@@ -26,8 +26,7 @@
                 if is_immovable || moves.iter().any(|(_, other)| other.step == task.step) {
                     continue;
                 }
-                if (is_draining || self.is_move_allowed(now, task)) && self.can_be_placed_elsewhere(now, task)
-                {
+                if (is_draining || self.is_move_allowed(task)) && self.can_be_placed_elsewhere(now, task) {
                     moves.push((id.clone(), task.clone()));
                 }
             }
@@ -51,15 +50,15 @@
 
     /// Whether the stop of a task that moves may be sent now. Other tasks may have become unavailable since the move
     /// was decided or the stop was last sent.
-    pub(super) fn is_move_due(&self, now: Instant, worker_id: &WorkerId, task: &TaskId) -> bool {
+    pub(super) fn is_move_due(&self, worker_id: &WorkerId, task: &TaskId) -> bool {
         let worker = self.workers.get(worker_id);
         let is_draining = worker.is_some_and(|worker| worker.entry.is_draining && worker.is_listed);
-        is_draining || self.is_move_allowed(now, task)
+        is_draining || self.is_move_allowed(task)
     }
 
     /// Whether one more task of the step may be interrupted: fewer of the others are unavailable than the step
     /// allows.
-    fn is_move_allowed(&self, now: Instant, task: &TaskId) -> bool {
+    fn is_move_allowed(&self, task: &TaskId) -> bool {
         let Some(job) = self.jobs.get(&task.step.job) else {
             return true;
         };
@@ -73,10 +72,7 @@
                 continue;
             }
             let id = task.step.task(index);
-            let is_working = state
-                .copies
-                .iter()
-                .any(|copy| self.is_working(now, &copy.worker, &id));
+            let is_working = state.copies.iter().any(|copy| self.is_working(&copy.worker, &id));
             if !is_working {
                 unavailable += 1;
             }
@@ -84,7 +80,7 @@
         unavailable < spec.max_unavailable.max(1)
     }
 
-    fn is_working(&self, now: Instant, worker: &WorkerId, task: &TaskId) -> bool {
+    fn is_working(&self, worker: &WorkerId, task: &TaskId) -> bool {
         let run = self
             .workers
             .get(worker)
@@ -92,7 +88,7 @@
             .and_then(|worker| worker.runs.get(task));
         run.is_some_and(|run| {
             let is_up = run.phase == RunPhase::Running && run.progress_percent >= WORKING_PERCENT;
-            is_up && !run.may_be_stopped(now)
+            is_up && !run.may_be_stopped()
         })
     }
 
--- a/src/dispatch/pool_scheduler/worker_commands.rs
+++ b/src/dispatch/pool_scheduler/worker_commands.rs
@@ -57,7 +57,7 @@
         for (id, worker) in &self.workers {
             for (task, run) in &worker.runs {
                 let is_allowed = run.stop_rule != StopRule::WhileSpared
-                    || (is_leadership_valid && self.is_move_due(now, id, task));
+                    || (is_leadership_valid && self.is_move_due(id, task));
                 if run.is_stop_due(now, retry) && is_allowed {
                     due.push((id.clone(), task.clone()));
                 }
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -207,10 +207,11 @@
         is_withdrawn
     }
 
-    /// Whether a stop may end the run: it is requested, accepted, or withdrawn without an answer.
-    pub fn may_be_stopped(&self, now: Instant) -> bool {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < MAX_COMMAND_DELAY;
-        self.must_stop || self.stop_acknowledged_at.is_some() || self.stop_sent_at.is_some_and(is_recent)
+    /// Whether a stop may end the run, or may have ended it: it is requested, accepted, or was withdrawn without an
+    /// answer, and no report lists the run after the time by which it would have taken effect.
+    pub fn may_be_stopped(&self) -> bool {
+        let is_open = |at: Instant| self.listed_at < at + MAX_COMMAND_DELAY;
+        self.must_stop || self.stop_acknowledged_at.is_some() || self.stop_sent_at.is_some_and(is_open)
     }
 
     /// Whether the stop may be sent as far as reports about the run tell.
