Call for no instance while a long-running task can use an avoided worker

Such a task starts on a worker in backoff or on probation after 2 s, before an instance that is called for after 1 s could take it, so such workers count as places for it.

--- a/src/dispatch/pool_scheduler/unplaced_tasks.rs
+++ b/src/dispatch/pool_scheduler/unplaced_tasks.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use crate::dispatch::hold_reason::HoldReason;
 use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::job_state::{JobOccurrence, JobRun};
 use crate::dispatch::placement;
@@ -162,12 +163,20 @@
         has_label && self.unplaced.largest_capacity.covers(&spec.reserved())
     }
 
-    /// Whether a worker can take the task now.
+    /// Whether a worker can take the task now. A long-running task starts on a worker in backoff or on probation
+    /// sooner than another instance could come.
     fn has_place(&self, now: Instant, task: &TaskId, spec: &StepSpec) -> bool {
-        let request = self.placement_request(task, spec, false);
-        request.is_some_and(|request| {
-            let mut workers = self.workers.values();
-            workers.any(|worker| placement::is_candidate(now, worker, &request))
+        let Some(request) = self.placement_request(task, spec, false) else {
+            return false;
+        };
+        let mut reasons = self
+            .workers
+            .values()
+            .map(|worker| placement::hold_reason(now, worker, &request));
+        reasons.any(|reason| match reason {
+            None => true,
+            Some(HoldReason::Backoff | HoldReason::Probation) => spec.is_long_running,
+            Some(_) => false,
         })
     }
 
