--- a/src/dispatch/pool_scheduler/worker_losses.rs
+++ b/src/dispatch/pool_scheduler/worker_losses.rs
@@ -107,9 +107,8 @@
         let Some(task) = self.open_task_mut(&run.task) else {
             return;
         };
-        if listed_for >= task.losses.clearing_time() && !task.losses.is_empty() {
-            // The run has outlasted the earlier ones: their losses had another cause.
-            task.losses.clear();
+        // What the run has outlasted had another cause.
+        if task.losses.forget_outlasted(listed_for) {
             self.mark_progress_changed(&run.task.step.job);
         }
         if is_leaving || is_too_old {
@@ -210,7 +209,10 @@
 
     /// Ends the job of a task that has crashed too many workers.
     pub(super) fn give_up_faulty_task(&mut self, task_id: &TaskId) {
-        let Some(task) = self.open_task_mut(task_id).filter(|task| task.losses.is_faulty()) else {
+        let spec = self.step_spec(&task_id.step);
+        let is_long_running = spec.is_some_and(|spec| spec.is_long_running);
+        let task = self.open_task_mut(task_id);
+        let Some(task) = task.filter(|task| task.losses.is_faulty(is_long_running)) else {
             return;
         };
         let workers: Vec<&str> = task.losses.crashes().map(|loss| loss.worker.as_str()).collect();
--- a/tests/pool_decisions/isolation.rs
+++ b/tests/pool_decisions/isolation.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use figloft::dispatch::job_record::JobRecord;
+use figloft::dispatch::job_record::{JobRecord, JobState};
 use figloft::dispatch::job_spec::StepSpec;
 use figloft::dispatch::pool_plan::PoolPlan;
 use figloft::dispatch::site_config::{OrganisationConfig, SiteConfig};
@@ -89,6 +89,24 @@
     assert!(!job.has_suspects());
 }
 
+/// Guards against an innocent long-running task that keeps a worker for itself for 10 s: it was lost once late and
+/// once early, and only the early loss makes it a suspect.
+#[test]
+fn early_loss_is_outlasted_soon() {
+    let mut world = CrashWorld::new(4, 32);
+    world.submit(long_running_job(1, 1, 4));
+    world.run(SECOND * 6);
+    crash_under(&mut world, &task(1, 0));
+    interruption(&mut world, &task(1, 0));
+    world.run(EARLY);
+    crash_under(&mut world, &task(1, 0));
+    interruption(&mut world, &task(1, 0));
+    assert!(world.notes.iter().any(|note| note.starts_with("job isolated")));
+    world.run(SECOND * 3);
+    let job = world.scheduler.job(&job_id(1)).expect("job");
+    assert!(!job.has_suspects());
+}
+
 /// Job of finite tasks.
 fn finite_job(number: usize, tasks: u32, cores: u64) -> JobRecord {
     record(number, vec![step(tasks, cores, 1_000)])
@@ -184,6 +202,25 @@
     }
 }
 
+/// Guards against a job that can isolate no worker because of one that has crashed: it counted as isolated until its
+/// lease had ended.
+#[test]
+fn crashed_worker_keeps_no_other_isolated() {
+    let mut world = CrashWorld::new(4, 32);
+    world.deadly.insert(task(1, 0));
+    world.submit(finite_job(1, 1, 4));
+    world.run(EARLY);
+    world.submit(long_running_job(2, 1, 4));
+    world.run(EARLY);
+    crash_under(&mut world, &task(2, 0));
+    world.run(SECOND * 4);
+    let isolated = |job| format!("job isolated: task {}", task(job, 0));
+    for job in 1..=2 {
+        let has_worker = world.notes.iter().any(|note| note.starts_with(&isolated(job)));
+        assert!(has_worker, "job {job}: {:#?}", world.notes);
+    }
+}
+
 /// Guards against long-running tasks that wait in small pools after a storm of crashes although two workers have
 /// room for them.
 #[test]
@@ -238,3 +275,19 @@
     }
     assert!(late.is_empty(), "{late:#?}");
 }
+
+/// Guards against a long-running job that is given up with its other tasks at work: three workers crashed, for other
+/// reasons, some time after one of its tasks had started on each (AVAIL on grown Guardanieve).
+#[test]
+fn long_running_job_outlives_crashes_of_its_workers() {
+    let mut world = CrashWorld::new(6, 8);
+    let job = long_running_job(1, 3, 2);
+    world.submit(job.clone());
+    world.run(Duration::from_secs(1));
+    for _ in 0..3 {
+        world.run(Duration::from_secs(2));
+        crash_under(&mut world, &task(1, 0));
+        interruption(&mut world, &task(1, 0));
+    }
+    assert_eq!(world.state(&job.id), Some(JobState::Running));
+}
--- a/tests/pool_decisions/unplaced.rs
+++ b/tests/pool_decisions/unplaced.rs
@@ -15,6 +15,8 @@
 use figloft::model::id::{InstanceId, OrganisationId, PoolId, WorkerId};
 use figloft::model::resource::ResourceSet;
 use figloft::model::unix_time::UnixMillis;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 use crate::crash_world::CrashWorld;
 use crate::setup::{WALL, instance_id, job_id, pool, record, step};
@@ -27,6 +29,20 @@
 /// Time that a moved instance needs until its worker is listed in the new pool.
 const MOVE_TIME: Duration = Duration::from_millis(1_500);
 
+/// Longest time for which a long-running task may wait while instances are spare: a second without a place, the move and
+/// the exchange of the records.
+const MAX_PLACEMENT_TIME: Duration = Duration::from_secs(4);
+
+/// Rounds of a random day.
+const ROUNDS: u32 = 600;
+
+/// Instances that may come on a random day because tasks have no place, beside those that come because the load changes.
+/// Each day has six services.
+const MAX_CALLED_MOVES: u32 = 3;
+
+/// Instances that the pool may have on average. Without such calls it had up to 8.
+const MAX_MEAN_MEMBERS: usize = 9;
+
 /// A pool together with the fleet leader that moves instances between it and the spare pool.
 struct MovingFleet {
     world: CrashWorld,
@@ -34,6 +50,8 @@
     instances: BTreeMap<InstanceId, InstanceEntry>,
     arrivals: Vec<(Instant, usize, PoolId)>,
     moves_in: u32,
+    /// Moves to the pool while it called for instances because tasks had no place.
+    called_moves: u32,
     moves_out: u32,
 }
 
@@ -55,6 +73,7 @@
             instances: BTreeMap::new(),
             arrivals: Vec::new(),
             moves_in: 0,
+            called_moves: 0,
             moves_out: 0,
         };
         for number in 0..size {
@@ -117,6 +136,8 @@
         let number = number.expect("instance");
         if *to == pool() {
             self.moves_in += 1;
+            let report = self.world.scheduler.report(self.world.now);
+            self.called_moves += u32::from(report.unplaced > 0);
         } else {
             self.moves_out += 1;
             assert_eq!(self.world.tasks_on(number).count(), 0, "runs on a moved instance");
@@ -276,3 +297,71 @@
     }
     assert_eq!((fleet.moves_in, fleet.moves_out), (1, 0));
 }
+
+/// Guards against pools that move instances to and fro for tasks without a place, and against tasks that find none
+/// although instances are spare: random services, whose runs fail now and then, beside finite jobs at a changing rate.
+#[test]
+fn random_services_find_places_without_many_moves() {
+    for seed in 0..8 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut fleet = MovingFleet::new(24, 3);
+        let mut last_run: BTreeMap<TaskId, Instant> = BTreeMap::new();
+        let mut longest = Duration::ZERO;
+        let mut member_rounds = 0;
+        for round in 0..ROUNDS {
+            let number = round as usize;
+            if round % 40 == 0 && round < 240 {
+                let job = service(
+                    number,
+                    random.random_range(1..=6),
+                    random.random_range(8_192..=25_600),
+                    random.random_range(1..=2),
+                );
+                let tasks = 0..job.spec.steps[0].tasks;
+                last_run.extend(tasks.map(|index| (task(number, index), fleet.world.now)));
+                fleet.world.submit(job);
+            }
+            let chance = if round % 200 < 50 { 0.6 } else { 0.2 };
+            if random.random_bool(chance) {
+                let tasks = random.random_range(1..8);
+                let cores = random.random_range(1..8);
+                fleet
+                    .world
+                    .submit(record(1_000 + number, vec![step(tasks, cores, 1_000)]));
+            }
+            let running: Vec<TaskId> = last_run
+                .keys()
+                .filter(|task| fleet.is_running(task))
+                .cloned()
+                .collect();
+            for task in running {
+                last_run.insert(task.clone(), fleet.world.now);
+                if random.random_bool(0.002) {
+                    let place = fleet.world.places(&task)[0];
+                    fleet.world.end_run(place, &task, RunOutcome::Failed);
+                }
+            }
+            let waits = last_run
+                .values()
+                .map(|at| fleet.world.now.saturating_duration_since(*at));
+            longest = longest.max(waits.max().unwrap_or_default());
+            member_rounds += fleet.members();
+            fleet.run(ROUND);
+        }
+        assert!(
+            longest <= MAX_PLACEMENT_TIME,
+            "seed {seed}: a task waited for {longest:?}"
+        );
+        assert!(
+            fleet.called_moves <= MAX_CALLED_MOVES,
+            "seed {seed}: {} of {} instances came for tasks without a place",
+            fleet.called_moves,
+            fleet.moves_in
+        );
+        let mean = member_rounds / ROUNDS as usize;
+        assert!(
+            mean <= MAX_MEAN_MEMBERS,
+            "seed {seed}: {mean} instances on average"
+        );
+    }
+}
