--- a/src/dispatch/pool_scheduler/isolation.rs
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -142,7 +142,7 @@
     }
 
     /// Finds a worker without a suspect of another job, so that a crash there points at this task. With
-    /// `may_join_suspects` any worker will do if there is none.
+    /// `may_join_suspects` any worker will do if there is none, also one in backoff or on probation.
     fn find_shared_worker(
         &self,
         now: Instant,
@@ -158,8 +158,9 @@
         let ranked = candidates
             .map(|(id, worker)| (!self.is_free_of_suspects(worker, task), worker.runs.len(), id))
             .filter(|(has_suspects, ..)| may_join_suspects || !has_suspects);
-        let (.., id) = ranked.min()?;
-        Some(id.clone())
+        let best = ranked.min().map(|(.., id)| id.clone());
+        let avoided = || placement::choose_avoided_worker(now, &self.workers, &request);
+        best.or_else(|| may_join_suspects.then(avoided).flatten())
     }
 
     /// Whether no suspect of another job runs on the worker.
--- a/src/dispatch/pool_scheduler/unplaced_tasks.rs
+++ b/src/dispatch/pool_scheduler/unplaced_tasks.rs
@@ -164,8 +164,10 @@
     }
 
     /// Whether a worker can take the task now. A long-running task starts on a worker in backoff or on probation
-    /// sooner than another instance could come.
+    /// sooner than another instance could come, unless it needs a ticket, which is requested for other workers only.
     fn has_place(&self, now: Instant, task: &TaskId, spec: &StepSpec) -> bool {
+        let job = self.jobs.get(&task.step.job);
+        let has_advice = job.is_some_and(|job| job.record.rule.advice.is_some());
         let Some(request) = self.placement_request(task, spec, false) else {
             return false;
         };
@@ -175,7 +177,7 @@
             .map(|worker| placement::hold_reason(now, worker, &request));
         reasons.any(|reason| match reason {
             None => true,
-            Some(HoldReason::Backoff | HoldReason::Probation) => spec.is_long_running,
+            Some(HoldReason::Backoff | HoldReason::Probation) => spec.is_long_running && !has_advice,
             Some(_) => false,
         })
     }
--- a/tests/pool_decisions/held_tasks.rs
+++ b/tests/pool_decisions/held_tasks.rs
@@ -5,11 +5,14 @@
 
 use figloft::dispatch::command::{StartCommand, StartOutcome};
 use figloft::dispatch::hold_reason::HoldReason;
+use figloft::dispatch::job_record::{JobProgress, StepProgress};
 use figloft::dispatch::job_spec::StepSpec;
 use figloft::dispatch::pool_scheduler::PoolScheduler;
+use figloft::dispatch::run_loss::{LossHistory, LossState, RunLoss};
 use figloft::dispatch::takeover::TakeoverState;
 use figloft::dispatch::worker_health::WorkerHealth;
 use figloft::dispatch::worker_report::{ActiveRun, WorkerReport};
+use figloft::model::id::RunNumber;
 use figloft::model::unix_time::UnixMillis;
 
 use crate::setup::{
@@ -143,6 +146,19 @@
     );
 }
 
+/// Leaves a number of starts without an answer. Two of them begin a backoff of 2 s, which doubles with each
+/// further two.
+fn leave_starts_unanswered(scheduler: &mut PoolScheduler, now: &mut Instant, count: u32) {
+    let mut unanswered = 0;
+    while unanswered < count {
+        *now += TICK;
+        for start in starts(scheduler.decide(*now, WALL, true)) {
+            scheduler.handle_start_outcome(*now, &start.target.worker, &start.run, StartOutcome::NotSent);
+            unanswered += 1;
+        }
+    }
+}
+
 /// Guards against a long-running task that waits for the end of a long backoff although no other worker has a place
 /// for it.
 #[test]
@@ -150,15 +166,7 @@
     let mut now = Instant::now();
     let mut scheduler = scheduler(now, 1, 32);
     scheduler.submit(now, now, record(1, vec![step(1, 2, 1_000)]), None);
-    let mut unanswered = 0;
-    // Two starts without an answer begin a backoff of 2 s; it doubles to 4 and 8 s.
-    while unanswered < 6 {
-        now += TICK;
-        for start in starts(scheduler.decide(now, WALL, true)) {
-            scheduler.handle_start_outcome(now, &start.target.worker, &start.run, StartOutcome::NotSent);
-            unanswered += 1;
-        }
-    }
+    leave_starts_unanswered(&mut scheduler, &mut now, 6);
     scheduler.cancel(&job_id(1));
     scheduler.submit(now, now, record(2, vec![service(1, 4)]), None);
     let started = advance(&mut scheduler, &mut now, Duration::from_secs(4), &[]);
@@ -221,3 +229,35 @@
     assert!(health.is_in_backoff(now + Duration::from_millis(1_900)));
     assert!(!health.is_in_backoff(now + Duration::from_millis(2_100)));
 }
+
+/// Guards against a suspect that waits for the end of a long backoff: the way on which suspects are placed has to
+/// yield like that of other tasks.
+#[test]
+fn long_running_suspect_does_not_wait_for_a_long_backoff() {
+    let mut now = Instant::now();
+    let mut scheduler = scheduler(now, 1, 32);
+    scheduler.submit(now, now, record(1, vec![step(1, 2, 1_000)]), None);
+    leave_starts_unanswered(&mut scheduler, &mut now, 6);
+    scheduler.cancel(&job_id(1));
+    let mut losses = LossHistory::default();
+    let crash = RunLoss {
+        worker: worker_id(7),
+        instance: None,
+        incarnation: None,
+        state: LossState::Crashed,
+        active_for: Duration::from_millis(10),
+        is_isolated: false,
+        is_mass_loss: false,
+    };
+    losses.insert(RunNumber::new(1), crash);
+    let step = StepProgress {
+        losses: [(0, losses)].into(),
+        ..StepProgress::default()
+    };
+    let progress = JobProgress {
+        occurrences: [(0, vec![step])].into(),
+    };
+    scheduler.submit(now, now, record(2, vec![service(1, 4)]), Some(&progress));
+    let started = advance(&mut scheduler, &mut now, Duration::from_secs(4), &[]);
+    assert_eq!(started.len(), 1, "{:?}", scheduler.take_held_counts());
+}
