--- a/src/dispatch/fleet_planner.rs
+++ b/src/dispatch/fleet_planner.rs
@@ -178,9 +178,13 @@
         self.reports.get(pool)
     }
 
-    /// Whether the platform's list of instances is missing or expected to change soon.
+    /// Whether the platform's list of instances is missing or expected to change soon, or whether a pool lacks workers:
+    /// an instance may have become free since the list was read.
     pub fn needs_instance_list(&self) -> bool {
-        !self.has_instance_list || self.sizer.is_busy() || self.waves.values().any(WavePlan::is_active)
+        !self.has_instance_list
+            || self.sizer.is_busy()
+            || self.sizer.has_shortage()
+            || self.waves.values().any(WavePlan::is_active)
     }
 
     /// Returns the commands to execute at `now`. Without a list of instances only plans are published.
--- a/src/dispatch/pool_size.rs
+++ b/src/dispatch/pool_size.rs
@@ -101,6 +101,11 @@
         !self.evacuating.is_empty() || !self.arrivals.is_empty() || !self.moves_in_flight.is_empty()
     }
 
+    /// Whether a pool had fewer workers than it needs at the last decision.
+    pub fn has_shortage(&self) -> bool {
+        self.needs.values().any(|need| need.available < need.target)
+    }
+
     /// Returns the moves to start at `now`. `is_evacuated` tells whether nothing runs on an instance any
     /// more.
     pub fn decide(
--- a/tests/pool_decisions/fleet.rs
+++ b/tests/pool_decisions/fleet.rs
@@ -459,3 +459,34 @@
         "within the limit"
     );
 }
+
+/// Guards against a pool that lacks workers for good: no instance was free when the list of instances was read, and
+/// the list is not read again.
+#[test]
+fn list_of_instances_is_read_while_a_pool_lacks_workers() {
+    let now = Instant::now();
+    let mut planner = FleetPlanner::new();
+    let spare = PoolConfig {
+        is_spare: true,
+        ..PoolConfig::default()
+    };
+    let pools = [
+        (pool_id("pool-a"), PoolConfig::default()),
+        (pool_id("spare"), spare),
+    ];
+    planner.set_config(&SiteConfig {
+        pools: pools.into(),
+        ..SiteConfig::default()
+    });
+    planner.set_instances(
+        now,
+        [
+            instance("pool-a", 0, InstanceState::Up),
+            instance("spare", 1, InstanceState::Down),
+        ]
+        .into(),
+    );
+    planner.set_report(pool_id("pool-a"), report(0..1, 64, 0));
+    planner.decide(now);
+    assert!(planner.needs_instance_list());
+}
