--- a/src/dispatch/run_loss.rs
+++ b/src/dispatch/run_loss.rs
@@ -159,8 +159,9 @@
         self.losses.values().filter(is_lost).count()
     }
 
-    /// Whether the task has to be given up. Of a long-running task only early crashes
-    /// count, up to a limit: a later one is most likely not its fault, and the end of the job stops its other tasks.
+    /// Whether the task has to be given up. A long-running task is given up by early crashes, or by five of any age
+    /// that are no mass losses: a late crash is most likely not its fault, and the end of the job stops its other
+    /// tasks.
     pub fn is_faulty(&self, is_long_running: bool) -> bool {
         let early = self.crashes().filter(|loss| loss.is_early()).count();
         let is_counted = |loss: &&RunLoss| {
@@ -175,7 +176,10 @@
             })
             .collect();
         let is_proved = counted.len() >= MIN_CRASHES && instances.len() >= MIN_ISOLATED_INSTANCES;
-        is_proved || early >= MAX_EARLY_CRASHES || self.crashes().count() >= MAX_CRASHES
+        let own = self
+            .crashes()
+            .filter(|loss| !is_long_running || !loss.is_mass_loss);
+        is_proved || early >= MAX_EARLY_CRASHES || own.count() >= MAX_CRASHES
     }
 
     /// Whether the next run has to be isolated from other jobs.
