Let the stop of a vanished run replace that of a move

Found by review: the request for a move is sent only while the step can spare the task, and it was kept when reports no longer listed the run, so that its room was given back late.

--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -47,16 +47,17 @@
     Unknown,
 }
 
-/// Condition under which the requested stop of a run is sent, and sent again until it is acknowledged.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Condition under which the requested stop of a run is sent, and sent again until it is acknowledged; weaker ones
+/// first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopRule {
-    /// In any case: nothing needs the run.
-    Always,
+    /// Only while the step can spare the task, which is moved to another worker.
+    WhileSpared,
     /// Only while the worker's reports do not list the run. The stop settles that it never starts; a run that
     /// turns out to be active is wanted.
     WhileUnlisted,
-    /// Only while the step can spare the task, which is moved to another worker.
-    WhileSpared,
+    /// In any case: nothing needs the run.
+    Always,
 }
 
 /// A run that is, or may be, on a worker.
@@ -186,14 +187,21 @@
         self.progress_percent = percent;
     }
 
-    /// Requests the stop of the run. A request that holds in any case replaces the others.
+    /// Requests the stop of the run. A stronger request replaces a weaker one: a run that vanished from the reports
+    /// need not wait until its step can spare it.
     pub fn request_stop(&mut self, rule: StopRule) {
-        if !self.must_stop || rule == StopRule::Always {
+        if !self.must_stop || rule > self.stop_rule {
             self.must_stop = true;
             self.stop_rule = rule;
         }
     }
 
+    /// Withdraws a requested stop.
+    pub fn withdraw_stop(&mut self) {
+        self.must_stop = false;
+        self.stop_rule = StopRule::Always;
+    }
+
     /// Withdraws the stop that should have settled a run which its worker lists after all, unless the worker has
     /// accepted the stop and therefore ends the run. Returns whether there was one.
     pub fn withdraw_settling_stop(&mut self) -> bool {
@@ -201,8 +209,7 @@
             && self.stop_rule == StopRule::WhileUnlisted
             && self.stop_acknowledged_at.is_none();
         if is_withdrawn {
-            self.must_stop = false;
-            self.stop_rule = StopRule::Always;
+            self.withdraw_stop();
         }
         is_withdrawn
     }
