Withdraw moves that wait when their reason has gone or their place is taken

Found by review: since the stop of a move waits until the step can spare the task, the evacuation may have been cancelled by then, or another task may have taken the place; the task was stopped all the same and had to wait.

waiting_move_is_withdrawn_with_its_evacuation failed before (three stops) and passes. pool_decisions: 116 pass.

--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -483,6 +483,7 @@
             return commands;
         }
         self.expire_runs(now);
+        self.withdraw_moves(now);
         self.issue_stops(now, is_leadership_valid, &mut commands);
         if is_leadership_valid {
             self.start_due_occurrences(now, wall_time);
--- a/src/dispatch/pool_scheduler/evacuation.rs
+++ b/src/dispatch/pool_scheduler/evacuation.rs
@@ -48,6 +48,30 @@
         }
     }
 
+    /// Withdraws moves whose stop has not been sent, if the task need not leave its worker any more or has no place
+    /// elsewhere.
+    pub(super) fn withdraw_moves(&mut self, now: Instant) {
+        let mut obsolete: Vec<(WorkerId, TaskId)> = Vec::new();
+        for (id, worker) in &self.workers {
+            let is_leaving = worker.entry.is_draining || self.plan.evacuating.contains(id);
+            for (task, run) in &worker.runs {
+                let is_unsent_move =
+                    run.must_stop && run.stop_rule == StopRule::WhileSpared && run.stop_sent_at.is_none();
+                if is_unsent_move && !(is_leaving && self.can_be_placed_elsewhere(now, task)) {
+                    obsolete.push((id.clone(), task.clone()));
+                }
+            }
+        }
+        for (id, task) in obsolete {
+            let worker = self.workers.get_mut(&id);
+            if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&task)) {
+                run.withdraw_stop();
+            }
+            let inputs = format!("task {task}");
+            self.note("move withdrawn", Some(task.step.job.clone()), Some(id), inputs);
+        }
+    }
+
     /// Whether the stop of a task that moves may be sent now. Other tasks may have become unavailable since the move
     /// was decided or the stop was last sent.
     pub(super) fn is_move_due(&self, worker_id: &WorkerId, task: &TaskId) -> bool {
--- a/tests/pool_decisions/late_starts.rs
+++ b/tests/pool_decisions/late_starts.rs
@@ -269,3 +269,31 @@
     let stopped = stops_until(&mut scheduler, now + MS * 1_000, now + MS * 4_000, &[duplicate]);
     assert_eq!(stopped, Vec::new());
 }
+
+/// Guards against a move whose reason has gone: it waited for another task of the step, and the evacuation was
+/// cancelled meanwhile.
+#[test]
+fn waiting_move_is_withdrawn_with_its_evacuation() {
+    let mut now = Instant::now();
+    let mut scheduler = scheduler(now, 3, 8);
+    scheduler.submit(now, now, record(1, vec![long_running(2)]), None);
+    let started = start_all(&mut scheduler, now);
+    let early = stops_until(&mut scheduler, now, now + MS * 4_000, &started);
+    assert_eq!(early, Vec::new());
+    now += MS * 4_000;
+    evacuate(&mut scheduler, &started[0]);
+    scheduler.decide(now, WALL, true);
+    let silent = PollError::NoAnswer("time-out".into());
+    scheduler.handle_poll_error(now, &started[1].target.worker, &silent);
+    assert_eq!(
+        stops(&scheduler.decide(now + MS, WALL, true)),
+        Vec::new(),
+        "another task is away"
+    );
+    scheduler.set_plan(PoolPlan {
+        version: PlanVersion::new(2),
+        ..PoolPlan::default()
+    });
+    let stopped = stops_until(&mut scheduler, now + MS * 10, now + MS * 3_000, &started);
+    assert_eq!(stopped, Vec::new());
+}
