--- a/tests/pool_decisions/crashes.rs
+++ b/tests/pool_decisions/crashes.rs
@@ -423,3 +423,22 @@
     }
     assert!(seen.is_empty(), "{seen:#?}");
 }
+
+/// Guards against early crashes that are lost with their leader, three in a row, each before anything of it was
+/// stored.
+#[test]
+fn task_whose_crashes_are_lost_with_three_leaders_is_given_up() {
+    let mut world = CrashWorld::new(8, 16);
+    let job = deadly_job(&mut world, 1, vec![step(1, 2, 500)]);
+    world.is_storing = false;
+    world.submit(job);
+    for leader in 1..=3 {
+        while world.starts.get(&task(1, 0, 0)).copied().unwrap_or(0) < leader {
+            world.run(Duration::from_millis(10));
+        }
+        world.run(Duration::from_millis(50));
+        world.take_over();
+    }
+    world.is_storing = true;
+    assert_given_up(&mut world, SECOND * 40);
+}
