--- a/src/dispatch/pool_scheduler/held_tasks.rs
+++ b/src/dispatch/pool_scheduler/held_tasks.rs
@@ -1,4 +1,5 @@
-//! Finds out what holds back the tasks that wait for a start, for the log and the metrics.
+//! Finds out since when tasks wait for a start and what holds them back: for the log and the metrics, and for
+//! long-running tasks that may use avoided workers after some time.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -133,7 +134,7 @@
         ) else {
             return reason(HoldReason::NotExamined);
         };
-        if job.is_recovered && self.takeover.is_pending(now) {
+        if self.is_waiting_for_takeover(now, job) {
             return reason(HoldReason::Takeover);
         }
         if !self.is_within_limit(job.record.organisation.as_ref(), &spec.demand) {
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -105,11 +105,15 @@
         })
     }
 
+    /// Whether runs of the job under the previous leader may still be active and unknown.
+    pub(super) fn is_waiting_for_takeover(&self, now: Instant, job: &JobRun) -> bool {
+        job.is_recovered && self.takeover.is_pending(now)
+    }
+
     /// Collects the keys of the steps whose waiting tasks may start.
     fn ready_steps(&self, now: Instant) -> Vec<StartKey> {
-        let is_takeover_pending = self.takeover.is_pending(now);
         let waiting = self.waiting_steps(now);
-        let ready = waiting.filter(|(_, job)| !(is_takeover_pending && job.is_recovered));
+        let ready = waiting.filter(|(_, job)| !self.is_waiting_for_takeover(now, job));
         let keys = ready.map(|(step, job)| {
             let due_at = job
                 .occurrences
--- a/src/dispatch/pool_scheduler/unplaced_tasks.rs
+++ b/src/dispatch/pool_scheduler/unplaced_tasks.rs
@@ -58,11 +58,10 @@
             *largest = largest.component_max(&worker.entry.capacity);
         }
         let is_finite_counted = self.has_much_free_capacity();
-        let is_takeover_pending = self.takeover.is_pending(now);
         let mut long_running = BTreeMap::new();
         let mut finite = None;
         for (id, job) in &self.jobs {
-            if job.state.is_final() || (is_takeover_pending && job.is_recovered) {
+            if job.state.is_final() || self.is_waiting_for_takeover(now, job) {
                 continue;
             }
             for (number, occurrence) in &job.occurrences {
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -30,10 +30,11 @@
         worker.poll.next_at = Some(now + self.poll_pace.interval());
         if report.incarnation.is_some() && report.incarnation < worker.incarnation {
             let is_outdated = worker.restart_seen_at.is_some_and(|seen_at| sent_at <= seen_at);
-            let inputs = format!(
-                "the report is of an earlier process, as far as its start time tells; used: {}",
-                !is_outdated
-            );
+            let inputs = if is_outdated {
+                "the report is of an earlier process and is ignored"
+            } else {
+                "the report seems to be of an earlier process, but answers a later poll and is used"
+            };
             self.note("worker clock differs", None, Some(worker_id.clone()), inputs);
             if is_outdated {
                 return;
--- a/src/dispatch/pool_size.rs
+++ b/src/dispatch/pool_size.rs
@@ -134,7 +134,7 @@
                 let worker = entry.and_then(|entry| entry.worker.as_ref());
                 let report = input.reports.get(&arrival.to);
                 let usage = worker.and_then(|worker| report?.workers.get(worker));
-                // A worker that is listed and has not answered yet is about to become usable.
+                // Until its worker has answered, the instance is still about to become usable.
                 usage.is_some_and(|usage| usage.is_usable || usage.is_evacuating)
             };
             let is_old = now.saturating_duration_since(arrival.accepted_at) > ARRIVAL_TIMEOUT;
