--- a/review/stand_ins/cases.rs
+++ b/review/stand_ins/cases.rs
@@ -15,6 +15,7 @@
         "foreign-entry" => foreign_entry(has_trouble, record),
         "late-count" => late_count(has_trouble, record),
         "late-submission" => late_submission(has_trouble, record),
+        "long-jobs" => long_jobs(has_trouble, record),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -225,3 +226,46 @@
         violations: violations.collect(),
     })
 }
+
+/// Jobs take 12 times as long as estimated.
+fn long_jobs(has_trouble: bool, record: &Record) -> Result<Verdict, String> {
+    const LONG_JOBS: usize = 6;
+    const ESTIMATE_MS: u64 = 6_000;
+    let cluster = Cluster::start(3, 3, record)?;
+    let work_ms = if has_trouble { ESTIMATE_MS * 12 } else { ESTIMATE_MS };
+    let mut jobs = Vec::new();
+    for number in 0..LONG_JOBS {
+        let id = format!("{:016x}", 0x1111_0000 + number);
+        let job = cluster::job_with_estimate(1, 2_000, 1_000, work_ms, ESTIMATE_MS);
+        if !cluster.submit(number, &id, &job) {
+            return Err("a job was not accepted".to_owned());
+        }
+        jobs.push(id);
+        sleep_ms(300);
+    }
+    record.line("the traffic ends");
+    // `finish_s` after the end of the traffic.
+    sleep_ms(14_000);
+    let start = record.now();
+    sleep_ms(30_000);
+    let end = record.now();
+    let runs = cluster.runs();
+    let mut violations = Vec::new();
+    for id in &jobs {
+        let (_, body) = cluster.call(0, "GET", id, None);
+        let state = body.get("state").text().to_owned();
+        if state == "completed" {
+            continue;
+        }
+        for (from, to) in judge::idle_times(&runs, id, start, end) {
+            if to - from >= Duration::from_secs(3) {
+                violations.push(format!(
+                    "job {id} is {state} and has nothing running from {:.1} s to {:.1} s",
+                    from.as_secs_f64(),
+                    to.as_secs_f64()
+                ));
+            }
+        }
+    }
+    Ok(Verdict { violations })
+}
--- a/review/stand_ins/cluster.rs
+++ b/review/stand_ins/cluster.rs
@@ -203,20 +203,27 @@
     }
 }
 
-/// A job of one step. `work_ms` is absent for tasks that last.
+/// A job of one step whose tasks take as long as estimated. `work_ms` is absent for tasks that last.
 pub fn job(count: u64, cpu: u64, memory: u64, work_ms: Option<u64>) -> Json {
-    let mut spec = format!("cpu={cpu} mem-mb={memory}");
-    let mut step = vec![
+    match work_ms {
+        Some(work_ms) => job_with_estimate(count, cpu, memory, work_ms, work_ms),
+        None => encode_job(count, cpu, memory, "", ("long-running", Json::Bool(true))),
+    }
+}
+
+/// A job of one step.
+pub fn job_with_estimate(count: u64, cpu: u64, memory: u64, work_ms: u64, estimate_ms: u64) -> Json {
+    let spec = format!(" work-ms={work_ms}");
+    encode_job(count, cpu, memory, &spec, ("estimate-ms", number(estimate_ms)))
+}
+
+fn encode_job(count: u64, cpu: u64, memory: u64, spec: &str, time: (&str, Json)) -> Json {
+    let step = map(&[
         ("count", number(count)),
         ("cpu", number(cpu)),
         ("mem-mb", number(memory)),
-    ];
-    match work_ms {
-        Some(work_ms) => {
-            spec += &format!(" work-ms={work_ms}");
-            step.push(("estimate-ms", number(work_ms)));
-        }
-        None => step.push(("long-running", Json::Bool(true))),
-    }
-    map(&[("spec", text(spec)), ("steps", Json::List(vec![map(&step)]))])
+        time,
+    ]);
+    let spec = format!("cpu={cpu} mem-mb={memory}{spec}");
+    map(&[("spec", text(spec)), ("steps", Json::List(vec![step]))])
 }
--- a/review/stand_ins/judge.rs
+++ b/review/stand_ins/judge.rs
@@ -1,6 +1,7 @@
 //! Checks of the rules on the records of the runners.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::runner::Run;
 
@@ -59,3 +60,25 @@
         )
     })
 }
+
+/// Times between `start` and `end` at which no run of the job is active.
+pub fn idle_times(runs: &[Run], job: &str, start: Duration, end: Duration) -> Vec<(Duration, Duration)> {
+    let mut active: Vec<(Duration, Duration)> = runs
+        .iter()
+        .filter(|run| run.task.starts_with(job))
+        .map(|run| (run.started, run.ended.map_or(end, |(at, _)| at)))
+        .collect();
+    active.sort();
+    let mut idle = Vec::new();
+    let mut last = start;
+    for (from, to) in active {
+        if from > last {
+            idle.push((last, from.min(end)));
+        }
+        last = last.max(to);
+    }
+    if last < end {
+        idle.push((last, end));
+    }
+    idle
+}
