Review case 3: after a crash a gang is started with different checkpoints and never works again

Promise: all members of a gang carry the same checkpoint, and no run ends alone on sound runners. Disruption: srv_crash, one runner of six crashes once and is back after 3 s.

--- a/review/stand_ins/cases.rs
+++ b/review/stand_ins/cases.rs
@@ -1,6 +1,6 @@
 //! The cases of the review.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::Verdict;
 use crate::cluster::{self, Cluster};
@@ -16,6 +16,7 @@
         "late-count" => late_count(has_trouble, record),
         "late-submission" => late_submission(has_trouble, record),
         "long-jobs" => long_jobs(has_trouble, record),
+        "gang-checkpoints" => gang_checkpoints(has_trouble, record),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -26,11 +27,14 @@
 
 /// Waits until `is_reached` holds, at most for `limit`.
 fn wait_until(limit: Duration, mut is_reached: impl FnMut() -> bool) -> bool {
-    let steps = limit.as_millis() as u64 / 20;
-    (0..steps).any(|_| {
+    let end = Instant::now() + limit;
+    while Instant::now() < end {
         sleep_ms(20);
-        is_reached()
-    })
+        if is_reached() {
+            return true;
+        }
+    }
+    false
 }
 
 /// The pool's leader is killed while more tasks end on a runner than one answer lists.
@@ -227,12 +231,12 @@
     })
 }
 
-/// Jobs take 12 times as long as estimated.
+/// Jobs take 15 times as long as estimated.
 fn long_jobs(has_trouble: bool, record: &Record) -> Result<Verdict, String> {
     const LONG_JOBS: usize = 6;
     const ESTIMATE_MS: u64 = 6_000;
     let cluster = Cluster::start(3, 3, record)?;
-    let work_ms = if has_trouble { ESTIMATE_MS * 12 } else { ESTIMATE_MS };
+    let work_ms = if has_trouble { ESTIMATE_MS * 15 } else { ESTIMATE_MS };
     let mut jobs = Vec::new();
     for number in 0..LONG_JOBS {
         let id = format!("{:016x}", 0x1111_0000 + number);
@@ -269,3 +273,46 @@
     }
     Ok(Verdict { violations })
 }
+
+/// A runner with a member of a gang crashes once.
+fn gang_checkpoints(has_trouble: bool, record: &Record) -> Result<Verdict, String> {
+    const ID: &str = "5c0e7a21d94b36f8";
+    const MEMBERS: usize = 4;
+    let cluster = Cluster::start(3, 6, record)?;
+    if !cluster.submit(0, ID, &cluster::gang_job(MEMBERS as u64, 20_000, 1_000, 12_000)) {
+        return Err("the job was not accepted".to_owned());
+    }
+    if !wait_until(Duration::from_secs(10), || cluster.runs().len() >= MEMBERS) {
+        return Err("the gang has not started".to_owned());
+    }
+    sleep_ms(5_000);
+    let crashed_at = record.now();
+    if has_trouble {
+        let runs = cluster.runs();
+        let runner = cluster.runners.iter().find(|runner| runs[0].runner == runner.id);
+        runner.ok_or("the runner is not known")?.crash(Duration::from_secs(3));
+    }
+    let is_completed = wait_until(Duration::from_secs(40), || {
+        sleep_ms(1_000);
+        let (_, body) = cluster.call(1, "GET", ID, None);
+        body.get("state").text() == "completed"
+    });
+    record.line(format!("the job is shown as completed: {is_completed}"));
+    // The runner is back after 3 s; `contact-ms` and `gang-ms` later nothing of the crash is near.
+    let calm = crashed_at + Duration::from_millis(3_000 + 3_000 + 3_000);
+    let runs = cluster.runs();
+    let alone = runs.iter().filter(|run| run.ended.is_some_and(|(at, how)| how == "alone" && at > calm));
+    let violations = alone.map(|run| {
+        format!(
+            "run {} of {} on {} ends alone at {:.3} s, {:.1} s after the crash; completed: {is_completed}",
+            run.number,
+            run.task,
+            run.runner,
+            run.ended.unwrap_or_default().0.as_secs_f64(),
+            (run.ended.unwrap_or_default().0 - crashed_at).as_secs_f64(),
+        )
+    });
+    Ok(Verdict {
+        violations: violations.collect(),
+    })
+}
--- a/review/stand_ins/cluster.rs
+++ b/review/stand_ins/cluster.rs
@@ -2,14 +2,14 @@
 
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::http::{self, Reply};
 use crate::json::{Json, map, number, text};
 use crate::nodes::{self, Node, PlatformAddresses};
 use crate::record::Record;
-use crate::runner::{CAPACITY_CPU, CAPACITY_MEMORY, Run, Runner};
+use crate::runner::{CAPACITY_CPU, CAPACITY_MEMORY, Run, Runner, Shared};
 use crate::store::Store;
 
 pub const SERVICE: &str = "pool-a";
@@ -25,7 +25,7 @@
     pub store: Store,
     pub nodes: Vec<Node>,
     pub runners: Vec<Runner>,
-    runs: Arc<Mutex<Vec<Run>>>,
+    shared: Shared,
     record: Record,
     directory: PathBuf,
 }
@@ -99,13 +99,13 @@
     pub fn start(node_count: usize, runner_count: usize, record: &Record) -> Result<Self, String> {
         let directory = std::env::temp_dir().join(format!("figloft-review-{}", std::process::id()));
         std::fs::create_dir_all(&directory).map_err(|error| error.to_string())?;
-        let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
+        let shared = Shared::default();
         let store = Store::new(record.clone());
         store.write("op/config", &config());
         let runners: Vec<Runner> = (0..runner_count)
             .map(|index| {
                 let name = format!("{:04x}", 0x7a10 + index);
-                Runner::start(&name, nodes::free_listener(), Arc::clone(&runs), record.clone())
+                Runner::start(&name, nodes::free_listener(), shared.clone(), record.clone())
             })
             .collect();
         for runner in &runners {
@@ -124,7 +124,7 @@
             store,
             nodes: Vec::new(),
             runners,
-            runs,
+            shared,
             record: record.clone(),
             directory,
         };
@@ -169,7 +169,7 @@
     }
 
     pub fn runs(&self) -> Vec<Run> {
-        self.runs.lock().expect("runs").clone()
+        self.shared.runs.lock().expect("runs").clone()
     }
 
     /// Calls a node as a client. Returns the status, 0 if there is no answer, and the body.
@@ -217,6 +217,20 @@
     encode_job(count, cpu, memory, &spec, ("estimate-ms", number(estimate_ms)))
 }
 
+/// A gang whose tasks save checkpoints.
+pub fn gang_job(count: u64, cpu: u64, memory: u64, work_ms: u64) -> Json {
+    let spec = format!("cpu={cpu} mem-mb={memory} work-ms={work_ms} gang={count}");
+    let step = map(&[
+        ("count", number(count)),
+        ("cpu", number(cpu)),
+        ("mem-mb", number(memory)),
+        ("estimate-ms", number(work_ms)),
+        ("gang", Json::Bool(true)),
+        ("checkpointing", Json::Bool(true)),
+    ]);
+    map(&[("spec", text(spec)), ("steps", Json::List(vec![step]))])
+}
+
 fn encode_job(count: u64, cpu: u64, memory: u64, spec: &str, time: (&str, Json)) -> Json {
     let step = map(&[
         ("count", number(count)),
--- a/review/stand_ins/http.rs
+++ b/review/stand_ins/http.rs
@@ -20,6 +20,8 @@
     Answer(u16, Json),
     /// Nothing is sent on this connection any more.
     Silence,
+    /// The connection is closed.
+    Close,
 }
 
 pub type Handler = Arc<dyn Fn(&Request) -> Reply + Send + Sync>;
@@ -52,6 +54,7 @@
                     return;
                 }
             }
+            Reply::Close => return,
             Reply::Silence => {
                 let mut rest = [0; 1024];
                 while matches!(reader.read(&mut rest), Ok(count) if count > 0) {}
--- a/review/stand_ins/runner.rs
+++ b/review/stand_ins/runner.rs
@@ -1,5 +1,6 @@
 //! Stand-in of a runner. The `spec` of a job tells how long its tasks work and what they need, for example
-//! `work-ms=4000 cpu=40 mem-mb=10`; a task without `work-ms` lasts until it is stopped.
+//! `work-ms=4000 cpu=40 mem-mb=10`; a task without `work-ms` lasts until it is stopped. With `gang=4` the task is one of
+//! four that work together and save a checkpoint with each second of work.
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
@@ -23,6 +24,12 @@
 /// Time after which a lasting task is at work.
 const STARTUP_MS: u128 = 300;
 
+/// Time for which a member of a gang waits for the others, `gang-ms`.
+const GANG_WAIT: Duration = Duration::from_millis(3_000);
+
+/// Work between two checkpoints, `checkpoint-s`.
+const CHECKPOINT_MS: u64 = 1_000;
+
 /// Resources of a runner.
 pub const CAPACITY_CPU: u64 = 32_000;
 pub const CAPACITY_MEMORY: u64 = 131_072;
@@ -35,6 +42,8 @@
     pub number: u64,
     pub started: Duration,
     pub ended: Option<(Duration, &'static str)>,
+    /// Checkpoint at the end.
+    checkpoint: String,
     /// Time at which `ack-seq` reached the end, unless the lease lapsed before.
     pub noted: Option<Duration>,
     is_lapsed_since: bool,
@@ -46,6 +55,26 @@
     memory: u64,
     work: Option<Duration>,
     since: Instant,
+    /// Checkpoint in the start command, and the work that it saves.
+    checkpoint: String,
+    saved_work: Duration,
+    gang_size: Option<u64>,
+}
+
+/// One run of a gang: its members with the checkpoint that each carries.
+#[derive(Default)]
+struct Gang {
+    members: BTreeMap<String, String>,
+    started: Option<Instant>,
+    is_broken: bool,
+}
+
+/// What the runners of a case share.
+#[derive(Clone, Default)]
+pub struct Shared {
+    pub runs: Arc<Mutex<Vec<Run>>>,
+    /// Gangs by step and run number.
+    gangs: Arc<Mutex<BTreeMap<(String, u64), Gang>>>,
 }
 
 struct State {
@@ -60,6 +89,7 @@
     next_sequence: u64,
     /// Highest number of a run that was stopped or ended, by task.
     closed: BTreeMap<String, u64>,
+    is_down: bool,
 }
 
 #[derive(Clone)]
@@ -68,7 +98,7 @@
     pub machine: String,
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
-    runs: Arc<Mutex<Vec<Run>>>,
+    shared: Shared,
     record: Record,
 }
 
@@ -89,8 +119,8 @@
 }
 
 impl Runner {
-    /// Starts a runner. All runners of a case share `runs`.
-    pub fn start(name: &str, listener: TcpListener, runs: Arc<Mutex<Vec<Run>>>, record: Record) -> Self {
+    /// Starts a runner.
+    pub fn start(name: &str, listener: TcpListener, shared: Shared, record: Record) -> Self {
         let state = State {
             start: Instant::now(),
             born: unix_ms(),
@@ -100,13 +130,14 @@
             ended: Vec::new(),
             next_sequence: 1,
             closed: BTreeMap::new(),
+            is_down: false,
         };
         let runner = Self {
             id: format!("i-{name}"),
             machine: format!("m-{name}"),
             address: listener.local_addr().expect("address"),
             state: Arc::new(Mutex::new(state)),
-            runs,
+            shared,
             record,
         };
         let served = runner.clone();
@@ -131,8 +162,15 @@
         let (service, zone) = (service.to_owned(), zone.to_owned());
         std::thread::spawn(move || {
             for sequence in 1.. {
-                store.write(&format!("servers/{}", runner.id), &runner.entry(&service, &zone, sequence));
-                std::thread::sleep(HEARTBEAT);
+                if !runner.is_down() {
+                    store.write(&format!("servers/{}", runner.id), &runner.entry(&service, &zone, sequence));
+                }
+                let was_down = runner.is_down();
+                let end = Instant::now() + HEARTBEAT;
+                // A runner that starts again registers at once.
+                while Instant::now() < end && (runner.is_down() || !was_down) {
+                    std::thread::sleep(Duration::from_millis(20));
+                }
             }
         });
     }
@@ -159,24 +197,123 @@
         ])
     }
 
+    fn is_down(&self) -> bool {
+        self.state.lock().expect("state").is_down
+    }
+
+    /// Crashes the runner. It starts again under its id after `down` and knows nothing of before.
+    pub fn crash(&self, down: Duration) {
+        let runner = self.clone();
+        runner.record.line(format!("{}: crashes", runner.id));
+        {
+            let mut state = runner.state.lock().expect("state");
+            state.is_down = true;
+            let active = std::mem::take(&mut state.active);
+            let mut runs = runner.shared.runs.lock().expect("runs");
+            for ((task, number), active) in active {
+                runs[active.run].ended = Some((runner.record.now(), "gone"));
+                runner.break_gang(&task, number);
+            }
+        }
+        std::thread::spawn(move || {
+            std::thread::sleep(down);
+            let mut state = runner.state.lock().expect("state");
+            *state = State {
+                start: Instant::now(),
+                born: unix_ms(),
+                token: 0,
+                deadline_ms: 0,
+                active: BTreeMap::new(),
+                ended: Vec::new(),
+                next_sequence: 1,
+                closed: BTreeMap::new(),
+                is_down: false,
+            };
+            runner.record.line(format!("{}: starts again", runner.id));
+        });
+    }
+
+    fn break_gang(&self, task: &str, number: u64) {
+        let mut gangs = self.shared.gangs.lock().expect("gangs");
+        if let Some(gang) = gangs.get_mut(&(step_of(task), number)) {
+            gang.is_broken = true;
+        }
+    }
+
+    /// How a member of a gang ends now; `None` if it goes on.
+    fn gang_end(&self, key: &(String, u64), active: &Active, size: u64) -> Option<&'static str> {
+        let mut gangs = self.shared.gangs.lock().expect("gangs");
+        let gang = gangs.get_mut(&(step_of(&key.0), key.1))?;
+        if gang.is_broken {
+            return Some("broken");
+        }
+        if gang.started.is_none() {
+            let is_complete = gang.members.len() as u64 == size;
+            // All members have to carry the same checkpoint.
+            if is_complete && gang.members.values().all(|checkpoint| *checkpoint == active.checkpoint) {
+                gang.started = Some(Instant::now());
+            } else if active.since.elapsed() >= GANG_WAIT {
+                return Some("alone");
+            }
+            return None;
+        }
+        let is_done = active.work.is_some_and(|work| self.work_of(gang, active) >= work);
+        is_done.then_some("done")
+    }
+
+    fn work_of(&self, gang: &Gang, active: &Active) -> Duration {
+        active.saved_work + gang.started.map_or(Duration::ZERO, |started| started.elapsed())
+    }
+
+    /// Work and newest checkpoint of an active run.
+    fn progress(&self, key: &(String, u64), active: &Active) -> (Duration, String) {
+        if active.gang_size.is_none() {
+            return (active.since.elapsed(), String::new());
+        }
+        let gangs = self.shared.gangs.lock().expect("gangs");
+        let Some(gang) = gangs.get(&(step_of(&key.0), key.1)) else {
+            return (Duration::ZERO, active.checkpoint.clone());
+        };
+        let work = self.work_of(gang, active);
+        let saved = work.as_millis() as u64 / CHECKPOINT_MS * CHECKPOINT_MS;
+        if saved <= active.saved_work.as_millis() as u64 {
+            return (work, active.checkpoint.clone());
+        }
+        let index: u64 = key.0.rsplit('.').next().and_then(|index| index.parse().ok()).unwrap_or(0);
+        (work, format!("{saved:08x}{index:08x}"))
+    }
+
     fn end(&self, state: &mut State, key: &(String, u64), how: &'static str) {
         let Some(active) = state.active.remove(key) else {
             return;
         };
+        let (_, checkpoint) = self.progress(key, &active);
+        if how != "done" {
+            self.break_gang(&key.0, key.1);
+        }
         let sequence = state.next_sequence;
         state.next_sequence += 1;
         state.ended.push((sequence, active.run));
         let closed = state.closed.entry(key.0.clone()).or_default();
         *closed = (*closed).max(key.1);
-        self.runs.lock().expect("runs")[active.run].ended = Some((self.record.now(), how));
-        self.record.line(format!("{}: run {} of {} ends {how}, number {sequence}", self.id, key.1, key.0));
+        {
+            let run = &mut self.shared.runs.lock().expect("runs")[active.run];
+            run.ended = Some((self.record.now(), how));
+            run.checkpoint.clone_from(&checkpoint);
+        }
+        let saved = if checkpoint.is_empty() {
+            String::new()
+        } else {
+            format!(", checkpoint {checkpoint}")
+        };
+        self.record.line(format!("{}: run {} of {} ends {how}, number {sequence}{saved}", self.id, key.1, key.0));
     }
 
     /// Ends the runs whose lease has expired and those that are done.
     fn advance(&self, state: &mut State) {
         let keys: Vec<(String, u64)> = state.active.keys().cloned().collect();
         if state.clock_ms() > state.deadline_ms && !(keys.is_empty() && state.ended.is_empty()) {
-            let mut runs = self.runs.lock().expect("runs");
+            let mut runs = self.shared.runs.lock().expect("runs");
             for (_, run) in &state.ended {
                 runs[*run].is_lapsed_since = true;
             }
@@ -186,12 +323,18 @@
             }
         }
         for key in keys {
-            let is_done = state
-                .active
-                .get(&key)
-                .is_some_and(|active| active.work.is_some_and(|work| active.since.elapsed() >= work));
-            if is_done {
-                self.end(state, &key, "done");
+            let Some(active) = state.active.get(&key) else {
+                continue;
+            };
+            let how = match active.gang_size {
+                Some(size) => self.gang_end(&key, active, size),
+                None => {
+                    let is_done = active.work.is_some_and(|work| active.since.elapsed() >= work);
+                    is_done.then_some("done")
+                }
+            };
+            if let Some(how) = how {
+                self.end(state, &key, how);
             }
         }
     }
@@ -205,6 +348,9 @@
             return Reply::Answer(421, map(&[]));
         }
         let mut state = self.state.lock().expect("state");
+        if state.is_down {
+            return Reply::Close;
+        }
         self.advance(&mut state);
         let body = &request.body;
         let clock_ms = state.clock_ms();
@@ -265,13 +411,14 @@
         if used_cpu + cpu > CAPACITY_CPU || used_memory + memory > CAPACITY_MEMORY {
             return refuse("room");
         }
-        let mut runs = self.runs.lock().expect("runs");
+        let mut runs = self.shared.runs.lock().expect("runs");
         runs.push(Run {
             runner: self.id.clone(),
             task: key.0.clone(),
             number: key.1,
             started: self.record.now(),
             ended: None,
+            checkpoint: String::new(),
             noted: None,
             is_lapsed_since: false,
         });
@@ -281,9 +428,23 @@
             memory,
             work: spec_value(spec, "work-ms").map(Duration::from_millis),
             since: Instant::now(),
+            saved_work: saved_work(body.get("checkpoint").text()),
+            checkpoint: body.get("checkpoint").text().to_owned(),
+            gang_size: spec_value(spec, "gang"),
         };
         drop(runs);
-        self.record.line(format!("{}: starts run {} of {}, token {}", self.id, key.1, key.0, state.token));
+        if active.gang_size.is_some() {
+            let mut gangs = self.shared.gangs.lock().expect("gangs");
+            let gang = gangs.entry((step_of(&key.0), key.1)).or_default();
+            gang.members.insert(key.0.clone(), active.checkpoint.clone());
+        }
+        let carried = if active.checkpoint.is_empty() {
+            String::new()
+        } else {
+            format!(", checkpoint {}", active.checkpoint)
+        };
+        let token = state.token;
+        self.record.line(format!("{}: starts run {} of {}, token {token}{carried}", self.id, key.1, key.0));
         state.active.insert(key, active);
         Reply::Answer(200, answer)
     }
@@ -297,7 +458,7 @@
             return;
         }
         self.record.line(format!("{}: ends up to number {sequence} are taken note of", self.id));
-        let mut runs = self.runs.lock().expect("runs");
+        let mut runs = self.shared.runs.lock().expect("runs");
         for (_, run) in noted {
             if !runs[run].is_lapsed_since {
                 runs[run].noted = Some(self.record.now());
@@ -310,6 +471,9 @@
         loop {
             {
                 let state = self.state.lock().expect("state");
+                if state.is_down {
+                    return Reply::Close;
+                }
                 if !state.ended.is_empty() || Instant::now() >= end {
                     return Reply::Answer(200, self.lists(&state));
                 }
@@ -319,8 +483,10 @@
     }
 
     fn lists(&self, state: &State) -> Json {
-        let running = state.active.iter().map(|((task, run), active)| {
-            let elapsed = active.since.elapsed().as_millis();
+        let running = state.active.iter().map(|(key, active)| {
+            let (task, run) = key;
+            let (work, checkpoint) = self.progress(key, active);
+            let elapsed = work.as_millis();
             let percent = match active.work {
                 Some(work) => (elapsed * 100 / work.as_millis().max(1)).min(99),
                 None => (elapsed * 100 / STARTUP_MS).min(100),
@@ -328,13 +494,13 @@
             Json::List(vec![
                 text(task.as_str()),
                 number(*run),
-                text(""),
+                text(checkpoint),
                 number(percent as u64),
                 number(active.cpu),
             ])
         });
         let running = Json::List(running.collect());
-        let runs = self.runs.lock().expect("runs");
+        let runs = self.shared.runs.lock().expect("runs");
         let ended = state.ended.iter().take(MAX_LISTED_ENDS).map(|(sequence, run)| {
             let run = &runs[*run];
             let how = run.ended.map_or("", |(_, how)| how);
@@ -343,7 +509,7 @@
                 text(run.task.as_str()),
                 number(run.number),
                 text(how),
-                text(""),
+                text(run.checkpoint.as_str()),
             ])
         });
         map(&[
@@ -361,3 +527,14 @@
         state.deadline_ms = state.deadline_ms.max(deadline.min(longest));
     }
 }
+
+/// The step of a task, with its job and occurrence.
+fn step_of(task: &str) -> String {
+    task.rsplit_once('.').map_or(task, |(step, _)| step).to_owned()
+}
+
+/// The work that a checkpoint saves.
+fn saved_work(checkpoint: &str) -> Duration {
+    let millis = checkpoint.get(..8).and_then(|digits| u64::from_str_radix(digits, 16).ok());
+    Duration::from_millis(millis.unwrap_or(0))
+}
