Review case 5: a late write of the waiting count overwrites later ones

Promise: waiting gives at least half of the jobs that wait. Disruption: platform_lost, one write of 22 is lost and executed 6 s later.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Plays the case. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/stand_ins ] && [ -x target/release/figloftd ] || exit 2
+exec target/review/stand_ins late-count review/5/record.txt
