Store the waiting counts with the leader's fenced writes

The count was the only record of a leader that was written without a condition, beside its other writes, and it was compared only with the count sent last. A write without an answer that the store executed late put the older count back.

The counts are now part of the transaction that holds the changes of jobs: it expects the term record at the revision of the leader's previous write. A late one conflicts, in this term and in later ones. This also saves a call whenever jobs change. Records that are bound to the node's lease are left out when the lease has ended, and written again under the next one; before, only the key of the role was left out.

--- a/src/node/fenced_writer.rs
+++ b/src/node/fenced_writer.rs
@@ -43,6 +43,8 @@
 pub enum FencedOutcome {
     /// The write took effect.
     Written,
+    /// The write took effect without the records that are bound to the node's lease, which has ended.
+    WrittenUnbound,
     /// Another session leads the role, or this one has claimed it with a higher term; nothing was written.
     Deposed,
 }
@@ -92,15 +94,16 @@
     log: Logger,
 }
 
-/// Removes the ended lease from a transaction. The role's own key, which would have been removed with the
-/// lease, is not written; other records are kept without a lease.
-fn detach_lease(write: &mut StoreTransaction, leader_key: &str) {
-    write
-        .puts
-        .retain(|put| put.lease.is_none() || &*put.key != leader_key);
+/// Removes the leases from a transaction after one of them has ended. What is bound to the node's lease, which
+/// would have been removed with it, is not written; other records are kept without a lease. Returns whether a
+/// record was left out.
+fn detach_leases(write: &mut StoreTransaction, node_lease: LeaseId) -> bool {
+    let count = write.puts.len();
+    write.puts.retain(|put| put.lease != Some(node_lease));
     for put in &mut write.puts {
         put.lease = None;
     }
+    write.puts.len() < count
 }
 
 impl FencedWriter {
@@ -130,12 +133,13 @@
         write.put(Arc::clone(&key), store_keys::encode(&record)?, None);
         let mut delay = node_context::store_retry_delay();
         let mut is_failing = false;
+        let mut done = FencedOutcome::Written;
         loop {
             write.expected_revisions = vec![(Arc::clone(&key), self.claim.revision)];
             match self.store.commit(&write, STORE_TIMEOUT).await {
                 Ok(CommitOutcome::Done(revision)) => {
                     self.claim.revision = revision;
-                    return Ok(FencedOutcome::Written);
+                    return Ok(done);
                 }
                 Ok(CommitOutcome::Conflict(items)) => {
                     let Some((stored, revision)) = self.own_record(&key, &items) else {
@@ -143,11 +147,15 @@
                     };
                     self.claim.revision = revision;
                     if stored.nonce == nonce {
-                        return Ok(FencedOutcome::Written);
+                        return Ok(done);
                     }
                 }
                 Ok(CommitOutcome::LeaseEnded) => {
-                    detach_lease(&mut write, &store_keys::leader_key(&self.claim.role));
+                    if detach_leases(&mut write, self.claim.lease) {
+                        warn!(self.log, "written without the records of an ended lease";
+                            "duty" => &*self.claim.role, "lease" => %self.claim.lease);
+                        done = FencedOutcome::WrittenUnbound;
+                    }
                 }
                 Err(error) if error.kind() == ErrorKind::BadMessage => return Err(error),
                 Err(error) => {
@@ -179,8 +187,7 @@
         let mut write = StoreTransaction::default();
         let key = store_keys::leader_key(&self.claim.role);
         write.put(key, self.session.as_str().as_bytes().to_vec(), Some(lease));
-        let outcome = self.write(write).await?;
         self.claim.lease = lease;
-        Ok(outcome)
+        self.write(write).await
     }
 }
--- a/src/node/fleet_leader.rs
+++ b/src/node/fleet_leader.rs
@@ -223,7 +223,7 @@
                 self.end_if_fenced(outcome);
             }
             FleetEvent::Writer(event) => match self.writer.handle_event(event)? {
-                WriterOutcome::Stored | WriterOutcome::Resumed => {}
+                WriterOutcome::Stored | WriterOutcome::StoredUnbound | WriterOutcome::Resumed => {}
                 WriterOutcome::Deposed => self.end_reason = Some(writer_handle::DEPOSED),
             },
         }
--- a/src/node/flush_write.rs
+++ b/src/node/flush_write.rs
@@ -1,13 +1,24 @@
 //! The transaction that stores a pool's progress.
 
+use std::collections::BTreeMap;
+
 use crate::dispatch::pool_plan::PoolReport;
 use crate::dispatch::pool_scheduler::{FlushBatch, JobKey};
 use crate::error::Result;
-use crate::model::id::{LeaseId, PoolId};
+use crate::model::id::{LeaseId, PoolId, QueueId};
 use crate::node::store_keys;
 use crate::platform::store::StoreTransaction;
 
-/// Encodes the changes of jobs and the pool's report. Summaries of ended jobs are attached to
+/// Records of the leader that are due; absent ones stay as they are stored.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LeaderRecords<'a> {
+    /// Report of the pool.
+    pub report: Option<&'a PoolReport>,
+    /// Waiting jobs by queue, with the node's lease that removes them when the leader is lost.
+    pub counts: Option<&'a (LeaseId, BTreeMap<QueueId, u32>)>,
+}
+
+/// Encodes the changes of jobs and the due records of the leader. Summaries of ended jobs are attached to
 /// `retention_lease`, if there is one.
 ///
 /// # Errors
@@ -15,7 +26,7 @@
 pub fn encode(
     pool: &PoolId,
     batch: &FlushBatch,
-    report: Option<&PoolReport>,
+    records: &LeaderRecords<'_>,
     retention_lease: Option<LeaseId>,
 ) -> Result<StoreTransaction> {
     let mut write = StoreTransaction::default();
@@ -43,8 +54,12 @@
     for job in &batch.stale_cancels {
         write.deletes.push(store_keys::cancel_key(pool, job));
     }
-    if let Some(report) = report {
+    if let Some(report) = records.report {
         write.put(store_keys::report_key(pool), store_keys::encode(report)?, None);
     }
+    if let Some((lease, counts)) = records.counts {
+        let key = store_keys::waiting_counts_key(pool);
+        write.put(key, store_keys::encode(counts)?, Some(*lease));
+    }
     Ok(write)
 }
--- a/src/node/pool_leader.rs
+++ b/src/node/pool_leader.rs
@@ -18,7 +18,7 @@
 use crate::model::id::{JobId, LeaseId, PoolId, QueueId, WorkerId};
 use crate::node::command_executor::{CommandExecutor, CommandOutcome};
 use crate::node::fenced_writer::{RoleClaim, WriterEvent};
-use crate::node::flush_write;
+use crate::node::flush_write::{self, LeaderRecords};
 use crate::node::node_context::{self, NodeContext, STORE_TIMEOUT};
 use crate::node::pool_records::{self, PoolRecords};
 use crate::node::prefix_watcher::{self, PrefixUpdate};
@@ -26,11 +26,11 @@
 use crate::node::store_keys;
 use crate::node::writer_handle::{self, WriterHandle, WriterOutcome};
 use crate::platform::discovery;
-use crate::platform::store::{CommitOutcome, StoreEvent, StoreItem, StoreTransaction, WORKER_PREFIX};
+use crate::platform::store::{StoreEvent, StoreItem, WORKER_PREFIX};
 
-/// Entries of a write for changes of jobs: the store accepts 32, of which the expected revision, the term record
-/// and the report take one each.
-const MAX_FLUSH_ENTRIES: usize = 29;
+/// Entries of a write for changes of jobs: the store accepts 32, of which the expected revision, the term record,
+/// the report and the waiting counts take one each.
+const MAX_FLUSH_ENTRIES: usize = 28;
 
 /// Minimum time between two writes; results that arrive close together are stored together. A write that leaves
 /// changes behind is followed by the next one at once.
@@ -69,7 +69,6 @@
     Plan(PrefixUpdate),
     Command(CommandOutcome),
     Writer(WriterEvent),
-    CountsPublished(bool),
     LeaseGrant(Instant, Option<(LeaseId, Duration)>),
 }
 
@@ -87,8 +86,8 @@
     last_report: Option<PoolReport>,
     last_report_at: Instant,
     next_report_check: Instant,
-    published_counts: Option<(LeaseId, BTreeMap<QueueId, u32>)>,
-    is_publishing_counts: bool,
+    /// Waiting counts of the last write that held some, with the lease to which they are bound.
+    last_counts: Option<(LeaseId, BTreeMap<QueueId, u32>)>,
     next_counts_at: Instant,
     retention: RetentionLease,
     /// Progress of jobs under earlier leaders; `None` once the first read of the inbox has used it.
@@ -171,8 +170,7 @@
             last_report: None,
             last_report_at: now,
             next_report_check: now,
-            published_counts: None,
-            is_publishing_counts: false,
+            last_counts: None,
             next_counts_at: now,
             former_progress: Some(records.progress),
             next_decision: now,
@@ -265,8 +263,11 @@
             PoolEvent::Plan(update) => self.handle_plan(update),
             PoolEvent::Command(outcome) => self.handle_outcome(now, outcome),
             PoolEvent::Writer(event) => match self.writer.handle_event(event)? {
-                WriterOutcome::Stored => {
+                outcome @ (WriterOutcome::Stored | WriterOutcome::StoredUnbound) => {
                     self.scheduler.confirm_flush();
+                    if outcome == WriterOutcome::StoredUnbound {
+                        self.last_counts = None;
+                    }
                     if self.has_flush_backlog {
                         self.flush(now)?;
                     }
@@ -277,12 +278,6 @@
             PoolEvent::LeaseGrant(requested_at, granted) => {
                 self.retention.finish_request(requested_at, granted);
             }
-            PoolEvent::CountsPublished(is_stored) => {
-                self.is_publishing_counts = false;
-                if !is_stored {
-                    self.published_counts = None;
-                }
-            }
         }
         if self.scheduler.is_fenced() {
             self.end_reason = Some("a worker has seen a newer leader");
@@ -439,7 +434,6 @@
         }
         self.request_retention_lease(now);
         self.flush(now)?;
-        self.publish_waiting_counts(now, valid_lease);
         self.context
             .metrics
             .set_job_count(self.pool.as_str(), self.scheduler.job_count());
@@ -476,18 +470,27 @@
             return Ok(());
         }
         let report = self.due_report(now);
-        if !self.scheduler.has_changes() && report.is_none() {
+        let counts = self.due_counts(now);
+        if !self.scheduler.has_changes() && report.is_none() && counts.is_none() {
             return Ok(());
         }
         let batch = self
             .scheduler
             .take_flush(self.context.wall_time(), MAX_FLUSH_ENTRIES);
         let retention_lease = self.retention.current_lease(now);
-        let write = flush_write::encode(&self.pool, &batch, report.as_ref(), retention_lease)?;
+        let records = LeaderRecords {
+            report: report.as_ref(),
+            counts: counts.as_ref(),
+        };
+        let write = flush_write::encode(&self.pool, &batch, &records, retention_lease)?;
         if report.is_some() {
             self.last_report = report;
             self.last_report_at = now;
         }
+        if counts.is_some() {
+            self.last_counts = counts;
+            self.next_counts_at = now + WAITING_COUNTS_INTERVAL;
+        }
         self.has_flush_backlog = self.scheduler.has_changes();
         self.next_flush = if self.has_flush_backlog {
             now
@@ -511,42 +514,19 @@
         is_due.then_some(report)
     }
 
-    /// Publishes the waiting counts under the node's lease, so that the store removes them when the leader is
-    /// lost.
-    fn publish_waiting_counts(&mut self, now: Instant, lease: Option<LeaseId>) {
-        let Some(lease) = lease.filter(|_| !self.is_publishing_counts && now >= self.next_counts_at) else {
-            return;
-        };
-        let waiting = self.scheduler.waiting_counts();
-        let is_same = self
-            .published_counts
-            .as_ref()
-            .is_some_and(|(old_lease, old)| *old_lease == lease && *old == waiting);
-        if is_same {
-            return;
+    /// Waiting counts to store, with the node's lease: the store removes them when the leader is lost. They are part
+    /// of the leader's writes, so that none that is executed late, or by a former leader, replaces newer ones.
+    fn due_counts(&self, now: Instant) -> Option<(LeaseId, BTreeMap<QueueId, u32>)> {
+        if now < self.next_counts_at {
+            return None;
         }
-        let value = match store_keys::encode(&waiting) {
-            Ok(value) => value,
-            Err(error) => {
-                warn!(self.log, "waiting counts not encoded"; "error" => %error);
-                return;
-            }
-        };
-        self.published_counts = Some((lease, waiting));
-        self.is_publishing_counts = true;
-        self.next_counts_at = now + WAITING_COUNTS_INTERVAL;
-        let mut write = StoreTransaction::default();
-        write.put(store_keys::waiting_counts_key(&self.pool), value, Some(lease));
-        let (store, sender, log) = (self.context.store.clone(), self.sender.clone(), self.log.clone());
-        tokio::spawn(async move {
-            let outcome = store.commit(&write, STORE_TIMEOUT).await;
-            let is_stored = matches!(outcome, Ok(CommitOutcome::Done(_)));
-            if !is_stored {
-                debug!(log, "waiting counts not stored"; "outcome" => ?outcome);
-            }
-            // The receiver is dropped only when the leadership has ended.
-            let _ = sender.send(PoolEvent::CountsPublished(is_stored));
-        });
+        let status = *self.context.lease.borrow();
+        let lease = status.valid_lease(&self.context.clock)?;
+        if lease != self.writer.lease() {
+            return None;
+        }
+        let counts = (lease, self.scheduler.waiting_counts());
+        (self.last_counts.as_ref() != Some(&counts)).then_some(counts)
     }
 
     fn execute(&self, command: PoolCommand) {
--- a/src/node/writer_handle.rs
+++ b/src/node/writer_handle.rs
@@ -19,7 +19,10 @@
 pub enum WriterOutcome {
     /// The transaction took effect.
     Stored,
-    /// The role is held under a new lease.
+    /// The transaction took effect without the records that are bound to the node's lease, which has ended.
+    StoredUnbound,
+    /// An attempt to hold the role under a new lease has ended; [`WriterHandle::is_leader_under`] tells whether it
+    /// succeeded.
     Resumed,
     /// Another session leads the role.
     Deposed,
@@ -65,6 +68,11 @@
         self.is_writing
     }
 
+    /// Lease under which the role is held. Records that are bound to it are left out of a write if it has ended.
+    pub fn lease(&self) -> LeaseId {
+        self.lease
+    }
+
     /// Whether the role is certainly held, given the node's lease if that is certainly valid. If the node has
     /// a new lease, this starts to move the role to it and returns false meanwhile.
     ///
@@ -103,6 +111,7 @@
         match event {
             WriterEvent::Written(outcome) => match outcome? {
                 FencedOutcome::Written => Ok(WriterOutcome::Stored),
+                FencedOutcome::WrittenUnbound => Ok(WriterOutcome::StoredUnbound),
                 FencedOutcome::Deposed => Ok(WriterOutcome::Deposed),
             },
             WriterEvent::Resumed(lease, outcome) => match outcome? {
@@ -111,6 +120,10 @@
                     info!(self.log, "duty resumed"; "lease" => %lease);
                     Ok(WriterOutcome::Resumed)
                 }
+                FencedOutcome::WrittenUnbound => {
+                    info!(self.log, "duty not resumed: the lease has ended"; "lease" => %lease);
+                    Ok(WriterOutcome::Resumed)
+                }
                 FencedOutcome::Deposed => Ok(WriterOutcome::Deposed),
             },
         }
--- a/tests/platform_soak/fake_store.rs
+++ b/tests/platform_soak/fake_store.rs
@@ -6,12 +6,17 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use http::Request;
 use hyper::body::Incoming;
 use serde_json::{Value, json};
 
 use crate::fake_server::{self, FakeResponse, json_response};
 
+/// Delay of the commits that are chosen at random.
+const RANDOM_COMMIT_DELAY: Duration = Duration::from_millis(1_500);
+
 #[derive(Debug, Clone)]
 struct StoredItem {
     value: String,
@@ -27,6 +32,14 @@
     events: Vec<(u64, String, Value)>,
 }
 
+/// A commit that gets no response and is executed later, if its conditions still hold then.
+#[derive(Debug)]
+struct DelayedCommit {
+    /// Prefix of the key that one of its puts writes.
+    prefix: &'static str,
+    delay: Duration,
+}
+
 /// A fake store; clones share its state.
 #[derive(Debug, Clone)]
 pub struct FakeStore {
@@ -36,6 +49,8 @@
     pub lost_commit_percent: Arc<AtomicU32>,
     /// Counter that decides which commits get no response.
     commit_draw: Arc<AtomicU32>,
+    /// The next commit to delay.
+    delayed_commit: Arc<Mutex<Option<DelayedCommit>>>,
 }
 
 impl StoreState {
@@ -133,6 +148,7 @@
             state: Arc::default(),
             lost_commit_percent: Arc::default(),
             commit_draw: Arc::default(),
+            delayed_commit: Arc::default(),
         };
         let shared = store.clone();
         let handler = move |request| {
@@ -145,13 +161,41 @@
 
     /// Writes a key without a lease, as operators and workers do.
     pub fn write(&self, key: &str, value: &Value) {
-        use base64::Engine;
-        let text = base64::engine::general_purpose::STANDARD.encode(value.to_string());
+        let text = STANDARD.encode(value.to_string());
         let mut state = self.state.lock().expect("state");
         state.revision += 1;
         state.put(key, &text, 0);
     }
 
+    /// Leaves the next commit that writes a key with `prefix` without a response, and executes it after `delay`.
+    pub fn delay_commit(&self, prefix: &'static str, delay: Duration) {
+        *self.delayed_commit.lock().expect("rule") = Some(DelayedCommit { prefix, delay });
+    }
+
+    /// Whether a commit that is to be delayed has not arrived yet.
+    pub fn awaits_delayed_commit(&self) -> bool {
+        self.delayed_commit.lock().expect("rule").is_some()
+    }
+
+    /// Values that a key has had, oldest first; a removal shows as null.
+    pub fn history(&self, key: &str) -> Vec<Value> {
+        let state = self.state.lock().expect("state");
+        let events = state.events.iter().filter(|(_, changed, _)| changed == key);
+        events.map(|(_, _, event)| decode_value(event)).collect()
+    }
+
+    /// Takes the delay of this commit, if it is the one to delay.
+    fn take_delay(&self, body: &Value) -> Option<Duration> {
+        let mut delayed = self.delayed_commit.lock().expect("rule");
+        let prefix = delayed.as_ref()?.prefix;
+        let puts = body["puts"].as_array()?;
+        let is_match = |put: &Value| put["key"].as_str().is_some_and(|key| key.starts_with(prefix));
+        if !puts.iter().any(is_match) {
+            return None;
+        }
+        delayed.take().map(|commit| commit.delay)
+    }
+
     async fn handle_request(&self, request: Request<Incoming>) -> FakeResponse {
         let path = request.uri().path().to_owned();
         let query: BTreeMap<String, String> = request
@@ -216,11 +260,11 @@
     async fn commit(&self, body: Value) -> FakeResponse {
         let draw = self.commit_draw.fetch_add(37, Ordering::Relaxed) % 100;
         let lost_percent = self.lost_commit_percent.load(Ordering::Relaxed);
-        if draw < lost_percent && draw.is_multiple_of(2) {
-            // The commit is executed late, if its conditions still hold then.
+        let random_delay = (draw < lost_percent && draw.is_multiple_of(2)).then_some(RANDOM_COMMIT_DELAY);
+        if let Some(delay) = self.take_delay(&body).or(random_delay) {
             let store = self.clone();
             tokio::spawn(async move {
-                tokio::time::sleep(Duration::from_millis(1_500)).await;
+                tokio::time::sleep(delay).await;
                 store.state.lock().expect("state").commit(&body);
             });
             return std::future::pending().await;
@@ -256,3 +300,12 @@
         }
     }
 }
+
+fn decode_value(event: &Value) -> Value {
+    let value = event["value"]
+        .as_str()
+        .and_then(|text| STANDARD.decode(text).ok());
+    value
+        .and_then(|value| serde_json::from_slice(&value).ok())
+        .unwrap_or(Value::Null)
+}
--- /dev/null
+++ b/tests/platform_soak/late_writes.rs
@@ -0,0 +1,169 @@
+//! Writes that the store executes seconds after they were sent.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use figloft::model::id::{LeaderTerm, SessionId, StoreRevision};
+use figloft::node::fenced_writer::{FencedOutcome, FencedWriter, RoleClaim};
+use figloft::platform::http::HttpClient as HttpApiClient;
+use figloft::platform::store::{StoreApiClient, StoreTransaction};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use prometheus::{IntCounterVec, Opts};
+use serde_json::{Value, json};
+use slog::{Logger, o};
+
+use crate::fake_store::FakeStore;
+use crate::fake_worker::{FakeWorker, LONG_RUNNING_PREFIX};
+use crate::node_process::NodeProcess;
+use crate::scenario::{self, HttpClient};
+
+/// Time for which a test waits for a state that it needs.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+
+/// Time after which the delayed write is executed; by then it has timed out and later ones have been stored.
+const WRITE_DELAY: Duration = Duration::from_millis(3_500);
+
+/// Jobs that wait while a long-running job takes the whole worker.
+const WAITING_JOBS: usize = 12;
+
+struct WaitingPool {
+    store: FakeStore,
+    node: NodeProcess,
+    worker: FakeWorker,
+    client: HttpClient,
+}
+
+/// Waits until `is_reached` holds.
+async fn wait_until(what: &str, is_reached: impl Fn() -> bool) {
+    let end = Instant::now() + MAX_WAIT;
+    while !is_reached() {
+        assert!(Instant::now() < end, "not reached: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+impl WaitingPool {
+    /// Starts a node whose only worker has no room left.
+    async fn start(directory: &std::path::Path) -> Self {
+        let (store, store_address) = FakeStore::start().await;
+        let (worker, worker_address) = FakeWorker::start().await;
+        store.write("op/config", &scenario::config());
+        store.write(
+            "servers/i-0",
+            &scenario::worker_entry(worker_address, worker.incarnation()),
+        );
+        let mut node = NodeProcess::new(directory, 0, store_address);
+        node.start();
+        let pool = Self {
+            store,
+            node,
+            worker,
+            client: Client::builder(TokioExecutor::new()).build_http(),
+        };
+        wait_until("the node leads the pool", || {
+            !pool.store.history("wait/pool-a").is_empty()
+        })
+        .await;
+        let step = json!({"count": 4, "cpu": 2000, "mem-mb": 64, "long-running": true});
+        pool.submit(&format!("{LONG_RUNNING_PREFIX}00000000"), &step)
+            .await;
+        wait_until("the worker is full", || pool.worker.records().len() == 4).await;
+        pool
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.node.caller_address
+    }
+
+    async fn submit(&self, job: &str, step: &Value) {
+        let body = json!({"spec": "text", "steps": [step]});
+        let (status, _) = scenario::send_request(&self.client, "POST", self.address(), job, &body).await;
+        assert_eq!(status, 200, "the job is accepted");
+    }
+
+    /// Submits a job that waits.
+    async fn submit_waiting(&self, number: usize) {
+        let step = json!({"count": 1, "cpu": 2000, "mem-mb": 64, "estimate-ms": 200});
+        self.submit(&format!("{number:016x}"), &step).await;
+    }
+
+    async fn waiting_count(&self) -> Value {
+        let (_, body) = scenario::send_request(&self.client, "GET", self.address(), "", &Value::Null).await;
+        body["waiting"].clone()
+    }
+}
+
+/// Guards against a count of waiting jobs that stays wrong: a write of it without an answer, executed late, replaced
+/// the newer count, and the leader compared the next count only with the one that it had sent last.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_write_of_the_waiting_count_has_no_effect() {
+    let directory = test_directory("late-count");
+    let pool = WaitingPool::start(&directory).await;
+    pool.store.delay_commit("wait/", WRITE_DELAY);
+    let sent_at = Instant::now();
+    pool.submit_waiting(0).await;
+    wait_until("the first count is written", || {
+        !pool.store.awaits_delayed_commit()
+    })
+    .await;
+    for number in 1..WAITING_JOBS {
+        pool.submit_waiting(number).await;
+    }
+    wait_until("the last count is stored", || {
+        let history = pool.store.history("wait/pool-a");
+        history.last() == Some(&json!({"r-1": WAITING_JOBS}))
+    })
+    .await;
+    assert!(
+        sent_at.elapsed() < WRITE_DELAY,
+        "the last count is stored before the late write"
+    );
+    tokio::time::sleep(WRITE_DELAY + Duration::from_secs(1)).await;
+    let history = pool.store.history("wait/pool-a");
+    assert_eq!(
+        pool.waiting_count().await,
+        json!(WAITING_JOBS),
+        "history: {history:?}"
+    );
+    drop(pool);
+    std::fs::remove_dir_all(&directory).expect("directory");
+}
+
+/// Guards against a count that outlives its leader: the node's lease has ended when the write that holds it succeeds,
+/// and the count was stored without a lease. Records that are kept for callers are stored all the same.
+#[tokio::test]
+async fn count_is_not_stored_without_the_lease_of_its_leader() {
+    let (fake, address) = FakeStore::start().await;
+    let calls = IntCounterVec::new(Opts::new("calls", "calls"), &["call", "outcome"]).expect("counter");
+    let store = StoreApiClient::new(HttpApiClient::new(), address, calls);
+    let timeout = Duration::from_secs(1);
+    let (lease, _) = store.grant_lease(MAX_WAIT, timeout).await.expect("lease");
+    let (retention, _) = store.grant_lease(MAX_WAIT, timeout).await.expect("lease");
+    let claim = RoleClaim {
+        role: "pool-pool-a".into(),
+        term: LeaderTerm::new(1),
+        revision: StoreRevision::default(),
+        lease,
+    };
+    let session = SessionId::new("node-0-1").expect("session");
+    let log = Logger::root(slog::Discard, o!());
+    let mut writer = FencedWriter::new(store.clone(), session, claim, log);
+    store
+        .revoke_lease(lease, timeout)
+        .await
+        .expect("end of the lease");
+    let mut write = StoreTransaction::default();
+    write.put("wait/pool-a", "{}", Some(lease));
+    write.put("job/1", "{}", Some(retention));
+    let outcome = writer.write(write).await.expect("write");
+    assert_eq!(outcome, FencedOutcome::WrittenUnbound);
+    assert_eq!(fake.history("wait/pool-a"), Vec::<Value>::new());
+    assert_eq!(fake.history("job/1").len(), 1);
+}
+
+fn test_directory(name: &str) -> std::path::PathBuf {
+    let directory = std::env::temp_dir().join(format!("figloft-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).expect("directory");
+    directory
+}
--- a/tests/platform_soak/main.rs
+++ b/tests/platform_soak/main.rs
@@ -9,6 +9,7 @@
 mod fake_server;
 mod fake_store;
 mod fake_worker;
+mod late_writes;
 mod link_proxy;
 mod node_process;
 mod scenario;
--- a/tests/platform_soak/scenario.rs
+++ b/tests/platform_soak/scenario.rs
@@ -38,7 +38,8 @@
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(25);
 
 type JobViews = Arc<Mutex<BTreeMap<String, JobView>>>;
-type HttpClient = Client<HttpConnector, Full<Bytes>>;
+/// HTTP client of the callers.
+pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 struct Cluster {
     store: FakeStore,
@@ -86,11 +87,7 @@
         worker_proxies.push(LinkProxy::start(address).await);
         workers.push(worker);
     }
-    let config = json!({"version": 1, "routes": [{"name": "r-1", "host": "jobs.example", "prefix": "/q/",
-        "service": "pool-a", "timeout-ms": 3000, "target-latency-ms": 600, "priority": 0, "max-attempts": 4,
-        "slack-factor": 2.0, "public": true}], "services": [{"name": "pool-a", "enforce-capacity": true}],
-        "limits": {}, "tenants": []});
-    store.write("op/config", &config);
+    store.write("op/config", &config());
     let mut store_proxies = Vec::new();
     let mut nodes = Vec::new();
     for number in 0..NODE_COUNT {
@@ -113,10 +110,24 @@
     cluster
 }
 
+/// Configuration with one public queue and one pool.
+pub fn config() -> Value {
+    json!({"version": 1, "routes": [{"name": "r-1", "host": "jobs.example", "prefix": "/q/",
+        "service": "pool-a", "timeout-ms": 3000, "target-latency-ms": 600, "priority": 0, "max-attempts": 4,
+        "slack-factor": 2.0, "public": true}], "services": [{"name": "pool-a", "enforce-capacity": true}],
+        "limits": {}, "tenants": []})
+}
+
+/// Entry of a worker of that pool.
+pub fn worker_entry(address: SocketAddr, incarnation: u64) -> Value {
+    json!({"service": "pool-a", "address": address.to_string(), "zone": "zone-a", "state": "ready",
+        "capacity": {"cpu": 8000, "mem-mb": 8192, "gpu": 0}, "labels": ["a", "r-1"], "born": incarnation,
+        "sequence": 1})
+}
+
 fn register_worker(cluster: &Cluster, number: usize) {
-    let entry = json!({"service": "pool-a", "address": cluster.worker_proxies[number].address.to_string(),
-        "zone": "zone-a", "state": "ready", "capacity": {"cpu": 8000, "mem-mb": 8192, "gpu": 0},
-        "labels": ["a", "r-1"], "born": cluster.workers[number].incarnation(), "sequence": 1});
+    let address = cluster.worker_proxies[number].address;
+    let entry = worker_entry(address, cluster.workers[number].incarnation());
     cluster.store.write(&format!("servers/i-{number}"), &entry);
 }
 
@@ -234,7 +245,7 @@
 }
 
 /// Sends a request. Returns the status, 0 if there is no response, and the JSON body.
-async fn send_request(
+pub async fn send_request(
     client: &HttpClient,
     method: &str,
     node: SocketAddr,
