Make the store refuse late cancellations

A cancellation was the other record that was written without a condition. Sent again after a time-out, it could be stored after its job had ended, and then stayed until a leader of the pool found that it belongs to no job. It now expects the summary of the job at the revision at which the state was read; if the state has changed, it is read again, at most three times.

late_cancellation_has_no_effect_after_the_end_of_its_job failed before: the record had the values 1, removed, 1, removed. All other writes were checked: claims of roles, submissions and the writes of leaders have conditions; leases need none, as a late grant holds no key.

--- a/src/request/queue_api.rs
+++ b/src/request/queue_api.rs
@@ -15,7 +15,7 @@
 use crate::dispatch::job_record::{JobRecord, JobSummary};
 use crate::dispatch::site_config::{QueueConfig, SiteConfig};
 use crate::error::{Error, ErrorKind, Result};
-use crate::model::id::{JobId, OrganisationId, QueueId};
+use crate::model::id::{JobId, OrganisationId, QueueId, StoreRevision};
 use crate::node::node_context::{NodeContext, STORE_TIMEOUT};
 use crate::node::store_keys;
 use crate::platform::caller_protocol;
@@ -34,6 +34,10 @@
 /// Deadline of requests that give none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
 
+/// Number of attempts to store a cancellation. A state changes at most twice after the submission, so that each
+/// attempt but the last can meet a change.
+const MAX_CANCEL_ATTEMPTS: usize = 3;
+
 /// The platform's HTTP API for callers.
 #[derive(Debug)]
 pub struct QueueApi {
@@ -174,19 +178,19 @@
         ))
     }
 
-    async fn read_summary(&self, job: &JobId) -> Result<Option<JobSummary>> {
+    /// Reads the summary of a job, with the revision of its last change.
+    async fn read_summary(&self, job: &JobId) -> Result<(JobSummary, StoreRevision)> {
         if self.context.store.is_unreachable() {
             return Err(store_unavailable());
         }
         let key = store_keys::summary_key(job);
         let item = self.context.store.get(&key, STORE_TIMEOUT).await?;
-        item.map(|item| store_keys::decode(&key, &item.value)).transpose()
+        let item = item.ok_or_else(|| Error::new(ErrorKind::JobGone, format!("job {job} is not known")))?;
+        Ok((store_keys::decode(&key, &item.value)?, item.revision))
     }
 
     async fn show_state(&self, job: &JobId) -> Result<Response<ResponseStream>> {
-        let summary = self.read_summary(job).await?;
-        let summary =
-            summary.ok_or_else(|| Error::new(ErrorKind::JobGone, format!("job {job} is not known")))?;
+        let (summary, _) = self.read_summary(job).await?;
         debug!(self.context.log, "state shown"; "job" => %job, "state" => %summary.state);
         Ok(response::json_response(
             StatusCode::OK,
@@ -196,28 +200,40 @@
 
     /// Stores a cancellation, which the pool leader carries out. A job that has ended is left as it is.
     async fn cancel(&self, job: &JobId) -> Result<Response<ResponseStream>> {
-        let summary = self.read_summary(job).await?;
-        let summary =
-            summary.ok_or_else(|| Error::new(ErrorKind::JobGone, format!("job {job} is not known")))?;
-        if !summary.state.is_final() {
-            let mut transaction = StoreTransaction::default();
-            transaction.put(
-                store_keys::cancel_key(&summary.pool, job),
-                Bytes::from_static(b"1"),
-                None,
-            );
-            let outcome = self.context.store.commit(&transaction, STORE_TIMEOUT).await?;
-            if !matches!(outcome, CommitOutcome::Done(_)) {
-                let message = "the store reported a conflict for a cancellation";
-                return Err(Error::new(ErrorKind::StoreOutcomeUnknown, message));
+        for _ in 0..MAX_CANCEL_ATTEMPTS {
+            let (summary, revision) = self.read_summary(job).await?;
+            if summary.state.is_final() || self.store_cancellation(job, &summary, revision).await? {
+                info!(self.context.log, "job cancelled"; "job" => %job, "state" => %summary.state);
+                return Ok(response::text_response(
+                    StatusCode::OK,
+                    "application/json",
+                    Bytes::new(),
+                ));
             }
         }
-        info!(self.context.log, "job cancelled"; "job" => %job, "state" => %summary.state);
-        Ok(response::text_response(
-            StatusCode::OK,
-            "application/json",
-            Bytes::new(),
-        ))
+        let message = format!("the state of job {job} changed during each attempt to cancel it");
+        Err(Error::new(ErrorKind::StoreUnavailable, message).with_retry_after(RETRY_AFTER))
+    }
+
+    /// Stores the cancellation of a job whose state was last changed at `revision`. Executed late, after a further
+    /// change, it has no effect. Returns whether it is stored.
+    async fn store_cancellation(
+        &self,
+        job: &JobId,
+        summary: &JobSummary,
+        revision: StoreRevision,
+    ) -> Result<bool> {
+        let mut transaction = StoreTransaction {
+            expected_revisions: vec![(store_keys::summary_key(job), revision)],
+            ..StoreTransaction::default()
+        };
+        transaction.put(
+            store_keys::cancel_key(&summary.pool, job),
+            Bytes::from_static(b"1"),
+            None,
+        );
+        let outcome = self.context.store.commit(&transaction, STORE_TIMEOUT).await?;
+        Ok(matches!(outcome, CommitOutcome::Done(_)))
     }
 
     /// Counts the waiting jobs of a queue in all pools, since a queue may have been moved to another pool.
--- a/tests/platform_soak/late_writes.rs
+++ b/tests/platform_soak/late_writes.rs
@@ -130,6 +130,35 @@
     std::fs::remove_dir_all(&directory).expect("directory");
 }
 
+/// Guards against a cancellation that is stored after its job has ended: the caller sends it again after a time-out,
+/// the job ends, and the first one is executed late and leaves a record that belongs to no job.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_cancellation_has_no_effect_after_the_end_of_its_job() {
+    let directory = test_directory("late-cancel");
+    let pool = WaitingPool::start(&directory).await;
+    pool.submit_waiting(1).await;
+    let job = format!("{:016x}", 1);
+    let cancel = async || {
+        let (status, _) =
+            scenario::send_request(&pool.client, "DELETE", pool.address(), &job, &Value::Null).await;
+        status
+    };
+    let key = format!("in/pool-a/{job}.cancel");
+    pool.store.delay_commit("in/", WRITE_DELAY);
+    let sent_at = Instant::now();
+    assert_ne!(cancel().await, 200, "the first cancellation has no answer");
+    assert_eq!(cancel().await, 200, "the second cancellation is stored");
+    let ended = vec![json!(1), Value::Null];
+    wait_until("the cancellation is carried out", || {
+        pool.store.history(&key) == ended
+    })
+    .await;
+    tokio::time::sleep((WRITE_DELAY + Duration::from_secs(1)).saturating_sub(sent_at.elapsed())).await;
+    assert_eq!(pool.store.history(&key), ended);
+    drop(pool);
+    std::fs::remove_dir_all(&directory).expect("directory");
+}
+
 /// Guards against a count that outlives its leader: the node's lease has ended when the write that holds it succeeds,
 /// and the count was stored without a lease. Records that are kept for callers are stored all the same.
 #[tokio::test]
