Conclude nothing from a part of a worker's ended runs

A worker lists 500 ended runs at a time. Runs whose ends were beyond them were in neither list, and the new leader took their tasks for tasks that had not started. Within a term such runs were stopped as vanished and started again.

The ends of a report are now ListedRows, which say whether they are whole. From a part, a take-over of the worker is not complete, also after the leases of the former leader have ended; runs that no list names are neither settled, stopped nor lost; the worker is polled on, and is not reported as evacuated. The wait ends with the rest of the list, or when the worker has not answered for as long as a lease can last.

--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -530,7 +530,9 @@
         let mut consider = |at: Instant| next = next.min(at.max(now + Duration::from_millis(2)));
         for worker in self.workers.values() {
             let is_unreachable = !worker.has_reported || worker.poll.failures > 0;
-            let is_wanted = !worker.runs.is_empty() || (worker.is_listed && is_unreachable);
+            let is_wanted = !worker.runs.is_empty()
+                || worker.outcomes.has_unlisted()
+                || (worker.is_listed && is_unreachable);
             if is_wanted && worker.poll.sent_at.is_none() {
                 consider(worker.poll.next_at.unwrap_or(now));
             }
--- a/src/dispatch/pool_scheduler/demand_report.rs
+++ b/src/dispatch/pool_scheduler/demand_report.rs
@@ -33,7 +33,7 @@
         };
         report.usage.retain(|_, usage| *usage != ResourceSet::default());
         for (id, worker) in &self.workers {
-            if !worker.is_listed && worker.runs.is_empty() {
+            if !worker.is_listed && worker.runs.is_empty() && !worker.outcomes.has_unlisted() {
                 continue;
             }
             let long_running = worker.runs.values().filter(|run| run.is_long_running);
@@ -47,9 +47,9 @@
                 is_usable,
                 runs: worker.runs.len() as u32,
                 long_running: long_running.clone().count() as u32,
-                // The runs of a worker that has not reported yet are unknown, so that it must not be reported
-                // as empty.
-                is_evacuating: is_evacuating && worker.has_reported,
+                // The runs of a worker that has not reported yet are unknown, and ends that are not listed would be
+                // lost with its process, so that it must not be reported as empty.
+                is_evacuating: is_evacuating && worker.has_reported && !worker.outcomes.has_unlisted(),
             };
             report.used = report.used.plus(&worker.used);
             let reserved = long_running.fold(ResourceSet::default(), |sum, run| sum.plus(&run.reserved));
--- a/src/dispatch/pool_scheduler/worker_commands.rs
+++ b/src/dispatch/pool_scheduler/worker_commands.rs
@@ -15,8 +15,10 @@
 const MIN_SPEED_STEP: u32 = 5;
 
 impl PoolScheduler {
-    /// Removes the runs of unreachable workers once their lease has certainly expired.
+    /// Removes the runs of unreachable workers once their lease has certainly expired. The ends that such a worker
+    /// has not listed are no longer awaited.
     pub(super) fn expire_runs(&mut self, now: Instant) {
+        self.give_up_unlisted_ends(now);
         let mut expired = Vec::new();
         for (id, worker) in &self.workers {
             if worker.poll.failures == 0 || worker.runs.is_empty() {
@@ -46,6 +48,29 @@
         }
     }
 
+    /// Stops waiting for the ends that unreachable workers have not listed, once neither a lease of this leader nor one
+    /// of the former leader can be in force.
+    fn give_up_unlisted_ends(&mut self, now: Instant) {
+        let former_end = self.takeover.former_leases_end();
+        let mut given_up = Vec::new();
+        for (id, worker) in &mut self.workers {
+            let is_expired = worker.lease.end().max(former_end).is_none_or(|end| end <= now);
+            if worker.outcomes.has_unlisted() && worker.poll.failures > 0 && is_expired {
+                worker.outcomes.give_up_unlisted();
+                given_up.push(id.clone());
+            }
+        }
+        for worker in given_up {
+            self.takeover.mark_reported(&worker);
+            self.note(
+                "unlisted ends given up",
+                None,
+                Some(worker),
+                "no lease can be in force; the worker does not answer",
+            );
+        }
+    }
+
     pub(super) fn issue_stops(
         &mut self,
         now: Instant,
@@ -112,6 +137,7 @@
             // again.
             let has_cause = !worker.runs.is_empty()
                 || worker.unreserved_runs > 0
+                || worker.outcomes.has_unlisted()
                 || worker.outcomes.has_ready(durable_change)
                 || (worker.is_listed && (!worker.has_reported || worker.poll.failures > 0));
             let is_due = worker.poll.next_at.is_none_or(|at| at <= now);
--- a/src/dispatch/pool_scheduler/worker_losses.rs
+++ b/src/dispatch/pool_scheduler/worker_losses.rs
@@ -154,6 +154,7 @@
         let placed = worker.and_then(|worker| worker.runs.get(&run.task));
         let is_placed = placed.is_some_and(|placed| placed.run == run.number);
         let has_answered = worker.is_some_and(|worker| worker.has_reported && worker.poll.failures == 0);
+        let has_unlisted_ends = worker.is_some_and(|worker| worker.outcomes.has_unlisted());
         let incarnation = worker.and_then(|worker| worker.incarnation);
         let Some(loss) = self.loss_mut(run).cloned() else {
             self.open_losses.remove(worker_id, run);
@@ -168,7 +169,7 @@
                 loss.state = LossState::Started;
             }
             self.mark_progress_changed(&run.task.step.job);
-        } else if !is_gone && has_answered {
+        } else if !is_gone && has_answered && !has_unlisted_ends {
             self.forget_loss(worker_id, run);
         }
     }
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -57,7 +57,19 @@
             // Poll again at once to renew the lease, which may expire soon.
             worker.poll.next_at = None;
         }
-        self.takeover.mark_reported(worker_id);
+        let is_first_part = worker.outcomes.record_listed(&report.ended);
+        if report.ended.is_whole() {
+            self.takeover.mark_reported(worker_id);
+        } else {
+            self.takeover.mark_listing(worker_id);
+        }
+        if is_first_part {
+            let inputs = format!(
+                "{} ends listed; runs that are not listed may have ended",
+                report.ended.rows().len()
+            );
+            self.note("ends listed in part", None, Some(worker_id.clone()), inputs);
+        }
         if is_regained {
             self.note(
                 "worker regained",
@@ -70,12 +82,7 @@
                 ),
             );
         }
-        let mut ended = report.ended;
-        if let Some(worker) = self.workers.get_mut(worker_id) {
-            worker
-                .outcomes
-                .record_listed(ended.iter().map(|row| row.sequence));
-        }
+        let mut ended = report.ended.into_rows();
         ended.sort_by_key(|row| row.sequence);
         for row in &ended {
             self.handle_ended_run(now, worker_id, row);
@@ -444,7 +451,8 @@
     }
 
     /// Resolves runs that the report does not list: removes those that have certainly ended or can no longer
-    /// start, and requests the stop of the others.
+    /// start, and requests the stop of the others. Nothing is concluded while some ends are not listed: the run may have
+    /// completed its task.
     fn resolve_missing(
         &mut self,
         now: Instant,
@@ -456,6 +464,7 @@
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
         };
+        let has_unlisted_ends = worker.outcomes.has_unlisted();
         let mut ended = Vec::new();
         let mut lost = Vec::new();
         let mut unlisted = Vec::new();
@@ -467,7 +476,8 @@
             if is_listed {
                 placed.is_unconfirmed = false;
             }
-            if is_listed || is_placed_since || placed.phase == RunPhase::Starting {
+            let is_open = has_unlisted_ends || is_placed_since || placed.phase == RunPhase::Starting;
+            if is_listed || is_open {
                 continue;
             }
             if placed.is_unconfirmed {
--- a/src/dispatch/takeover.rs
+++ b/src/dispatch/takeover.rs
@@ -1,5 +1,5 @@
-//! Takeover of a pool by a new leader: until every worker has reported, runs that the previous leader started
-//! may be unknown.
+//! Takeover of a pool by a new leader: until every worker has reported all its runs, some that the previous leader
+//! started may be unknown.
 
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
@@ -13,7 +13,10 @@
 /// Workers that may run tasks which the new leader does not know of yet.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TakeoverState {
+    /// Workers that have not answered.
     unreported: BTreeSet<WorkerId>,
+    /// Workers that have answered, but have not listed all runs that have ended.
+    listing: BTreeSet<WorkerId>,
     deadline: Option<Instant>,
 }
 
@@ -23,6 +26,7 @@
     pub fn new(unreported: BTreeSet<WorkerId>, deadline: Instant) -> Self {
         Self {
             unreported,
+            listing: BTreeSet::new(),
             deadline: Some(deadline),
         }
     }
@@ -41,13 +45,26 @@
         }
     }
 
-    /// Records that a worker has listed its runs.
+    /// Records that a worker has listed all its runs, or that nothing more will be known of them.
     pub fn mark_reported(&mut self, worker: &WorkerId) {
         self.unreported.remove(worker);
+        self.listing.remove(worker);
     }
 
-    /// Whether tasks of jobs accepted in an earlier term may be running unknown to the leader.
+    /// Records that a worker has answered, but has not listed all its runs.
+    pub fn mark_listing(&mut self, worker: &WorkerId) {
+        if self.unreported.remove(worker) {
+            self.listing.insert(worker.clone());
+        }
+    }
+
+    /// Whether tasks of jobs accepted in an earlier term may be running, or have ended, unknown to the leader. The end
+    /// of the leases says nothing about the ends that a worker still has to list.
     pub fn is_pending(&self, now: Instant) -> bool {
+        !self.listing.is_empty() || self.is_awaiting_answers(now)
+    }
+
+    fn is_awaiting_answers(&self, now: Instant) -> bool {
         !self.unreported.is_empty() && self.deadline.is_some_and(|deadline| now < deadline)
     }
 
@@ -56,14 +73,20 @@
         self.deadline.filter(|_| !self.unreported.is_empty())
     }
 
-    /// Workers that have not reported yet and may run tasks unknown to the leader.
+    /// Time at which the leases that the previous leader granted have certainly expired; absent without a takeover.
+    pub fn former_leases_end(&self) -> Option<Instant> {
+        self.deadline
+    }
+
+    /// Workers that have not listed all their runs yet, some of which may be unknown to the leader.
     pub fn unreported(&self, now: Instant) -> impl Iterator<Item = &WorkerId> {
-        let is_pending = self.is_pending(now);
-        self.unreported.iter().filter(move |_| is_pending)
+        let is_awaiting = self.is_awaiting_answers(now);
+        let unreported = self.unreported.iter().filter(move |_| is_awaiting);
+        unreported.chain(&self.listing)
     }
 
-    /// Number of workers that have not reported yet.
+    /// Number of workers that have not listed all their runs yet.
     pub fn unreported_count(&self) -> usize {
-        self.unreported.len()
+        self.unreported.len() + self.listing.len()
     }
 }
--- a/src/dispatch/worker_report.rs
+++ b/src/dispatch/worker_report.rs
@@ -4,6 +4,7 @@
 
 use crate::dispatch::task_id::TaskId;
 use crate::model::id::RunNumber;
+use crate::model::listed_rows::ListedRows;
 use crate::model::unix_time::UnixMillis;
 
 /// How a run of a task ended, as reported by the worker.
@@ -68,6 +69,7 @@
     pub incarnation: Option<UnixMillis>,
     /// Runs that have not ended.
     pub running: Vec<ActiveRun>,
-    /// Ended runs that the leader has not acknowledged yet.
-    pub ended: Vec<EndedRun>,
+    /// Ended runs that the leader has not acknowledged yet. A run may have ended although neither list names it, if
+    /// this one is a part.
+    pub ended: ListedRows<EndedRun>,
 }
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -12,7 +12,9 @@
 use crate::dispatch::worker_entry::WorkerEntry;
 use crate::dispatch::worker_health::WorkerHealth;
 use crate::dispatch::worker_lease::WorkerLease;
+use crate::dispatch::worker_report::EndedRun;
 use crate::model::id::{JobId, OrganisationId, RunNumber};
+use crate::model::listed_rows::ListedRows;
 use crate::model::resource::ResourceSet;
 use crate::model::unix_time::UnixMillis;
 
@@ -135,6 +137,8 @@
     pending: VecDeque<(u64, u64)>,
     /// Whether the worker reported an outcome again that had been acknowledged.
     must_repeat: bool,
+    /// Whether the last list was a part, so that a run which no list names may have ended.
+    has_unlisted: bool,
 }
 
 impl PlacedRun {
@@ -256,9 +260,22 @@
     }
 
     /// Checks the outcomes of a report. If it contains one that had been acknowledged, the acknowledgement
-    /// was lost and is repeated.
-    pub fn record_listed(&mut self, mut listed: impl Iterator<Item = u64>) {
-        self.must_repeat |= listed.any(|sequence| sequence <= self.acknowledged);
+    /// was lost and is repeated. Returns whether this list is a part and the one before it was not.
+    pub fn record_listed(&mut self, listed: &ListedRows<EndedRun>) -> bool {
+        let mut rows = listed.rows().iter();
+        self.must_repeat |= rows.any(|row| row.sequence <= self.acknowledged);
+        let had_unlisted = std::mem::replace(&mut self.has_unlisted, !listed.is_whole());
+        self.has_unlisted && !had_unlisted
+    }
+
+    /// Whether runs that no list names may have ended, because the last list was a part.
+    pub fn has_unlisted(&self) -> bool {
+        self.has_unlisted
+    }
+
+    /// Stops waiting for the rest of the list.
+    pub fn give_up_unlisted(&mut self) {
+        self.has_unlisted = false;
     }
 
     /// Highest sequence number to acknowledge once all changes up to `durable` are stored, or 0 if there is
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -12,6 +12,7 @@
 use crate::dispatch::worker_report::{ActiveRun, EndedRun, RunOutcome, WorkerReport};
 use crate::error::{Error, ErrorKind, Result};
 use crate::model::id::{LeaderTerm, RunNumber};
+use crate::model::listed_rows::ListedRows;
 use crate::model::unix_time::UnixMillis;
 use crate::platform::http::{HttpClient, HttpError, HttpRequest, HttpResponse};
 
@@ -26,6 +27,9 @@
 /// Time beyond the wait of a poll after which a poll without a response times out.
 const POLL_GRACE: Duration = Duration::from_millis(700);
 
+/// Number of ended runs to which a worker cuts its list; the next ones follow once these are acknowledged.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// Client of all workers of a pool, for one term of the pool's leader.
 #[derive(Debug, Clone)]
 pub struct WorkerApiClient {
@@ -250,7 +254,7 @@
         clock_ms: wire.clock_ms,
         incarnation: wire.born.map(UnixMillis::new),
         running: running.collect::<Result<_>>()?,
-        ended: ended.collect::<Result<_>>()?,
+        ended: ListedRows::with_limit(ended.collect::<Result<_>>()?, MAX_LISTED_ENDS),
     })
 }
 
--- a/tests/platform_soak/fake_worker.rs
+++ b/tests/platform_soak/fake_worker.rs
@@ -17,6 +17,9 @@
 /// Run time of such tasks.
 const UNLIMITED_TIME: Duration = Duration::from_hours(1);
 
+/// Ends that one response lists; the others follow when these are acknowledged.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// A run of a task as the worker observed it.
 #[derive(Debug, Clone)]
 pub struct RunRecord {
@@ -170,6 +173,7 @@
         let ended: Vec<Value> = self
             .ended
             .iter()
+            .take(MAX_LISTED_ENDS)
             .map(|(sequence, task, run, outcome, _)| json!([sequence, task, run, outcome, ""]))
             .collect();
         json!({"clock-ms": self.clock_ms(), "born": self.incarnation, "running": running,
--- a/tests/pool_decisions/availability.rs
+++ b/tests/pool_decisions/availability.rs
@@ -14,6 +14,7 @@
 use figloft::dispatch::task_id::TaskId;
 use figloft::dispatch::worker_report::{ActiveRun, EndedRun, RunOutcome, WorkerReport};
 use figloft::model::id::{PlanVersion, RunNumber, WorkerId};
+use figloft::model::listed_rows::ListedRows;
 use figloft::model::unix_time::UnixMillis;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -242,7 +243,7 @@
             clock_ms: CLOCK_MS + time,
             incarnation: Some(UnixMillis::new(1)),
             running: running.collect(),
-            ended: worker.ended.clone(),
+            ended: ListedRows::Whole(worker.ended.clone()),
         };
         scheduler.handle_poll_report(self.now(), &worker_id(number), at, report);
     }
--- a/tests/pool_decisions/crash_world.rs
+++ b/tests/pool_decisions/crash_world.rs
@@ -15,6 +15,7 @@
 use figloft::dispatch::worker_entry::WorkerEntry;
 use figloft::dispatch::worker_report::{EndedRun, RunOutcome, WorkerReport};
 use figloft::model::id::{JobId, RunNumber, WorkerId};
+use figloft::model::listed_rows::ListedRows;
 use figloft::model::resource::ResourceSet;
 use figloft::model::unix_time::UnixMillis;
 
@@ -431,7 +432,7 @@
                         clock_ms: clock_ms(self.begin, now),
                         incarnation: worker.entry.incarnation,
                         running: worker.runs.iter().map(|(start, _)| running_row(start)).collect(),
-                        ended: worker.ended.clone(),
+                        ended: ListedRows::Whole(worker.ended.clone()),
                     };
                     self.scheduler.handle_poll_report(now, &target, now, report);
                 }
--- a/tests/pool_decisions/features.rs
+++ b/tests/pool_decisions/features.rs
@@ -10,6 +10,7 @@
 use figloft::dispatch::pool_scheduler::PoolScheduler;
 use figloft::dispatch::worker_report::{ActiveRun, EndedRun, RunOutcome, WorkerReport};
 use figloft::model::id::LeaseId;
+use figloft::model::listed_rows::ListedRows;
 use figloft::model::unix_time::UnixMillis;
 use figloft::node::retention_lease::RetentionLease;
 
@@ -29,7 +30,7 @@
         clock_ms: 5_000,
         incarnation: Some(UnixMillis::new(1)),
         running,
-        ended,
+        ended: ListedRows::Whole(ended),
     }
 }
 
--- a/tests/pool_decisions/held_tasks.rs
+++ b/tests/pool_decisions/held_tasks.rs
@@ -13,6 +13,7 @@
 use figloft::dispatch::worker_health::WorkerHealth;
 use figloft::dispatch::worker_report::{ActiveRun, WorkerReport};
 use figloft::model::id::RunNumber;
+use figloft::model::listed_rows::ListedRows;
 use figloft::model::unix_time::UnixMillis;
 
 use crate::setup::{
@@ -179,7 +180,7 @@
         clock_ms,
         incarnation: Some(UnixMillis::new(born)),
         running,
-        ended: Vec::new(),
+        ended: ListedRows::default(),
     }
 }
 
--- a/tests/pool_decisions/load.rs
+++ b/tests/pool_decisions/load.rs
@@ -5,6 +5,7 @@
 use figloft::dispatch::command::{PoolCommand, StartOutcome};
 use figloft::dispatch::job_record::JobState;
 use figloft::dispatch::worker_report::{RunOutcome, WorkerReport};
+use figloft::model::listed_rows::ListedRows;
 use figloft::model::unix_time::UnixMillis;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -74,7 +75,7 @@
                 clock_ms: 5_000 + elapsed,
                 incarnation: Some(UnixMillis::new(1)),
                 running: here.map(|(_, start)| running_row(start)).collect(),
-                ended,
+                ended: ListedRows::Whole(ended),
             };
             scheduler.handle_poll_report(now, &worker_id(number), now, report);
         }
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod crash_world;
 mod crashes;
+mod cut_lists;
 mod features;
 mod fleet;
 mod flush;
--- a/tests/pool_decisions/scheduler.rs
+++ b/tests/pool_decisions/scheduler.rs
@@ -13,6 +13,7 @@
 use figloft::dispatch::worker_report::RunOutcome;
 use figloft::model::amount::{MemoryMib, MilliCores};
 use figloft::model::id::{OrganisationId, PlanVersion};
+use figloft::model::listed_rows::ListedRows;
 use figloft::model::resource::ResourceSet;
 
 use crate::setup::{
@@ -313,7 +314,7 @@
         clock_ms: 10,
         incarnation: Some(figloft::model::unix_time::UnixMillis::new(2)),
         running: vec![crate::setup::running_row(&started[0])],
-        ended: Vec::new(),
+        ended: ListedRows::default(),
     };
     scheduler.handle_poll_report(now + MS * 2, &worker_id(0), now + MS, report);
     let mut again = starts(scheduler.decide(now + MS * 3, WALL, true));
--- a/tests/pool_decisions/setup.rs
+++ b/tests/pool_decisions/setup.rs
@@ -13,6 +13,7 @@
 use figloft::dispatch::worker_report::{ActiveRun, EndedRun, RunOutcome, WorkerReport};
 use figloft::model::amount::{MemoryMib, MilliCores};
 use figloft::model::id::{InstanceId, JobId, LeaderTerm, PoolId, QueueId, WorkerId, ZoneId};
+use figloft::model::listed_rows::ListedRows;
 use figloft::model::resource::ResourceSet;
 use figloft::model::unix_time::UnixMillis;
 
@@ -114,16 +115,18 @@
         clock_ms: 5_000,
         incarnation: Some(UnixMillis::new(1)),
         running: running.iter().map(|start| running_row(start)).collect(),
-        ended: ended
-            .iter()
-            .map(|(sequence, start, end)| EndedRun {
-                sequence: *sequence,
-                task: start.run.task.clone(),
-                run: start.run.number,
-                outcome: *end,
-                checkpoint: Arc::default(),
-            })
-            .collect(),
+        ended: ListedRows::Whole(
+            ended
+                .iter()
+                .map(|(sequence, start, end)| EndedRun {
+                    sequence: *sequence,
+                    task: start.run.task.clone(),
+                    run: start.run.number,
+                    outcome: *end,
+                    checkpoint: Arc::default(),
+                })
+                .collect(),
+        ),
     };
     scheduler.handle_poll_report(now, &worker_id(worker), now, report);
 }
--- a/tests/pool_decisions/simulation.rs
+++ b/tests/pool_decisions/simulation.rs
@@ -16,6 +16,7 @@
 use figloft::dispatch::worker_entry::WorkerEntry;
 use figloft::dispatch::worker_report::{ActiveRun, EndedRun, RunOutcome, WorkerReport};
 use figloft::model::id::{RunNumber, WorkerId};
+use figloft::model::listed_rows::ListedRows;
 use figloft::model::resource::ResourceSet;
 use figloft::model::unix_time::UnixMillis;
 use rand::rngs::StdRng;
@@ -395,9 +396,9 @@
             clock_ms: 5_000 + time - worker.incarnation_start,
             incarnation: worker.entry.incarnation,
             running: running.collect(),
-            ended: worker.ended.clone(),
+            ended: ListedRows::Whole(worker.ended.clone()),
         };
-        for row in &report.ended {
+        for row in report.ended.rows() {
             if row.outcome == RunOutcome::Done {
                 self.done.insert(row.task.clone());
             }
--- a/tests/pool_decisions/worker_lease.rs
+++ b/tests/pool_decisions/worker_lease.rs
@@ -10,6 +10,7 @@
 use figloft::dispatch::takeover::TakeoverState;
 use figloft::dispatch::worker_lease::WorkerLease;
 use figloft::dispatch::worker_report::WorkerReport;
+use figloft::model::listed_rows::ListedRows;
 use figloft::model::unix_time::UnixMillis;
 use proptest::prelude::*;
 
@@ -112,7 +113,7 @@
         clock_ms,
         incarnation: Some(UnixMillis::new(1)),
         running: Vec::new(),
-        ended: Vec::new(),
+        ended: ListedRows::default(),
     }
 }
 
