Conclude nothing from a cut page or from an incomplete conflict

A page that says that more items follow, but has no key from which to continue, was taken for the last one, so that everything behind it counted as absent; with a repeated key the same page was read for ever. Both are errors now, which are retried. A conflict whose items leave out the term record ended the leadership; the record is read before that, and a malformed one is logged.

Both tests of store_lists failed before the change: the range returned an empty list as whole, and the writer reported Deposed.

--- a/src/node/fenced_writer.rs
+++ b/src/node/fenced_writer.rs
@@ -141,15 +141,21 @@
                     self.claim.revision = revision;
                     return Ok(done);
                 }
-                Ok(CommitOutcome::Conflict(items)) => {
-                    let Some((stored, revision)) = self.own_record(&key, &items) else {
-                        return Ok(FencedOutcome::Deposed);
-                    };
-                    self.claim.revision = revision;
-                    if stored.nonce == nonce {
-                        return Ok(done);
+                Ok(CommitOutcome::Conflict(items)) => match self.read_own_record(&key, items).await {
+                    Ok(Some((stored, revision))) => {
+                        self.claim.revision = revision;
+                        if stored.nonce == nonce {
+                            return Ok(done);
+                        }
                     }
-                }
+                    Ok(None) => return Ok(FencedOutcome::Deposed),
+                    Err(error) => {
+                        warn!(self.log, "term record not read; retrying"; "duty" => &*self.claim.role,
+                            "error" => %error);
+                        let pause = delay.next_delay(&mut rand::rng());
+                        tokio::time::sleep(pause).await;
+                    }
+                },
                 Ok(CommitOutcome::LeaseEnded) => {
                     if detach_leases(&mut write, self.claim.lease) {
                         warn!(self.log, "written without the records of an ended lease";
@@ -171,12 +177,30 @@
         }
     }
 
-    /// The term record among the items of a conflict, if it belongs to this claim.
-    fn own_record(&self, key: &str, items: &[StoreItem]) -> Option<(TermRecord, StoreRevision)> {
-        let item = items.iter().find(|item| &*item.key == key)?;
-        let record: TermRecord = store_keys::decode(key, &item.value).ok()?;
-        let is_own = record.session == self.session && record.term == self.claim.term;
-        is_own.then_some((record, item.revision))
+    /// The term record, if it belongs to this claim. It is read again if it is not among the items of the conflict.
+    async fn read_own_record(
+        &self,
+        key: &str,
+        items: Vec<StoreItem>,
+    ) -> Result<Option<(TermRecord, StoreRevision)>> {
+        let listed = items.into_iter().find(|item| &*item.key == key);
+        let item = match listed {
+            Some(item) => Some(item),
+            None => self.store.get(key, STORE_TIMEOUT).await?,
+        };
+        let Some(item) = item else {
+            return Ok(None);
+        };
+        match store_keys::decode::<TermRecord>(key, &item.value) {
+            Ok(record) => {
+                let is_own = record.session == self.session && record.term == self.claim.term;
+                Ok(is_own.then_some((record, item.revision)))
+            }
+            Err(error) => {
+                warn!(self.log, "term record is malformed"; "duty" => &*self.claim.role, "error" => %error);
+                Ok(None)
+            }
+        }
     }
 
     /// Holds the role under a new lease, unless another session has claimed it since the old lease ended.
--- a/src/node/prefix_watcher.rs
+++ b/src/node/prefix_watcher.rs
@@ -21,7 +21,7 @@
 /// What has changed under a prefix.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PrefixUpdate {
-    /// All items at one time; a key that is missing does not exist.
+    /// All items. A key that is missing did not exist when the reading began; changes since then follow.
     Snapshot(Vec<StoreItem>),
     /// Changes since the previous update.
     Changes(Vec<StoreEvent>),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -14,6 +14,7 @@
 
 use crate::error::{Error, ErrorKind, Result};
 use crate::model::id::{LeaseId, StoreRevision};
+use crate::model::listed_rows::ListedRows;
 use crate::platform::http::{HttpClient, HttpError, HttpRequest, HttpResponse};
 
 /// Maximum number of entries of a transaction: conditions, puts and deletions together.
@@ -107,7 +108,8 @@
 pub enum CommitOutcome {
     /// Committed at this revision.
     Done(StoreRevision),
-    /// A condition does not hold; nothing was written. Holds the current items of the conditions.
+    /// A condition does not hold; nothing was written. Holds current items of the conditions. An item that is absent
+    /// may exist, so that only its key tells.
     Conflict(Vec<StoreItem>),
     /// The lease of a put does not exist any more; nothing was written.
     LeaseEnded,
@@ -258,7 +260,7 @@
     /// `store_unavailable`, `rate_limited` or `bad_message`.
     pub async fn get(&self, key: &str, timeout: Duration) -> Result<Option<StoreItem>> {
         let response = self
-            .send_get("get", format!("/kv-key?key={key}"), timeout)
+            .send_get("get", format!("/kv-key?key={}", key), timeout)
             .await?;
         if response.status == StatusCode::NOT_FOUND {
             return Ok(None);
@@ -270,39 +272,60 @@
     /// Reads all items with a prefix, and the revision from which a watch finds every later change.
     ///
     /// # Errors
-    /// `store_unavailable`, `rate_limited` or `bad_message`.
+    /// `store_unavailable`, `rate_limited` or `bad_message`, also if not all items could be read.
     pub async fn range(&self, prefix: &str, timeout: Duration) -> Result<(Vec<StoreItem>, StoreRevision)> {
-        let mut items = Vec::new();
-        let mut first_as_of: Option<u64> = None;
-        let mut after: Option<Arc<str>> = None;
+        let mut items: Vec<StoreItem> = Vec::new();
+        let mut first_as_of = None;
         loop {
-            let page = match &after {
-                None => format!("/kv-range?prefix={prefix}"),
-                Some(key) => format!("/kv-range?prefix={prefix}&after={key}"),
-            };
-            let response = self.send_get("range", page, timeout).await?;
-            check_status("range", &response)?;
-            let page: WireRange = response.json()?;
+            let after = items.last().map(|item| Arc::clone(&item.key));
+            let (page, as_of) = self.range_page(prefix, after.as_deref(), timeout).await?;
             // The pages together are not a snapshot. A watch from the revision of the first page finds the
             // changes made while the others were read.
-            first_as_of.get_or_insert(page.as_of);
-            after = page.items.last().map(|item| Arc::clone(&item.key));
-            for item in page.items {
-                items.push(decode_item(item)?);
+            let first_as_of = *first_as_of.get_or_insert(as_of);
+            let is_last = page.is_whole();
+            items.extend(page.into_rows());
+            if is_last {
+                return Ok((items, first_as_of));
             }
-            if !page.truncated || after.is_none() {
-                return Ok((items, StoreRevision::new(first_as_of.unwrap_or(page.as_of))));
+            if items.last().map(|item| &item.key) <= after.as_ref() {
+                return Err(cut_page_error(prefix));
             }
         }
     }
 
+    /// Reads the items with a prefix whose keys follow `after`, as many as the store sends in one page, and the
+    /// revision of the store. The page is a part if more items follow.
+    async fn range_page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        timeout: Duration,
+    ) -> Result<(ListedRows<StoreItem>, StoreRevision)> {
+        let mut path = format!("/kv-range?prefix={}", prefix);
+        if let Some(key) = after {
+            path = format!("{path}&after={}", key);
+        }
+        let response = self.send_get("range", path, timeout).await?;
+        check_status("range", &response)?;
+        let page: WireRange = response.json()?;
+        let items = page.items.into_iter().map(decode_item);
+        let items = items.collect::<Result<_>>()?;
+        let rows = if page.truncated {
+            ListedRows::Part(items)
+        } else {
+            ListedRows::Whole(items)
+        };
+        Ok((rows, StoreRevision::new(page.as_of)))
+    }
+
     /// Waits at most `wait` for changes after a revision to keys with a prefix.
     ///
     /// # Errors
     /// `store_unavailable`, `rate_limited` or `bad_message`.
     pub async fn watch(&self, prefix: &str, after: StoreRevision, wait: Duration) -> Result<WatchResponse> {
         let path = format!(
-            "/kv-watch?prefix={prefix}&after={after}&wait-ms={}",
+            "/kv-watch?prefix={}&after={after}&wait-ms={}",
+            prefix,
             wait.as_millis()
         );
         let response = self.send_get("watch", path, wait + WATCH_GRACE).await?;
@@ -424,6 +447,13 @@
     decode_item(item).map(StoreEvent::Written)
 }
 
+fn cut_page_error(prefix: &str) -> Error {
+    Error::new(
+        ErrorKind::BadMessage,
+        format!("the list of {prefix} is cut, but its last page has no key from which to continue"),
+    )
+}
+
 fn check_overload(name: &str, response: &HttpResponse) -> Result<()> {
     match response.status {
         StatusCode::TOO_MANY_REQUESTS => Err(Error::new(
--- a/tests/platform_soak/fake_store.rs
+++ b/tests/platform_soak/fake_store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -14,6 +14,9 @@
 
 use crate::fake_server::{self, FakeResponse, json_response};
 
+/// Items of one page of a range.
+const MAX_PAGE_ITEMS: usize = 500;
+
 /// Delay of the commits that are chosen at random.
 const RANDOM_COMMIT_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -49,6 +52,8 @@
     pub lost_commit_percent: Arc<AtomicU32>,
     /// Counter that decides which commits get no response.
     commit_draw: Arc<AtomicU32>,
+    /// Whether the answer to a conflict names no items.
+    has_no_conflict_items: Arc<AtomicBool>,
     /// The next commit to delay.
     delayed_commit: Arc<Mutex<Option<DelayedCommit>>>,
 }
@@ -148,6 +153,7 @@
             state: Arc::default(),
             lost_commit_percent: Arc::default(),
             commit_draw: Arc::default(),
+            has_no_conflict_items: Arc::default(),
             delayed_commit: Arc::default(),
         };
         let shared = store.clone();
@@ -172,6 +178,11 @@
         *self.delayed_commit.lock().expect("rule") = Some(DelayedCommit { prefix, delay });
     }
 
+    /// Leaves the items out of the answers to conflicts.
+    pub fn leave_out_conflict_items(&self) {
+        self.has_no_conflict_items.store(true, Ordering::Relaxed);
+    }
+
     /// Whether a commit that is to be delayed has not arrived yet.
     pub fn awaits_delayed_commit(&self) -> bool {
         self.delayed_commit.lock().expect("rule").is_some()
@@ -222,11 +233,15 @@
             },
             "/kv-range" => {
                 let prefix = &query["prefix"];
-                let items = state.items.iter().filter(|(key, _)| key.starts_with(prefix));
-                let items: Vec<Value> = items.map(|(key, item)| state.encode_item(key, item)).collect();
+                let after = query.get("after").map_or("", String::as_str);
+                let items = state.items.iter();
+                let items = items.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
+                let mut items: Vec<Value> = items.map(|(key, item)| state.encode_item(key, item)).collect();
+                let is_truncated = items.len() > MAX_PAGE_ITEMS;
+                items.truncate(MAX_PAGE_ITEMS);
                 json_response(
                     200,
-                    &json!({"items": items, "truncated": false, "as-of": state.revision}),
+                    &json!({"items": items, "truncated": is_truncated, "as-of": state.revision}),
                 )
             }
             "/kv-lease" => {
@@ -269,7 +284,7 @@
             });
             return std::future::pending().await;
         }
-        let (status, body) = {
+        let (status, mut body) = {
             let mut state = self.state.lock().expect("state");
             state.expire_leases();
             state.commit(&body)
@@ -277,6 +292,9 @@
         if draw < lost_percent {
             return std::future::pending().await;
         }
+        if self.has_no_conflict_items.load(Ordering::Relaxed) && status == 412 {
+            body["items"] = json!([]);
+        }
         json_response(status, &body)
     }
 
--- a/tests/platform_soak/late_writes.rs
+++ b/tests/platform_soak/late_writes.rs
@@ -5,11 +5,9 @@
 
 use figloft::model::id::{LeaderTerm, SessionId, StoreRevision};
 use figloft::node::fenced_writer::{FencedOutcome, FencedWriter, RoleClaim};
-use figloft::platform::http::HttpClient as HttpApiClient;
-use figloft::platform::store::{StoreApiClient, StoreTransaction};
+use figloft::platform::store::StoreTransaction;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use prometheus::{IntCounterVec, Opts};
 use serde_json::{Value, json};
 use slog::{Logger, o};
 
@@ -17,6 +15,7 @@
 use crate::fake_worker::{FakeWorker, LONG_RUNNING_PREFIX};
 use crate::node_process::NodeProcess;
 use crate::scenario::{self, HttpClient};
+use crate::store_lists;
 
 /// Time for which a test waits for a state that it needs.
 const MAX_WAIT: Duration = Duration::from_secs(10);
@@ -164,8 +163,7 @@
 #[tokio::test]
 async fn count_is_not_stored_without_the_lease_of_its_leader() {
     let (fake, address) = FakeStore::start().await;
-    let calls = IntCounterVec::new(Opts::new("calls", "calls"), &["call", "outcome"]).expect("counter");
-    let store = StoreApiClient::new(HttpApiClient::new(), address, calls);
+    let store = store_lists::store_client(address);
     let timeout = Duration::from_secs(1);
     let (lease, _) = store.grant_lease(MAX_WAIT, timeout).await.expect("lease");
     let (retention, _) = store.grant_lease(MAX_WAIT, timeout).await.expect("lease");
--- a/tests/platform_soak/main.rs
+++ b/tests/platform_soak/main.rs
@@ -13,6 +13,7 @@
 mod link_proxy;
 mod node_process;
 mod scenario;
+mod store_lists;
 
 use std::ops::Range;
 
