Escape keys in the queries to the store

A list of more than 500 items could not be read if a page ended with a key of another writer that has a space or a character outside ASCII: the key was put into the query as it is, the request could not be built, and the watcher retried it for ever. A leader that started then saw no worker at all. Keys with & or # continued at a wrong place.

Values in queries are escaped now, also the page tokens of the machine API. Keys of figloft and ids of workers have no character that is escaped. page_that_ends_with_an_odd_key_is_followed_by_the_next failed before with "not sent: invalid uri character". percent-encoding is a new dependency.

--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -14,6 +14,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -32,6 +33,14 @@
 /// Maximum size of a response body. The largest responses are pages of store items.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
+/// Characters of a query value that are escaped: all but letters, digits and those without a meaning in a query.
+const ESCAPED_CHARACTERS: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'/')
+    .remove(b'_')
+    .remove(b'~');
+
 type HostClient = Client<ResetConnector, Full<Bytes>>;
 
 /// HTTP client for all requests to the platform. Clones share their connections.
@@ -74,6 +83,11 @@
     NoResponse(String),
 }
 
+/// Escapes a value of a query, for example a key that another program has chosen.
+pub fn escape_query(value: &str) -> PercentEncode<'_> {
+    percent_encoding::utf8_percent_encode(value, ESCAPED_CHARACTERS)
+}
+
 impl HttpRequest {
     /// Creates a request without headers and body.
     pub fn new(address: SocketAddr, method: Method, path: impl Into<String>, timeout: Duration) -> Self {
--- a/src/platform/instance.rs
+++ b/src/platform/instance.rs
@@ -13,7 +13,7 @@
 use crate::dispatch::wave_plan::{InstanceEntry, InstanceOutcome, InstanceState};
 use crate::error::{Error, ErrorKind, Result};
 use crate::model::id::{InstanceId, LeaderTerm, PoolId, WorkerId};
-use crate::platform::http::{HttpClient, HttpError, HttpRequest, HttpResponse};
+use crate::platform::http::{HttpClient, HttpError, HttpRequest, HttpResponse, escape_query};
 
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -102,7 +102,9 @@
             }
             match page.next_token {
                 None | Some(serde_json::Value::Null) => return Ok(instances),
-                Some(serde_json::Value::String(token)) => path = format!("/machines?page-token={token}"),
+                Some(serde_json::Value::String(token)) => {
+                    path = format!("/machines?page-token={}", escape_query(&token));
+                }
                 Some(token) => path = format!("/machines?page-token={token}"),
             }
         }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -15,7 +15,7 @@
 use crate::error::{Error, ErrorKind, Result};
 use crate::model::id::{LeaseId, StoreRevision};
 use crate::model::listed_rows::ListedRows;
-use crate::platform::http::{HttpClient, HttpError, HttpRequest, HttpResponse};
+use crate::platform::http::{HttpClient, HttpError, HttpRequest, HttpResponse, escape_query};
 
 /// Maximum number of entries of a transaction: conditions, puts and deletions together.
 pub const MAX_TRANSACTION_ENTRIES: usize = 32;
@@ -260,7 +260,7 @@
     /// `store_unavailable`, `rate_limited` or `bad_message`.
     pub async fn get(&self, key: &str, timeout: Duration) -> Result<Option<StoreItem>> {
         let response = self
-            .send_get("get", format!("/kv-key?key={}", key), timeout)
+            .send_get("get", format!("/kv-key?key={}", escape_query(key)), timeout)
             .await?;
         if response.status == StatusCode::NOT_FOUND {
             return Ok(None);
@@ -301,9 +301,9 @@
         after: Option<&str>,
         timeout: Duration,
     ) -> Result<(ListedRows<StoreItem>, StoreRevision)> {
-        let mut path = format!("/kv-range?prefix={}", prefix);
+        let mut path = format!("/kv-range?prefix={}", escape_query(prefix));
         if let Some(key) = after {
-            path = format!("{path}&after={}", key);
+            path = format!("{path}&after={}", escape_query(key));
         }
         let response = self.send_get("range", path, timeout).await?;
         check_status("range", &response)?;
@@ -325,7 +325,7 @@
     pub async fn watch(&self, prefix: &str, after: StoreRevision, wait: Duration) -> Result<WatchResponse> {
         let path = format!(
             "/kv-watch?prefix={}&after={after}&wait-ms={}",
-            prefix,
+            escape_query(prefix),
             wait.as_millis()
         );
         let response = self.send_get("watch", path, wait + WATCH_GRACE).await?;
--- a/tests/platform_soak/fake_store.rs
+++ b/tests/platform_soak/fake_store.rs
@@ -215,7 +215,10 @@
             .unwrap_or_default()
             .split('&')
             .filter_map(|pair| pair.split_once('='))
-            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .map(|(name, value)| {
+                let value = percent_encoding::percent_decode_str(value).decode_utf8_lossy();
+                (name.to_owned(), value.into_owned())
+            })
             .collect();
         let body = fake_server::read_body(request).await;
         if path == "/kv-watch" {
--- a/tests/platform_soak/store_lists.rs
+++ b/tests/platform_soak/store_lists.rs
@@ -24,6 +24,28 @@
     StoreApiClient::new(HttpClient::new(), address, calls)
 }
 
+/// Guards against a watcher that never gets past the first page: the page ends with the key of another writer, which
+/// has characters with a meaning in a query.
+#[tokio::test]
+async fn page_that_ends_with_an_odd_key_is_followed_by_the_next() {
+    let (fake, address) = FakeStore::start().await;
+    for number in 0..499 {
+        fake.write(&format!("servers/a-{number:03}"), &json!({}));
+    }
+    for key in ["servers/b c/\u{e9}&after=#%20+", "servers/i-1", "servers/i-2"] {
+        fake.write(key, &json!({}));
+    }
+    let (items, _) = store_client(address)
+        .range("servers/", TIMEOUT)
+        .await
+        .expect("items");
+    let last: Vec<&str> = items.iter().skip(499).map(|item| &*item.key).collect();
+    assert_eq!(
+        last,
+        ["servers/b c/\u{e9}&after=#%20+", "servers/i-1", "servers/i-2"]
+    );
+}
+
 /// Guards against taking a cut list for a whole one, and against reading the same page for ever: a page says that more
 /// items follow, but has none, or none beyond the page before it.
 #[tokio::test]
