Conclude nothing from one list of instances or from a count of counts

The pages of the list of instances are read one after the other. An instance that one list lacked counted as gone: its wave was complete without it, and it no longer counted as down. Two lists in a row have to lack it now. instance_that_one_list_lacks_is_not_gone failed before ("instance 1 had no maintenance").

The waiting jobs of a queue were summed if there were as many counts as pools, whichever pools they were of: the count of a removed pool made up for that of a pool without a leader, whose jobs counted as none. Each pool needs its own count now. The sum moved to a function of its own, so that its test could not be run on the former code.

--- a/src/dispatch/wave_plan.rs
+++ b/src/dispatch/wave_plan.rs
@@ -115,6 +115,8 @@
     down: BTreeMap<InstanceId, Instant>,
     evacuating: BTreeSet<InstanceId>,
     in_flight: BTreeSet<InstanceId>,
+    /// Instances that the last list lacked.
+    missing: BTreeSet<InstanceId>,
     retry_at: BTreeMap<InstanceId, Instant>,
 }
 
@@ -135,6 +137,7 @@
             down,
             evacuating: BTreeSet::new(),
             in_flight: BTreeSet::new(),
+            missing: BTreeSet::new(),
             retry_at: BTreeMap::new(),
         }
     }
@@ -155,11 +158,19 @@
     }
 
     /// Updates the plan from the platform's list, read at `read_at`. Instances that are listed as up no
-    /// longer count as down, and those that are missing need no maintenance any more.
+    /// longer count as down, and those that two lists in a row lack need no maintenance any more. One list proves
+    /// nothing: its pages are read one after the other, and an instance may change its place between two of them.
     pub fn set_instances(&mut self, read_at: Instant, instances: &BTreeMap<InstanceId, InstanceEntry>) {
+        let concerned = self.request.instances.iter().chain(self.down.keys());
+        let missing: BTreeSet<InstanceId> = concerned
+            .filter(|id| !instances.contains_key(*id))
+            .cloned()
+            .collect();
+        let gone: BTreeSet<InstanceId> = missing.intersection(&self.missing).cloned().collect();
+        self.missing = missing;
         self.down.retain(|id, requested_at| {
-            let entry = instances.get(id);
-            let is_back = entry.is_none_or(|entry| entry.state == InstanceState::Up);
+            let is_up = |entry: &InstanceEntry| entry.state == InstanceState::Up;
+            let is_back = instances.get(id).map_or_else(|| gone.contains(id), is_up);
             !(is_back && read_at > *requested_at)
         });
         // A previous leader may have requested maintenance without storing it.
@@ -171,9 +182,7 @@
                 self.down.entry(id.clone()).or_insert(read_at);
             }
         }
-        let missing = |id: &&InstanceId| !instances.contains_key(*id);
-        let gone: Vec<InstanceId> = self.request.instances.iter().filter(missing).cloned().collect();
-        for id in gone {
+        for id in gone.into_iter().filter(|id| self.request.instances.contains(id)) {
             self.evacuating.remove(&id);
             self.progress.started.insert(id);
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -22,4 +22,5 @@
 pub mod prefix_watcher;
 pub mod retention_lease;
 pub mod store_keys;
+pub mod waiting_counts;
 pub mod writer_handle;
--- a/src/request/queue_api.rs
+++ b/src/request/queue_api.rs
@@ -3,7 +3,6 @@
 //!
 //! Jobs and cancellations are only written to the store here; the leader of the queue's pool acts on them.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -18,6 +17,7 @@
 use crate::model::id::{JobId, OrganisationId, QueueId, StoreRevision};
 use crate::node::node_context::{NodeContext, STORE_TIMEOUT};
 use crate::node::store_keys;
+use crate::node::waiting_counts;
 use crate::platform::caller_protocol;
 use crate::platform::store::{CommitOutcome, StoreTransaction};
 use crate::request::http_server::{EntryHandler, EntryRequest};
@@ -241,25 +241,17 @@
         if self.context.store.is_unreachable() {
             return Err(store_unavailable());
         }
-        let config = self.context.config.borrow().clone();
-        let pools = config.map_or(0, |config| config.active_pools().count());
+        let config = self.context.config.borrow().clone().unwrap_or_default();
         let (items, _) = self
             .context
             .store
             .range(store_keys::WAITING_PREFIX, STORE_TIMEOUT)
             .await?;
-        if items.len() < pools {
-            let error = Error::new(
-                ErrorKind::ViewStale,
-                "a pool has no leader that counts its waiting jobs",
-            );
-            return Err(error.with_retry_after(RETRY_AFTER));
-        }
-        let mut waiting = 0;
-        for item in &items {
-            let counts: BTreeMap<QueueId, u32> = store_keys::decode(&item.key, &item.value)?;
-            waiting += counts.get(queue).copied().unwrap_or(0);
-        }
+        let waiting = waiting_counts::sum(&items, config.active_pools(), queue)?;
+        let waiting = waiting.ok_or_else(|| {
+            let message = "a pool has no leader that counts its waiting jobs";
+            Error::new(ErrorKind::ViewStale, message).with_retry_after(RETRY_AFTER)
+        })?;
         Ok(response::json_response(
             StatusCode::OK,
             &caller_protocol::encode_waiting_count(waiting),
--- a/tests/pool_decisions/cut_lists.rs
+++ b/tests/pool_decisions/cut_lists.rs
@@ -1,5 +1,6 @@
 //! Reports of workers that list only a part of the runs that have ended.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -8,13 +9,17 @@
 use figloft::dispatch::pool_scheduler::PoolScheduler;
 use figloft::dispatch::scheduler_timing::SchedulerTiming;
 use figloft::dispatch::takeover::TakeoverState;
+use figloft::dispatch::wave_plan::{InstanceEntry, InstanceState, WavePlan, WaveProgress, WaveRequest};
 use figloft::dispatch::worker_report::{EndedRun, RunOutcome, WorkerReport};
+use figloft::model::id::{InstanceId, PoolId, QueueId, StoreRevision};
 use figloft::model::listed_rows::ListedRows;
 use figloft::model::unix_time::UnixMillis;
+use figloft::node::waiting_counts;
+use figloft::platform::store::StoreItem;
 
 use crate::setup::{
-    WALL, empty_scheduler, entry, record, running_row, scheduler, start_all, starts, step, store_changes,
-    worker_id,
+    WALL, empty_scheduler, entry, instance_id, pool, record, running_row, scheduler, start_all, starts, step,
+    store_changes, worker_id,
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -209,3 +214,60 @@
     deliver(&mut scheduler, now, &[], ListedRows::Whole(done_rows(&started)));
     assert!(scheduler.report(now).workers[&worker_id(0)].is_evacuating);
 }
+
+/// Guards against a wave that is said to be complete, and against one instance too many in maintenance: a list that is
+/// read in pages lacked an instance which changed its place meanwhile.
+#[test]
+fn instance_that_one_list_lacks_is_not_gone() {
+    let now = Instant::now();
+    let request = WaveRequest {
+        instances: [instance_id(0), instance_id(1)].into(),
+        duration: MS * 60_000,
+        max_down: 1,
+    };
+    let progress = WaveProgress {
+        started: [instance_id(0)].into(),
+        is_complete: false,
+    };
+    let mut wave = WavePlan::new(now, request, progress);
+    let entry = |state| InstanceEntry {
+        pool: pool(),
+        state,
+        worker: None,
+    };
+    let whole: BTreeMap<InstanceId, InstanceEntry> = [
+        (instance_id(0), entry(InstanceState::Maintenance)),
+        (instance_id(1), entry(InstanceState::Up)),
+    ]
+    .into();
+    let mut time = now;
+    for list in [&BTreeMap::new(), &whole, &BTreeMap::new(), &whole] {
+        time += MS * 400;
+        wave.set_instances(time, list);
+        assert!(!wave.mark_complete(), "instance 1 had no maintenance");
+        wave.choose_evacuations(time, &whole, &BTreeMap::new());
+        assert_eq!(wave.take_ready(time, &whole, |_| true), Vec::new(), "one is down");
+    }
+    for _ in 0..2 {
+        time += MS * 400;
+        wave.set_instances(time, &BTreeMap::new());
+    }
+    assert!(wave.mark_complete(), "both instances are gone");
+}
+
+/// Guards against a count that leaves out a pool without a leader because another pool, which was removed, still has
+/// one.
+#[test]
+fn count_of_a_removed_pool_does_not_replace_a_missing_one() {
+    let item = |pool: &str, counts: &'static str| StoreItem {
+        key: format!("wait/{pool}").into(),
+        value: counts.into(),
+        revision: StoreRevision::new(1),
+    };
+    let queue = QueueId::new("r-1").expect("queue");
+    let pools = [pool(), PoolId::new("pool-b").expect("pool")];
+    let mut items = vec![item("pool-a", r#"{"r-1":2}"#), item("pool-old", "{}")];
+    assert_eq!(waiting_counts::sum(&items, &pools, &queue), Ok(None));
+    items.push(item("pool-b", r#"{"r-1":3}"#));
+    assert_eq!(waiting_counts::sum(&items, &pools, &queue), Ok(Some(5)));
+}
