Give the members of a gang one checkpoint

Each member was started with the checkpoint that it had saved itself. Members that carry different ones are no complete gang, so that one ends alone and the others broken, and each keeps its own value.

A step now keeps one checkpoint for a gang, to which the values of all members go, and each start takes it from there. A value replaces the known one only if it comes from the same run or a later one, and a value that came with the end of a run is not replaced by one that was listed before. A run that is lost offers only what its worker listed, no longer the value with which it was started. Records of earlier versions with a value for each member are read; any of them is valid.

--- a/src/dispatch/job_record.rs
+++ b/src/dispatch/job_record.rs
@@ -122,7 +122,7 @@
     /// kept and not only their count, because a worker may report an outcome again to the next leader.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub failures: BTreeMap<u32, BTreeSet<RunNumber>>,
-    /// Latest checkpoint of each task that is not completed.
+    /// Latest checkpoint of each task that is not completed; that of a gang is stored with its first task.
     #[serde(rename = "saved", skip_serializing_if = "BTreeMap::is_empty")]
     pub checkpoints: BTreeMap<u32, Arc<str>>,
     /// Runs of each task that is not completed that were lost with their worker, or may be.
--- a/src/dispatch/job_state.rs
+++ b/src/dispatch/job_state.rs
@@ -8,6 +8,7 @@
 use crate::dispatch::job_record::{JobProgress, JobRecord, JobState, JobSummary, StepProgress};
 use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::run_loss::{LossHistory, RunLoss};
+use crate::dispatch::task_checkpoint::TaskCheckpoint;
 use crate::dispatch::task_id::StepId;
 use crate::model::id::{RunNumber, WorkerId};
 use crate::model::unix_time::UnixMillis;
@@ -33,8 +34,6 @@
     pub failures: BTreeSet<RunNumber>,
     /// Runs that are active, or may be.
     pub copies: Vec<TaskCopy>,
-    /// Latest checkpoint, empty if there is none.
-    pub checkpoint: Arc<str>,
     /// Workers on which the task failed and should not run again.
     pub avoided_workers: BTreeSet<WorkerId>,
     /// Earliest time of the next start; absent if the task may start at once.
@@ -66,6 +65,8 @@
     pub tasks: Vec<TaskState>,
     /// Number of tasks that have not completed.
     pub unfinished: usize,
+    /// Checkpoint of each task by its index; a gang has one, that of the first index.
+    checkpoints: Vec<TaskCheckpoint>,
 }
 
 impl StepState {
@@ -76,12 +77,37 @@
                 let index = index as u32;
                 task.is_done = progress.done.contains(&index);
                 task.failures = progress.failures.get(&index).cloned().unwrap_or_default();
-                task.checkpoint = progress.checkpoints.get(&index).cloned().unwrap_or_default();
                 task.losses = progress.losses.get(&index).cloned().unwrap_or_default();
             }
         }
         let unfinished = tasks.iter().filter(|task| !task.is_done).count();
-        Self { tasks, unfinished }
+        let stored = progress.map(|progress| &progress.checkpoints);
+        let stored = |index: u32| stored?.get(&index).cloned().map(TaskCheckpoint::new);
+        let checkpoints = if spec.is_gang {
+            // An earlier version stored one for each member, of which any is valid.
+            vec![(0..spec.tasks).find_map(stored).unwrap_or_default()]
+        } else {
+            (0..spec.tasks)
+                .map(|index| stored(index).unwrap_or_default())
+                .collect()
+        };
+        Self {
+            tasks,
+            unfinished,
+            checkpoints,
+        }
+    }
+
+    /// Checkpoint from which a task resumes, which the members of a gang share.
+    pub fn checkpoint(&self, index: u32) -> Option<&TaskCheckpoint> {
+        let last = self.checkpoints.len().checked_sub(1)?;
+        self.checkpoints.get(last.min(index as usize))
+    }
+
+    /// The same, for changes.
+    pub fn checkpoint_mut(&mut self, index: u32) -> Option<&mut TaskCheckpoint> {
+        let last = self.checkpoints.len().checked_sub(1)?;
+        self.checkpoints.get_mut(last.min(index as usize))
     }
 
     /// Whether a task may crash the workers on which it starts.
@@ -100,8 +126,9 @@
             if !task.failures.is_empty() {
                 progress.failures.insert(index, task.failures.clone());
             }
-            if !task.checkpoint.is_empty() {
-                progress.checkpoints.insert(index, Arc::clone(&task.checkpoint));
+            let own = self.checkpoints.get(index as usize).map(TaskCheckpoint::value);
+            if let Some(checkpoint) = own.filter(|checkpoint| !checkpoint.is_empty()) {
+                progress.checkpoints.insert(index, Arc::clone(checkpoint));
             }
             if !task.losses.is_empty() {
                 progress.losses.insert(index, task.losses.clone());
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -30,6 +30,7 @@
 pub mod speed_control;
 pub mod start_priority;
 pub mod takeover;
+pub mod task_checkpoint;
 pub mod task_id;
 pub mod wave_plan;
 pub mod work_average;
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -429,13 +429,15 @@
         if !is_expired {
             self.forget_loss(worker_id, run);
         }
-        let checkpoint = Arc::clone(&placed.checkpoint);
+        let job = self.jobs.get_mut(&run.task.step.job);
+        if let Some(step) = job.and_then(|job| job.step_mut(&run.task.step))
+            && let Some(checkpoint) = step.checkpoint_mut(run.task.index).filter(|_| is_expired)
+        {
+            checkpoint.record(run.number, &placed.checkpoint, false);
+        }
         if let Some(task) = self.task_mut(&run.task) {
             task.copies
                 .retain(|copy| copy.worker != *worker_id || copy.run != run.number);
-            if is_expired && !checkpoint.is_empty() {
-                task.checkpoint = checkpoint;
-            }
             if task.ready_at.is_some_and(|at| at < now) {
                 task.ready_at = None;
             }
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -369,10 +369,13 @@
             return;
         };
         let payload = Arc::clone(&job.record.spec.payload);
-        let Some(state) = job
-            .step_mut(&task.step)
-            .and_then(|step| step.tasks.get_mut(task.index as usize))
-        else {
+        let Some(step) = job.step_mut(&task.step) else {
+            return;
+        };
+        let checkpoint = step.checkpoint(task.index);
+        let checkpoint = checkpoint.map(|checkpoint| Arc::clone(checkpoint.value()));
+        let checkpoint = checkpoint.unwrap_or_default();
+        let Some(state) = step.tasks.get_mut(task.index as usize) else {
             return;
         };
         state.last_run = run;
@@ -382,11 +385,9 @@
             run,
             placed_at: now,
         });
-        let checkpoint = Arc::clone(&state.checkpoint);
         self.start_budget
             .spend(payload.len() + checkpoint.len() + START_OVERHEAD_BYTES);
         let placed = PlacedRun {
-            checkpoint: Arc::clone(&checkpoint),
             deadline_ms,
             ..PlacedRun::new(now, run, RunPhase::Starting, spec, organisation.cloned())
         };
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -219,8 +219,8 @@
             // before that, it would be unknown to the next leader, which would run the task again.
             return last_change;
         }
-        if !row.checkpoint.is_empty() {
-            task.checkpoint = Arc::clone(&row.checkpoint);
+        if let Some(checkpoint) = step.checkpoint_mut(row.task.index) {
+            checkpoint.record(row.run, &row.checkpoint, true);
         }
         match row.outcome {
             RunOutcome::Done => {
@@ -228,7 +228,9 @@
                 return self.mark_progress_changed(&id);
             }
             RunOutcome::Failed => {
-                task.avoided_workers.insert(worker_id.clone());
+                step.tasks[row.task.index as usize]
+                    .avoided_workers
+                    .insert(worker_id.clone());
                 let counted = if spec.is_gang { 0 } else { row.task.index as usize };
                 step.tasks[counted].failures.insert(row.run);
                 let failures = step.tasks[counted].failures.len();
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -102,7 +102,7 @@
     /// Load reported at the last poll: tail latency in milliseconds for a task that serves requests, CPU use
     /// otherwise.
     pub load: f64,
-    /// Latest checkpoint, empty if there is none.
+    /// Latest checkpoint that the worker has listed, empty if there is none.
     pub checkpoint: Arc<str>,
     /// Lease deadline in the start command, on the worker's clock. The command has no effect after it.
     pub deadline_ms: u64,
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod flush;
 mod forecast;
+mod gang_checkpoints;
 mod held_tasks;
 mod isolation;
 mod late_starts;
