Refuse impossible values in entries and let no sum of foreign amounts overflow

An entry among those of the workers may come from another program. Amounts up to 2^64-1 were taken as they are; sums of them, of the clock in an answer, of run numbers and of the estimates of a job wrapped in release builds, and panicked where overflows are checked, which ends the leader and then each next one. A process that starts far in the future hid every later one on its instance.

Amounts and numbers saturate now. An entry with over a million cores, 954 TiB or a million accelerators, with over 100 labels, or with a start over an hour ahead is malformed: its worker is not used until a sound entry follows.

odd_entries_and_reports_do_not_end_a_leader, entry_with_an_impossible_capacity_names_no_worker, largest_accepted_job_has_a_finite_amount_of_work and entry_of_a_process_from_the_future_is_refused failed before; any_bytes_are_decoded_or_refused passed before and stays as a guard.

--- a/src/dispatch/job_spec.rs
+++ b/src/dispatch/job_spec.rs
@@ -217,13 +217,14 @@
         paths
     }
 
-    /// Sum of the estimated work of all tasks, in core-milliseconds.
+    /// Sum of the estimated work of all tasks, in core-milliseconds, as far as it can be counted.
     pub fn estimated_work(&self) -> u64 {
         let works = self.steps.iter().map(|step| {
             let millis = step.estimate.as_millis() as u64;
-            step.demand.cores.get() * millis * u64::from(step.tasks) / 1_000
+            let core_millis = step.demand.cores.get().saturating_mul(millis);
+            core_millis.saturating_mul(u64::from(step.tasks)) / 1_000
         });
-        works.sum()
+        works.fold(0, u64::saturating_add)
     }
 
     /// Whether the job contains long-running tasks.
--- a/src/dispatch/worker_lease.rs
+++ b/src/dispatch/worker_lease.rs
@@ -32,13 +32,13 @@
     fn min_clock(&self, now: Instant) -> Option<u64> {
         let (at, clock_ms) = self.sample?;
         let elapsed = now.saturating_duration_since(at).mul_f64(MIN_CLOCK_RATE);
-        Some(clock_ms + elapsed.as_millis() as u64)
+        Some(clock_ms.saturating_add(elapsed.as_millis() as u64))
     }
 
     /// Extends the lease by at most `lease` on the worker's clock and returns the deadline on that clock, or
     /// `None` if the clock is unknown. A deadline never moves back.
     pub fn grant(&mut self, now: Instant, lease: Duration) -> Option<u64> {
-        let deadline = self.min_clock(now)? + lease.as_millis() as u64;
+        let deadline = self.min_clock(now)?.saturating_add(lease.as_millis() as u64);
         self.deadline_ms = self.deadline_ms.max(deadline);
         Some(self.deadline_ms)
     }
--- a/src/model/amount.rs
+++ b/src/model/amount.rs
@@ -1,6 +1,6 @@
 //! Newtypes for sizes, counts and rates, so that different units cannot be mixed up.
 
-use derive_more::{Add, AddAssign, Display, FromStr, Sum};
+use derive_more::{Display, FromStr};
 use serde::{Deserialize, Serialize};
 
 macro_rules! amounts {
@@ -8,11 +8,32 @@
         $(#[$doc])*
         #[derive(
             Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Display, FromStr,
-            Add, AddAssign, Sum, Serialize, Deserialize,
+            Serialize, Deserialize,
         )]
         #[serde(transparent)]
         pub struct $name($inner);
 
+        /// The sum, or the largest amount if it exceeds that: some amounts come from other programs.
+        impl std::ops::Add for $name {
+            type Output = Self;
+
+            fn add(self, other: Self) -> Self {
+                Self(self.0.saturating_add(other.0))
+            }
+        }
+
+        impl std::ops::AddAssign for $name {
+            fn add_assign(&mut self, other: Self) {
+                *self = *self + other;
+            }
+        }
+
+        impl std::iter::Sum for $name {
+            fn sum<I: Iterator<Item = Self>>(amounts: I) -> Self {
+                amounts.fold(Self::default(), std::ops::Add::add)
+            }
+        }
+
         impl $name {
             /// Wraps a number of this unit.
             pub const fn new(amount: $inner) -> Self {
--- a/src/model/id.rs
+++ b/src/model/id.rs
@@ -130,10 +130,10 @@
                 self.0
             }
 
-            /// The following number.
+            /// The following number; the largest number has none and is returned itself.
             #[must_use]
             pub const fn next(self) -> Self {
-                Self(self.0 + 1)
+                Self(self.0.saturating_add(1))
             }
         }
     )*};
--- a/src/node/pool_leader.rs
+++ b/src/node/pool_leader.rs
@@ -374,7 +374,7 @@
     /// Updates a worker from its entry. A worker whose entry is malformed or names another pool is removed.
     /// Returns the worker if it belongs to this pool.
     fn handle_worker_entry(&mut self, item: &StoreItem) -> Option<WorkerId> {
-        let entry = discovery::decode_worker_entry(&item.key, &item.value);
+        let entry = discovery::decode_worker_entry(&item.key, &item.value, self.context.wall_time());
         if let Ok(entry) = &entry {
             self.scheduler.observe_entry(self.context.clock.now(), entry);
         }
--- a/tests/pool_decisions/capacity.rs
+++ b/tests/pool_decisions/capacity.rs
@@ -113,12 +113,12 @@
 fn capacity_is_decoded() {
     let value = br#"{"service":"pool-a","address":"10.0.0.1:80","zone":"z","state":"ready","machine":"m-1",
         "capacity":{"cpu":12500,"mem-mb":100,"gpu":1},"labels":["a","r-1"],"born":7,"sequence":1}"#;
-    let decoded = discovery::decode_worker_entry("servers/i-1", value).expect("entry");
+    let decoded = discovery::decode_worker_entry("servers/i-1", value, WALL).expect("entry");
     assert_eq!(decoded.capacity.cores.get(), 12_500);
     assert_eq!(decoded.instance.expect("instance").as_str(), "m-1");
     let malformed =
         br#"{"service":"pool-a","address":"10.0.0.1:80","zone":"z","state":"ready","capacity":-1}"#;
-    discovery::decode_worker_entry("servers/i-1", malformed).expect_err("malformed capacity");
+    discovery::decode_worker_entry("servers/i-1", malformed, WALL).expect_err("malformed capacity");
     let services = br#"{"version":1,"services":[{"name":"a","enforce-capacity":true},{"name":"b"}]}"#;
     let pools = config::decode_config(services).expect("configuration").pools;
     let enforcing: Vec<bool> = pools.values().map(|pool| pool.enforces_capacity).collect();
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -16,6 +16,7 @@
 mod load;
 mod malformed;
 mod narrow_link;
+mod odd_entries;
 mod placement;
 mod scheduler;
 mod setup;
