Let an entry end the runs of another worker only if that does not answer

An entry with a later start on the instance of a worker counted as proof that the process of that worker has ended.

Such an entry counts now if the worker does not answer either, if its pool is in the configuration, and while it is in the list. The worker is polled at once, and when the poll fails its runs are lost as before. Each instance keeps all its processes, so that an entry which is gone does not hide the next one.

runs_of_an_answering_worker_are_not_lost_by_an_entry, entry_of_an_unknown_pool_proves_nothing and entry_that_is_gone_does_not_hide_the_next_process failed before; runs_of_a_replaced_worker_that_does_not_answer_are_lost_at_once passed and still does.

--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -96,6 +96,8 @@
     jobs: BTreeMap<JobId, JobRun>,
     workers: BTreeMap<WorkerId, WorkerState>,
     instance_workers: InstanceWorkers,
+    /// Pools that the configuration names; empty before the first one.
+    pools: BTreeSet<PoolId>,
     open_losses: OpenLosses,
     /// Jobs with suspects that have a worker for themselves.
     isolated: BTreeMap<JobId, IsolatedJob>,
@@ -153,6 +155,7 @@
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
             instance_workers: InstanceWorkers::default(),
+            pools: BTreeSet::new(),
             open_losses: OpenLosses::default(),
             isolated: BTreeMap::new(),
             reopened_workers: BTreeMap::new(),
@@ -229,8 +232,9 @@
         std::mem::take(&mut self.notes)
     }
 
-    /// Applies the weights and limits of a new configuration.
+    /// Applies the weights, limits and pools of a new configuration.
     pub fn set_config(&mut self, config: &SiteConfig) {
+        self.pools = config.pools.keys().cloned().collect();
         self.organisations.clone_from(&config.organisations);
         let pool = config.pools.get(&self.pool).copied().unwrap_or_default();
         self.is_unguarded = !pool.enforces_capacity;
@@ -360,12 +364,11 @@
         });
     }
 
-    /// Adds or updates a worker from its entry in the list. A new incarnation of its process has lost the
-    /// runs of the previous one.
+    /// Adds or updates a worker from its entry in the list; one of another pool is no longer used. A new incarnation of
+    /// its process has lost the runs of the previous one.
     pub fn set_worker(&mut self, now: Instant, entry: WorkerEntry) {
         if entry.pool != self.pool {
-            let id = entry.id;
-            self.remove_worker(&id);
+            self.unlist_worker(&entry.id);
             return;
         }
         let id = entry.id.clone();
@@ -397,9 +400,15 @@
         self.takeover.expect(worker);
     }
 
-    /// Handles the removal of a worker's entry from the list. Its runs go on until their lease expires.
+    /// Handles the removal of the entry of a worker, of any pool, from the list. Its runs go on until their lease
+    /// expires.
     pub fn remove_worker(&mut self, id: &WorkerId) {
-        let Some(worker) = self.workers.get_mut(id) else {
+        self.instance_workers.remove(id);
+        self.unlist_worker(id);
+    }
+
+    fn unlist_worker(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.is_listed) else {
             return;
         };
         worker.is_listed = false;
@@ -407,10 +416,11 @@
         self.note("worker left the list", None, Some(id.clone()), inputs);
     }
 
-    /// Workers that are in the list; after a complete read those that it lacks are removed.
+    /// Workers of any pool that are in the list; after a complete read those that it lacks are removed.
     pub fn listed_workers(&self) -> BTreeSet<WorkerId> {
         let listed = self.workers.iter().filter(|(_, worker)| worker.is_listed);
-        listed.map(|(id, _)| id.clone()).collect()
+        let listed = listed.map(|(id, _)| id.clone());
+        listed.chain(self.instance_workers.listed().cloned()).collect()
     }
 
     /// Removes a run that has not started or has ended, so that its task may start again. If the lease of the
--- a/src/dispatch/pool_scheduler/worker_losses.rs
+++ b/src/dispatch/pool_scheduler/worker_losses.rs
@@ -28,11 +28,21 @@
 
 impl PoolScheduler {
     /// Handles a worker's entry, of any pool. A new process on an instance proves that the former one has
-    /// ended.
+    /// ended, if that does not answer any more; another program may have written the entry. One of a pool that the
+    /// configuration does not name proves nothing.
     pub fn observe_entry(&mut self, now: Instant, entry: &WorkerEntry) {
-        let former = self.instance_workers.observe(entry);
-        if let Some(former) = former {
-            self.lose_replaced_worker(now, &former, entry);
+        if !self.pools.is_empty() && !self.pools.contains(&entry.pool) {
+            return;
+        }
+        for former in self.instance_workers.observe(entry) {
+            let Some(worker) = self.workers.get_mut(&former) else {
+                continue;
+            };
+            // A poll at once tells whether it answers.
+            worker.poll.next_at = None;
+            if worker.poll.failures > 0 {
+                self.lose_replaced_worker(now, &former);
+            }
         }
         let Some(instance) = &entry.instance else {
             return;
@@ -42,11 +52,14 @@
         }
     }
 
-    /// Ends all runs of a worker whose instance runs another worker now.
-    fn lose_replaced_worker(&mut self, now: Instant, worker_id: &WorkerId, successor: &WorkerEntry) {
+    /// Ends all runs of a worker that does not answer, if its instance runs another worker now.
+    pub(super) fn lose_replaced_worker(&mut self, now: Instant, worker_id: &WorkerId) {
         let Some(worker) = self.workers.get(worker_id) else {
             return;
         };
+        let Some(successor) = self.instance_workers.successor(worker_id) else {
+            return;
+        };
         if worker.runs.is_empty() && worker.lost_at.is_none() {
             // The usual case of an evacuated instance that was moved.
             return;
@@ -56,7 +69,7 @@
             .map_or(0, |at| now.saturating_duration_since(at).as_millis());
         let inputs = format!(
             "worker {} of pool {} runs on its instance; {} runs of the former process, lost for {silent_ms} ms",
-            successor.id,
+            successor.worker,
             successor.pool,
             worker.runs.len(),
         );
@@ -160,7 +173,8 @@
             self.open_losses.remove(worker_id, run);
             return;
         };
-        let is_gone = incarnation > loss.incarnation || self.instance_workers.has_replaced(&loss);
+        let is_replaced = !has_answered && self.instance_workers.has_replaced(&loss);
+        let is_gone = incarnation > loss.incarnation || is_replaced;
         if is_gone && !is_placed {
             self.count_crash(worker_id, run);
         } else if !is_gone && has_answered && is_placed {
--- a/src/node/pool_leader.rs
+++ b/src/node/pool_leader.rs
@@ -371,26 +371,21 @@
         }
     }
 
-    /// Updates a worker from its entry. A worker whose entry is malformed or names another pool is removed.
-    /// Returns the worker if it belongs to this pool.
+    /// Updates a worker from its entry. A worker whose entry is malformed or names another pool is no longer used.
+    /// Returns the worker unless its entry is malformed.
     fn handle_worker_entry(&mut self, item: &StoreItem) -> Option<WorkerId> {
         let entry = discovery::decode_worker_entry(&item.key, &item.value, self.context.wall_time());
-        if let Ok(entry) = &entry {
-            self.scheduler.observe_entry(self.context.clock.now(), entry);
-        }
+        let now = self.context.clock.now();
         match entry {
-            Ok(entry) if entry.pool == self.pool => {
+            Ok(entry) => {
                 let id = entry.id.clone();
-                if !self.scheduler.workers().contains_key(&id) {
+                self.scheduler.observe_entry(now, &entry);
+                if entry.pool == self.pool && !self.scheduler.workers().contains_key(&id) {
                     self.scheduler.expect_worker(&id);
                 }
-                self.scheduler.set_worker(self.context.clock.now(), entry);
+                self.scheduler.set_worker(now, entry);
                 Some(id)
             }
-            Ok(entry) => {
-                self.scheduler.remove_worker(&entry.id);
-                None
-            }
             Err(error) => {
                 debug!(self.log, "worker entry ignored"; "key" => &*item.key, "error" => %error);
                 if let Ok(worker) = discovery::parse_worker_id(&item.key) {
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -18,6 +18,7 @@
 mod narrow_link;
 mod odd_entries;
 mod placement;
+mod replaced_workers;
 mod scheduler;
 mod setup;
 mod simulation;
