Do not wait for the ends of a process that has restarted

Found while reading the change: a worker lists a part of its ends after a take-over, its entry shows a new process, and that never answers. The list of the former process was awaited for ever, and with it all recovered tasks of the pool. A restart now ends the wait for the list.

--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -148,6 +148,8 @@
         worker.lease.reset(now, max_lease);
         worker.has_reported = false;
         worker.poll.next_at = None;
+        // The ends that the former process has not listed are lost with it.
+        self.takeover.end_listing(worker_id);
         let mut unconfirmed = 0;
         for run in worker.runs.values_mut() {
             // The new incarnation may have confirmed some of the starts; its first report shows which.
--- a/src/dispatch/takeover.rs
+++ b/src/dispatch/takeover.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Records that a worker will not list the rest of its runs.
+    pub fn end_listing(&mut self, worker: &WorkerId) {
+        self.listing.remove(worker);
+    }
+
     /// Whether tasks of jobs accepted in an earlier term may be running, or have ended, unknown to the leader. The end
     /// of the leases says nothing about the ends that a worker still has to list.
     pub fn is_pending(&self, now: Instant) -> bool {
--- a/tests/pool_decisions/cut_lists.rs
+++ b/tests/pool_decisions/cut_lists.rs
@@ -192,6 +192,29 @@
     assert!(time >= now + lease, "not before the lease has certainly expired");
 }
 
+/// Guards against the same wait after a restart: the new process knows nothing of the ends, and never answers.
+#[test]
+fn rest_of_a_list_is_not_awaited_from_a_process_that_has_ended() {
+    let now = Instant::now();
+    let (_, started) = former_leader(now);
+    let rows = done_rows(&started);
+    let mut scheduler = next_leader(now);
+    deliver(&mut scheduler, now, &[], ListedRows::Part(rows[..PART].to_vec()));
+    store_changes(&mut scheduler);
+    let mut restarted = entry(0, 8);
+    restarted.incarnation = Some(UnixMillis::new(2));
+    scheduler.set_worker(now + MS, restarted);
+    scheduler.set_worker(now + MS, entry(1, 8));
+    let report = WorkerReport {
+        clock_ms: 5_000,
+        incarnation: Some(UnixMillis::new(1)),
+        ..WorkerReport::default()
+    };
+    scheduler.handle_poll_report(now + MS, &worker_id(1), now + MS, report);
+    let again = starts(scheduler.decide(now + MS * 2, WALL, true));
+    assert_eq!(again.len(), TASKS - PART);
+}
+
 /// Guards against taking a worker for empty whose ends are not all known: its instance would be moved, and the ends
 /// would be lost.
 #[test]
