Take back the proof of replaced workers

The log shows the cause: a start that was sent to the worker of an instance which had just moved, and was refused, counted as a crash, because the failed poll of that worker now proved its end after the start was sent.

--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -96,8 +96,6 @@
     jobs: BTreeMap<JobId, JobRun>,
     workers: BTreeMap<WorkerId, WorkerState>,
     instance_workers: InstanceWorkers,
-    /// Pools that the configuration names; empty before the first one.
-    pools: BTreeSet<PoolId>,
     open_losses: OpenLosses,
     /// Jobs with suspects that have a worker for themselves.
     isolated: BTreeMap<JobId, IsolatedJob>,
@@ -155,7 +153,6 @@
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
             instance_workers: InstanceWorkers::default(),
-            pools: BTreeSet::new(),
             open_losses: OpenLosses::default(),
             isolated: BTreeMap::new(),
             reopened_workers: BTreeMap::new(),
@@ -232,9 +229,8 @@
         std::mem::take(&mut self.notes)
     }
 
-    /// Applies the weights, limits and pools of a new configuration.
+    /// Applies the weights and limits of a new configuration.
     pub fn set_config(&mut self, config: &SiteConfig) {
-        self.pools = config.pools.keys().cloned().collect();
         self.organisations.clone_from(&config.organisations);
         let pool = config.pools.get(&self.pool).copied().unwrap_or_default();
         self.is_unguarded = !pool.enforces_capacity;
@@ -364,11 +360,12 @@
         });
     }
 
-    /// Adds or updates a worker from its entry in the list; one of another pool is no longer used. A new incarnation of
-    /// its process has lost the runs of the previous one.
+    /// Adds or updates a worker from its entry in the list. A new incarnation of its process has lost the
+    /// runs of the previous one.
     pub fn set_worker(&mut self, now: Instant, entry: WorkerEntry) {
         if entry.pool != self.pool {
-            self.unlist_worker(&entry.id);
+            let id = entry.id;
+            self.remove_worker(&id);
             return;
         }
         let id = entry.id.clone();
@@ -400,15 +397,9 @@
         self.takeover.expect(worker);
     }
 
-    /// Handles the removal of the entry of a worker, of any pool, from the list. Its runs go on until their lease
-    /// expires.
+    /// Handles the removal of a worker's entry from the list. Its runs go on until their lease expires.
     pub fn remove_worker(&mut self, id: &WorkerId) {
-        self.instance_workers.remove(id);
-        self.unlist_worker(id);
-    }
-
-    fn unlist_worker(&mut self, id: &WorkerId) {
-        let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.is_listed) else {
+        let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         worker.is_listed = false;
@@ -416,11 +407,10 @@
         self.note("worker left the list", None, Some(id.clone()), inputs);
     }
 
-    /// Workers of any pool that are in the list; after a complete read those that it lacks are removed.
+    /// Workers that are in the list; after a complete read those that it lacks are removed.
     pub fn listed_workers(&self) -> BTreeSet<WorkerId> {
         let listed = self.workers.iter().filter(|(_, worker)| worker.is_listed);
-        let listed = listed.map(|(id, _)| id.clone());
-        listed.chain(self.instance_workers.listed().cloned()).collect()
+        listed.map(|(id, _)| id.clone()).collect()
     }
 
     /// Removes a run that has not started or has ended, so that its task may start again. If the lease of the
--- a/src/dispatch/pool_scheduler/command_outcomes.rs
+++ b/src/dispatch/pool_scheduler/command_outcomes.rs
@@ -137,7 +137,6 @@
             let inputs = format!("{error}; {} runs on it", worker.runs.len());
             self.note("worker lost", None, Some(worker_id.clone()), inputs);
             self.record_missing_runs(now, worker_id);
-            self.lose_replaced_worker(now, worker_id);
         }
     }
 
--- a/src/dispatch/pool_scheduler/worker_losses.rs
+++ b/src/dispatch/pool_scheduler/worker_losses.rs
@@ -28,21 +28,11 @@
 
 impl PoolScheduler {
     /// Handles a worker's entry, of any pool. A new process on an instance proves that the former one has
-    /// ended, if that does not answer any more; another program may have written the entry. One of a pool that the
-    /// configuration does not name proves nothing.
+    /// ended.
     pub fn observe_entry(&mut self, now: Instant, entry: &WorkerEntry) {
-        if !self.pools.is_empty() && !self.pools.contains(&entry.pool) {
-            return;
-        }
-        for former in self.instance_workers.observe(entry) {
-            let Some(worker) = self.workers.get_mut(&former) else {
-                continue;
-            };
-            // A poll at once tells whether it answers.
-            worker.poll.next_at = None;
-            if worker.poll.failures > 0 {
-                self.lose_replaced_worker(now, &former);
-            }
+        let former = self.instance_workers.observe(entry);
+        if let Some(former) = former {
+            self.lose_replaced_worker(now, &former, entry);
         }
         let Some(instance) = &entry.instance else {
             return;
@@ -52,14 +42,11 @@
         }
     }
 
-    /// Ends all runs of a worker that does not answer, if its instance runs another worker now.
-    pub(super) fn lose_replaced_worker(&mut self, now: Instant, worker_id: &WorkerId) {
+    /// Ends all runs of a worker whose instance runs another worker now.
+    fn lose_replaced_worker(&mut self, now: Instant, worker_id: &WorkerId, successor: &WorkerEntry) {
         let Some(worker) = self.workers.get(worker_id) else {
             return;
         };
-        let Some(successor) = self.instance_workers.successor(worker_id) else {
-            return;
-        };
         if worker.runs.is_empty() && worker.lost_at.is_none() {
             // The usual case of an evacuated instance that was moved.
             return;
@@ -69,7 +56,7 @@
             .map_or(0, |at| now.saturating_duration_since(at).as_millis());
         let inputs = format!(
             "worker {} of pool {} runs on its instance; {} runs of the former process, lost for {silent_ms} ms",
-            successor.worker,
+            successor.id,
             successor.pool,
             worker.runs.len(),
         );
@@ -173,8 +160,7 @@
             self.open_losses.remove(worker_id, run);
             return;
         };
-        let is_replaced = !has_answered && self.instance_workers.has_replaced(&loss);
-        let is_gone = incarnation > loss.incarnation || is_replaced;
+        let is_gone = incarnation > loss.incarnation || self.instance_workers.has_replaced(&loss);
         if is_gone && !is_placed {
             self.count_crash(worker_id, run);
         } else if !is_gone && has_answered && is_placed {
--- a/src/node/pool_leader.rs
+++ b/src/node/pool_leader.rs
@@ -371,21 +371,26 @@
         }
     }
 
-    /// Updates a worker from its entry. A worker whose entry is malformed or names another pool is no longer used.
-    /// Returns the worker unless its entry is malformed.
+    /// Updates a worker from its entry. A worker whose entry is malformed or names another pool is removed.
+    /// Returns the worker if it belongs to this pool.
     fn handle_worker_entry(&mut self, item: &StoreItem) -> Option<WorkerId> {
         let entry = discovery::decode_worker_entry(&item.key, &item.value, self.context.wall_time());
-        let now = self.context.clock.now();
+        if let Ok(entry) = &entry {
+            self.scheduler.observe_entry(self.context.clock.now(), entry);
+        }
         match entry {
-            Ok(entry) => {
+            Ok(entry) if entry.pool == self.pool => {
                 let id = entry.id.clone();
-                self.scheduler.observe_entry(now, &entry);
-                if entry.pool == self.pool && !self.scheduler.workers().contains_key(&id) {
+                if !self.scheduler.workers().contains_key(&id) {
                     self.scheduler.expect_worker(&id);
                 }
-                self.scheduler.set_worker(now, entry);
+                self.scheduler.set_worker(self.context.clock.now(), entry);
                 Some(id)
             }
+            Ok(entry) => {
+                self.scheduler.remove_worker(&entry.id);
+                None
+            }
             Err(error) => {
                 debug!(self.log, "worker entry ignored"; "key" => &*item.key, "error" => %error);
                 if let Ok(worker) = discovery::parse_worker_id(&item.key) {
