Abandon requests that wait through the return of the store

Cause: after an outage of the store, requests that had been sent during it kept waiting for their own time limits (a watch 2.2 s, a read 4 s), although the store answered newer requests of the same process.

Change: StoreApiClient counts the returns of the store after it was unreachable. Requests that wait are abandoned then and, where they may be repeated, sent once more after up to 100 ms. Pauses between attempts end too.

--- a/src/node/fenced_writer.rs
+++ b/src/node/fenced_writer.rs
@@ -153,7 +153,7 @@
                         warn!(self.log, "term record not read; retrying"; "duty" => &*self.claim.role,
                             "error" => %error);
                         let pause = delay.next_delay(&mut rand::rng());
-                        tokio::time::sleep(pause).await;
+                        self.store.pause(pause).await;
                     }
                 },
                 Ok(CommitOutcome::LeaseEnded) => {
@@ -171,7 +171,7 @@
                     }
                     is_failing = true;
                     let pause = delay.next_delay(&mut rand::rng());
-                    tokio::time::sleep(pause).await;
+                    self.store.pause(pause).await;
                 }
             }
         }
--- a/src/node/fleet_leader.rs
+++ b/src/node/fleet_leader.rs
@@ -75,7 +75,8 @@
 /// The store's error if a transaction cannot succeed, `internal` if a record cannot be encoded.
 pub async fn run(context: NodeContext, claim: RoleClaim) -> Result<&'static str> {
     let log = context.log.new(o!("duty" => "fleet", "term" => claim.term.get()));
-    let (plans, waves) = node_context::read_with_retries(&log, || read_records(&context)).await;
+    let (plans, waves) =
+        node_context::read_with_retries(&context.store, &log, || read_records(&context)).await;
     let (sender, mut receiver) = mpsc::unbounded_channel();
     let events = sender.clone();
     let send = move |event| events.send(FleetEvent::Writer(event)).is_ok();
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -32,7 +32,7 @@
 }
 
 /// Repeats a read until it succeeds. Of consecutive failures only the first is logged.
-pub async fn read_with_retries<T, F>(log: &Logger, read: impl Fn() -> F) -> T
+pub async fn read_with_retries<T, F>(store: &StoreApiClient, log: &Logger, read: impl Fn() -> F) -> T
 where
     F: Future<Output = Result<T>>,
 {
@@ -47,7 +47,7 @@
                 }
                 is_failing = true;
                 let pause = delay.next_delay(&mut rand::rng());
-                tokio::time::sleep(pause).await;
+                store.pause(pause).await;
             }
         }
     }
--- a/src/node/pool_leader.rs
+++ b/src/node/pool_leader.rs
@@ -105,7 +105,8 @@
         .log
         .new(o!("pool" => pool.to_string(), "term" => claim.term.get()));
     let started = context.clock.now();
-    let records = node_context::read_with_retries(&log, || pool_records::read(&context, &pool)).await;
+    let read = || pool_records::read(&context, &pool);
+    let records = node_context::read_with_retries(&context.store, &log, read).await;
     info!(log, "records read"; "jobs_with_progress" => records.progress.len(),
         "former_workers" => records.report.workers.len(),
         "ms" => context.clock.now().saturating_duration_since(started).as_millis() as u64);
--- a/src/node/prefix_watcher.rs
+++ b/src/node/prefix_watcher.rs
@@ -94,7 +94,7 @@
                 }
                 failures += 1;
                 let pause = delay.next_delay(&mut rand::rng());
-                tokio::time::sleep(pause).await;
+                store.pause(pause).await;
             }
         }
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -10,7 +10,9 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use prometheus::IntCounterVec;
+use rand::Rng;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 
 use crate::error::{Error, ErrorKind, Result};
 use crate::model::id::{LeaseId, StoreRevision};
@@ -26,6 +28,10 @@
 /// Number of consecutive failed requests after which the store counts as unreachable.
 const UNREACHABLE_THRESHOLD: u32 = 3;
 
+/// Exclusive upper bound of the random delay before a request is repeated after the store has recovered. Tens of
+/// instances notice the recovery within a few hundred milliseconds, each with several waiting requests.
+const RECOVERY_JITTER_MS: u64 = 100;
+
 /// Key under which operators write the configuration.
 pub const CONFIG_KEY: &str = "op/config";
 
@@ -122,6 +128,15 @@
     address: SocketAddr,
     request_counts: IntCounterVec,
     consecutive_failures: Arc<AtomicU32>,
+    /// Number of times that the store has answered again after it was unreachable.
+    recoveries: watch::Sender<u64>,
+}
+
+/// Outcome of a request while the store may recover.
+enum SendOutcome {
+    Response(std::result::Result<HttpResponse, HttpError>),
+    /// The request was sent before the store recovered and had no response by then.
+    Abandoned,
 }
 
 #[derive(Debug, Deserialize)]
@@ -201,6 +216,18 @@
     ttl_ms: u64,
 }
 
+impl SendOutcome {
+    /// The response; an abandoned request may have been executed, as one that has timed out.
+    fn into_response(self) -> std::result::Result<HttpResponse, HttpError> {
+        match self {
+            Self::Response(response) => response,
+            Self::Abandoned => Err(HttpError::NoResponse(
+                "abandoned, since the store answers newer requests again".to_owned(),
+            )),
+        }
+    }
+}
+
 impl StoreApiClient {
     /// Creates a client that counts its requests in `request_counts`, by kind and outcome.
     pub fn new(http_client: HttpClient, address: SocketAddr, request_counts: IntCounterVec) -> Self {
@@ -209,28 +236,58 @@
             address,
             request_counts,
             consecutive_failures: Arc::new(AtomicU32::new(0)),
+            recoveries: watch::Sender::new(0),
         }
     }
 
-    async fn send(&self, name: &str, request: HttpRequest) -> std::result::Result<HttpResponse, HttpError> {
-        let response = self.http_client.send(request).await;
-        let outcome = match &response {
-            Ok(response) => response.status.as_str().to_owned(),
-            Err(HttpError::NotSent(_)) => "not_sent".to_owned(),
-            Err(HttpError::NoResponse(_)) => "no_answer".to_owned(),
+    /// Sends a request and waits for its response, at most until the store recovers. During an outage requests wait
+    /// on connections that never answer again; waiting for their own time limits would delay the return to service
+    /// by seconds.
+    async fn send(&self, name: &str, request: HttpRequest) -> SendOutcome {
+        let mut recoveries = self.recoveries.subscribe();
+        let outcome = tokio::select! {
+            biased;
+            response = self.http_client.send(request) => SendOutcome::Response(response),
+            // The sender lives as long as this client.
+            _ = recoveries.changed() => SendOutcome::Abandoned,
+        };
+        let label = match &outcome {
+            SendOutcome::Response(Ok(response)) => response.status.as_str().to_owned(),
+            SendOutcome::Response(Err(HttpError::NotSent(_))) => "not_sent".to_owned(),
+            SendOutcome::Response(Err(HttpError::NoResponse(_))) => "no_answer".to_owned(),
+            SendOutcome::Abandoned => "abandoned".to_owned(),
         };
         self.request_counts
-            .with_label_values(&[name, outcome.as_str()])
+            .with_label_values(&[name, label.as_str()])
             .inc();
-        let is_failure = response
-            .as_ref()
-            .map_or(true, |response| response.status.is_server_error());
+        if let SendOutcome::Response(response) = &outcome {
+            let is_failure = response
+                .as_ref()
+                .map_or(true, |response| response.status.is_server_error());
+            self.record_response(is_failure);
+        }
+        outcome
+    }
+
+    fn record_response(&self, is_failure: bool) {
         if is_failure {
             self.consecutive_failures.fetch_add(1, Ordering::Relaxed);
-        } else {
-            self.consecutive_failures.store(0, Ordering::Relaxed);
+            return;
+        }
+        let failures = self.consecutive_failures.swap(0, Ordering::Relaxed);
+        if failures >= UNREACHABLE_THRESHOLD {
+            self.recoveries.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Pauses before a further attempt, at most until the store recovers.
+    pub async fn pause(&self, pause: Duration) {
+        let mut recoveries = self.recoveries.subscribe();
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            // The sender lives as long as this client.
+            _ = recoveries.changed() => tokio::time::sleep(recovery_jitter()).await,
         }
-        response
     }
 
     /// Whether the last requests all failed, so that another one is expected to fail too.
@@ -240,11 +297,17 @@
 
     /// Sends an idempotent request. The caller may repeat it, so that it does not matter whether a request
     /// without a response was executed.
+    ///
+    /// If the store recovers while the request waits for its response, the request is sent once more.
     async fn send_idempotent(&self, name: &str, request: HttpRequest) -> Result<HttpResponse> {
-        let response = self
-            .send(name, request)
-            .await
-            .map_err(|error| unavailable_error(name, &error))?;
+        let response = match self.send(name, request.clone()).await {
+            SendOutcome::Response(response) => response,
+            SendOutcome::Abandoned => {
+                tokio::time::sleep(recovery_jitter()).await;
+                self.send(name, request).await.into_response()
+            }
+        };
+        let response = response.map_err(|error| unavailable_error(name, &error))?;
         check_overload(name, &response)?;
         Ok(response)
     }
@@ -365,6 +428,7 @@
         let response = self
             .send("commit", request)
             .await
+            .into_response()
             .map_err(|error| commit_error("commit", &error))?;
         check_overload("commit", &response)?;
         match response.status {
@@ -426,6 +490,10 @@
     }
 }
 
+fn recovery_jitter() -> Duration {
+    Duration::from_millis(rand::rng().random_range(0..RECOVERY_JITTER_MS))
+}
+
 fn decode_item(item: WireItem) -> Result<StoreItem> {
     let value = STANDARD.decode(item.value.unwrap_or_default()).map_err(|error| {
         Error::new(
--- a/src/request/submission_batcher.rs
+++ b/src/request/submission_batcher.rs
@@ -161,7 +161,7 @@
                     return reply_all(batch, &Err(not_accepted(error.message())));
                 }
                 let pause = delay.next_delay(&mut rand::rng());
-                tokio::time::sleep(pause).await;
+                store.pause(pause).await;
             }
         }
         let now = clock.now();
@@ -178,7 +178,7 @@
         if may_be_stored && !batch.is_empty() {
             delay.reset();
             let pause = delay.next_delay(&mut rand::rng());
-            tokio::time::sleep(pause).await;
+            store.pause(pause).await;
         }
     }
 }
