Start no task in zones under evacuation

Each leader watches the prefix if the settings have bounds.evacuate-ms. The pool scheduler closes the workers of these zones beside those of the plan, in one set; a start is checked again just before it is sent, and withheld without counting against the worker.

--- a/src/dispatch/command.rs
+++ b/src/dispatch/command.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::dispatch::task_id::{StepId, TaskId};
-use crate::model::id::{RunNumber, WorkerId};
+use crate::model::id::{RunNumber, WorkerId, ZoneId};
 
 /// Worker to which a command is sent. The command carries the worker's id besides the address, so that a
 /// worker that has taken over the address rejects it.
@@ -30,6 +30,8 @@
 #[expect(missing_docs, reason = "target and run need no explanation")]
 pub struct StartCommand {
     pub target: CommandTarget,
+    /// Availability zone of the worker. Whether it is under evacuation is checked again just before the command is sent.
+    pub zone: ZoneId,
     pub run: RunId,
     /// Payload of the job, handed to the worker unread.
     pub payload: Arc<str>,
@@ -91,6 +93,8 @@
     Malformed,
     /// No byte of the command was sent, so it had no effect.
     NotSent,
+    /// The command was not sent: the zone of the worker is under evacuation, or it is not known whether it is.
+    Withheld,
     /// There was no answer; the worker may still carry out the command, even later.
     Unknown,
 }
--- a/src/dispatch/hold_reason.rs
+++ b/src/dispatch/hold_reason.rs
@@ -10,6 +10,8 @@
     NotExamined,
     /// A run of the task under the previous leader may still be active.
     Takeover,
+    /// The store has not confirmed for some time which zones are under evacuation.
+    UnknownZones,
     /// The organisation is at its limit on this pool.
     OrganisationLimit,
     /// Start commands use up their part of the instance's link.
@@ -24,7 +26,7 @@
     Unreachable,
     /// The worker is about to leave.
     Draining,
-    /// The plan evacuates the worker.
+    /// The plan evacuates the worker, or its zone is under evacuation.
     Evacuating,
     /// The advice service has not admitted the worker.
     Advice,
@@ -46,9 +48,10 @@
 
 impl HoldReason {
     /// All reasons.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::NotExamined,
         Self::Takeover,
+        Self::UnknownZones,
         Self::OrganisationLimit,
         Self::LinkBudget,
         Self::Suspicion,
@@ -72,6 +75,7 @@
         match self {
             Self::NotExamined => "not_examined",
             Self::Takeover => "takeover",
+            Self::UnknownZones => "unknown_zones",
             Self::OrganisationLimit => "organisation_limit",
             Self::LinkBudget => "link_budget",
             Self::Suspicion => "suspicion",
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 pub mod allowance_split;
 pub mod command;
 pub mod ended_jobs;
+pub mod evacuated_zones;
 pub mod fleet_planner;
 pub mod flush_queue;
 pub mod free_index;
--- a/src/dispatch/pool_plan.rs
+++ b/src/dispatch/pool_plan.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::model::default_value;
-use crate::model::id::{OrganisationId, PlanVersion, WorkerId};
+use crate::model::id::{OrganisationId, PlanVersion, WorkerId, ZoneId};
 use crate::model::resource::ResourceSet;
 
 /// A change of the ready work by more than this part (1/4) of a worker's CPU capacity is reported at once.
@@ -53,6 +53,22 @@
     pub is_usable: bool,
 }
 
+/// Runs of a pool that are, or may be, in one zone.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+#[expect(missing_docs, reason = "the comment on the type describes the numbers")]
+pub struct ZoneRuns {
+    pub finite: u32,
+    pub long_running: u32,
+}
+
+impl ZoneRuns {
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
 /// Report of a pool leader to the fleet leader, also read by the next leader of the pool.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -84,6 +100,9 @@
     /// for some time. Absent in reports of earlier versions.
     #[serde(skip_serializing_if = "default_value::is_default")]
     pub unplaced: u32,
+    /// Runs in the zones under evacuation in which the pool has workers. Absent in reports of earlier versions.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub zone_runs: BTreeMap<ZoneId, ZoneRuns>,
 }
 
 impl PoolReport {
@@ -92,6 +111,12 @@
         self.workers.values().filter(|usage| usage.is_usable).count() as u32
     }
 
+    /// Zones under evacuation, and whether something runs there.
+    fn occupied_zones(&self) -> BTreeMap<&ZoneId, bool> {
+        let zones = self.zone_runs.iter();
+        zones.map(|(zone, runs)| (zone, !runs.is_empty())).collect()
+    }
+
     /// Whether the change from `old` has to be reported to the fleet leader at once: the plan in force, the
     /// state of a worker or the number of workers for unplaced tasks changed, the ready work or the capacity changed
     /// by more than 1/4 of a worker's, or the used or forecast CPU by more than one worker's. In a large pool the
@@ -99,6 +124,7 @@
     pub fn is_significant_change(&self, old: &Self) -> bool {
         let has_new_state = self.plan != old.plan
             || self.unplaced != old.unplaced
+            || self.occupied_zones() != old.occupied_zones()
             || self.workers.len() != old.workers.len()
             || self.workers.iter().any(|(id, usage)| {
                 let known = old.workers.get(id);
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -6,7 +6,7 @@
 //! tasks that crash workers; `isolation` starts suspects without other jobs beside them. `demand_report`
 //! reports demand and capacity to the fleet leader, with the tasks that `unplaced_tasks` finds no worker for, and
 //! `progress_flush` collects the changes that have to be stored. `held_tasks` finds out what holds back tasks that
-//! wait.
+//! wait. `zone_evacuation` closes the workers of zones under evacuation.
 
 mod command_outcomes;
 mod demand_report;
@@ -19,6 +19,7 @@
 mod worker_commands;
 mod worker_losses;
 mod worker_reports;
+mod zone_evacuation;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -26,6 +27,7 @@
 
 use crate::dispatch::command::{PoolCommand, RunId};
 use crate::dispatch::ended_jobs::EndedJobs;
+use crate::dispatch::evacuated_zones::EvacuatedZones;
 use crate::dispatch::flush_queue::FlushQueue;
 use crate::dispatch::free_index::FreeIndex;
 use crate::dispatch::inflow_forecast::InflowForecast;
@@ -50,7 +52,7 @@
 use crate::dispatch::worker_entry::WorkerEntry;
 use crate::dispatch::worker_state::{PlacedRun, StopRule, WorkerState};
 
-use crate::model::id::{JobId, LeaderTerm, OrganisationId, PoolId, WorkerId};
+use crate::model::id::{JobId, LeaderTerm, OrganisationId, PoolId, WorkerId, ZoneId};
 use crate::model::resource::ResourceSet;
 use crate::model::unix_time::UnixMillis;
 
@@ -112,6 +114,11 @@
     /// Steps with waiting tasks that no worker can take.
     unplaced: UnplacedSteps,
     plan: PoolPlan,
+    zones: EvacuatedZones,
+    /// Workers that may take no task, by the plan or because their zone is under evacuation.
+    evacuating: BTreeSet<WorkerId>,
+    /// Zones under evacuation in which nothing runs any more, as far as it was logged.
+    emptied_zones: BTreeSet<ZoneId>,
     organisations: BTreeMap<OrganisationId, OrganisationConfig>,
     /// Whether the workers of the pool start what exceeds their capacity instead of refusing it.
     is_unguarded: bool,
@@ -162,6 +169,9 @@
             free_index: FreeIndex::default(),
             unplaced: UnplacedSteps::default(),
             plan: PoolPlan::default(),
+            zones: EvacuatedZones::default(),
+            evacuating: BTreeSet::new(),
+            emptied_zones: BTreeSet::new(),
             organisations: BTreeMap::new(),
             is_unguarded: true,
             usage: BTreeMap::new(),
@@ -243,6 +253,7 @@
     pub fn set_plan(&mut self, plan: PoolPlan) {
         if plan.version >= self.plan.version {
             self.plan = plan;
+            self.update_evacuating();
         }
     }
 
@@ -373,6 +384,7 @@
             let mut worker = WorkerState::new(entry);
             worker.is_unguarded = self.is_unguarded;
             self.workers.insert(id.clone(), worker);
+            self.update_evacuating_worker(&id);
             return;
         };
         if entry.incarnation < worker.incarnation {
@@ -389,6 +401,7 @@
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.entry = entry;
         }
+        self.update_evacuating_worker(&id);
         self.check_incarnation(now, &id, incarnation);
     }
 
@@ -486,16 +499,20 @@
         }
         self.expire_runs(now);
         self.withdraw_moves(now);
-        self.issue_stops(now, is_leadership_valid, &mut commands);
+        self.note_empty_zones();
+        let may_start = is_leadership_valid && self.zones.is_confirmed(now);
+        self.issue_stops(now, may_start, &mut commands);
         if is_leadership_valid {
             self.start_due_occurrences(now, wall_time);
             let previous_stops_end = now + self.timing.stop_timeout + POLL_WAIT + MIN_POLL_INTERVAL;
             let evacuate_after = *self.evacuate_after.get_or_insert(previous_stops_end);
-            if now >= evacuate_after {
+            if may_start && now >= evacuate_after {
                 self.evacuate(now);
             }
             self.review_isolated_jobs(now);
-            self.issue_starts(now, &mut commands);
+            if may_start {
+                self.issue_starts(now, &mut commands);
+            }
             self.find_unplaced_steps(now);
             self.review_held_tasks(now);
             self.issue_speeds(&mut commands);
--- a/src/dispatch/pool_scheduler/command_outcomes.rs
+++ b/src/dispatch/pool_scheduler/command_outcomes.rs
@@ -33,6 +33,8 @@
         match outcome {
             StartOutcome::Unknown | StartOutcome::NotSent => worker.health.record_timeout(now),
             StartOutcome::Unhealthy => worker.health.record_unhealthy(now),
+            // Says nothing about the worker.
+            StartOutcome::Withheld => {}
             _ => worker.health.record_answer(),
         }
         let Some(placed) = worker
--- a/src/dispatch/pool_scheduler/demand_report.rs
+++ b/src/dispatch/pool_scheduler/demand_report.rs
@@ -29,6 +29,7 @@
             usage: self.usage.clone(),
             inflow: self.inflow.expected_usage(now),
             unplaced: self.unplaced_workers(now),
+            zone_runs: self.zone_runs(),
             ..PoolReport::default()
         };
         report.usage.retain(|_, usage| *usage != ResourceSet::default());
@@ -37,9 +38,10 @@
                 continue;
             }
             let long_running = worker.runs.values().filter(|run| run.is_long_running);
+            // Only the plan's evacuations last until the fleet leader ends them, so that it may rely on them.
             let is_evacuating = self.plan.evacuating.contains(id);
             let is_answering = worker.is_listed && worker.has_reported && worker.poll.failures == 0;
-            let is_usable = is_answering && !worker.entry.is_draining && !is_evacuating;
+            let is_usable = is_answering && !worker.entry.is_draining && !self.evacuating.contains(id);
             if is_usable {
                 report.capacity = report.capacity.plus(&worker.entry.capacity);
             }
--- a/src/dispatch/pool_scheduler/evacuation.rs
+++ b/src/dispatch/pool_scheduler/evacuation.rs
@@ -1,4 +1,4 @@
-//! Moves tasks off workers that drain or that the plan evacuates, within the availability budget of each
+//! Moves tasks off workers that drain, that the plan evacuates or whose zone is under evacuation, within the availability budget of each
 //! step.
 
 use std::time::Instant;
@@ -18,7 +18,7 @@
         let mut moves: Vec<(WorkerId, TaskId)> = Vec::new();
         for (id, worker) in &self.workers {
             let is_draining = worker.entry.is_draining && worker.is_listed;
-            if !is_draining && !self.plan.evacuating.contains(id) {
+            if !is_draining && !self.evacuating.contains(id) {
                 continue;
             }
             for (task, run) in &worker.runs {
@@ -53,7 +53,7 @@
     pub(super) fn withdraw_moves(&mut self, now: Instant) {
         let mut obsolete: Vec<(WorkerId, TaskId)> = Vec::new();
         for (id, worker) in &self.workers {
-            let is_leaving = worker.entry.is_draining || self.plan.evacuating.contains(id);
+            let is_leaving = worker.entry.is_draining || self.evacuating.contains(id);
             for (task, run) in &worker.runs {
                 let is_unsent_move =
                     run.must_stop && run.stop_rule == StopRule::WhileSpared && run.stop_sent_at.is_none();
--- a/src/dispatch/pool_scheduler/held_tasks.rs
+++ b/src/dispatch/pool_scheduler/held_tasks.rs
@@ -137,6 +137,9 @@
         if self.is_waiting_for_takeover(now, job) {
             return reason(HoldReason::Takeover);
         }
+        if !self.zones.is_confirmed(now) {
+            return reason(HoldReason::UnknownZones);
+        }
         if !self.is_within_limit(job.record.organisation.as_ref(), &spec.demand) {
             return reason(HoldReason::OrganisationLimit);
         }
--- a/src/dispatch/pool_scheduler/isolation.rs
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -336,8 +336,8 @@
                 used_at = now;
             }
             let is_unused = now.saturating_duration_since(used_at) > MAX_RESERVATION;
-            let is_open = worker.is_some_and(|worker| worker.is_usable(now))
-                && !self.plan.evacuating.contains(&worker_id);
+            let is_open =
+                worker.is_some_and(|worker| worker.is_usable(now)) && !self.evacuating.contains(&worker_id);
             let has_suspects = self.jobs.get(&id).is_some_and(JobRun::has_suspects);
             if let Some(isolated) = self.isolated.get_mut(&id) {
                 isolated.used_at = used_at;
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -13,7 +13,7 @@
 use crate::dispatch::pool_scheduler::{ADVICE_RETRY, PoolScheduler, StepAdvice, run_id};
 use crate::dispatch::start_priority::{PriorityInputs, StartKey};
 use crate::dispatch::task_id::{StepId, TaskId};
-use crate::dispatch::worker_state::{PlacedRun, RunPhase};
+use crate::dispatch::worker_state::{PlacedRun, RunPhase, WorkerState};
 use crate::model::id::{OrganisationId, RunNumber, WorkerId};
 use crate::model::resource::ResourceSet;
 
@@ -69,7 +69,7 @@
         let mut ready = self.ready_steps(now);
         ready.sort_unstable();
         let usable = self.workers.values().filter(|worker| {
-            let is_open = worker.isolated_for.is_none() && !self.plan.evacuating.contains(&worker.entry.id);
+            let is_open = worker.isolated_for.is_none() && !self.evacuating.contains(&worker.entry.id);
             is_open && worker.is_usable(now)
         });
         self.free_index = FreeIndex::new(usable);
@@ -314,7 +314,7 @@
             task,
             spec,
             avoided: &self.task(task)?.avoided_workers,
-            evacuating: &self.plan.evacuating,
+            evacuating: &self.evacuating,
             maintenance_due: &self.plan.maintenance_due,
             preferred_rack: None,
             allowed: advice.map(|advice| &advice.tickets),
@@ -365,6 +365,7 @@
         };
         worker.starts_in_flight += 1;
         let target = worker.target();
+        let zone = worker.entry.zone.clone();
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
@@ -399,6 +400,7 @@
         }
         commands.push(PoolCommand::Start(StartCommand {
             target,
+            zone,
             run: RunId {
                 task: task.clone(),
                 number: run,
@@ -420,7 +422,9 @@
     ) -> bool {
         let is_usable = |worker: &WorkerId| {
             let state = self.workers.get(worker);
-            state.is_some_and(|state| state.is_usable(now) && state.free().covers(&spec.reserved()))
+            let has_room =
+                |state: &WorkerState| state.is_usable(now) && state.free().covers(&spec.reserved());
+            !self.evacuating.contains(worker) && state.is_some_and(has_room)
         };
         if let Some(advice) = self.advice.get(step) {
             let is_valid = now + TICKET_MARGIN < advice.valid_until;
@@ -443,7 +447,7 @@
             .workers
             .values()
             .filter(|worker| worker.is_usable(now) && placement::is_eligible(worker, spec))
-            .filter(|worker| !self.plan.evacuating.contains(&worker.entry.id))
+            .filter(|worker| !self.evacuating.contains(&worker.entry.id))
             .collect();
         if candidates.is_empty() {
             return false;
--- a/src/dispatch/pool_scheduler/worker_commands.rs
+++ b/src/dispatch/pool_scheduler/worker_commands.rs
@@ -71,18 +71,14 @@
         }
     }
 
-    pub(super) fn issue_stops(
-        &mut self,
-        now: Instant,
-        is_leadership_valid: bool,
-        commands: &mut Vec<PoolCommand>,
-    ) {
+    /// Sends the stops that are due. `may_move` tells whether tasks may be stopped to start elsewhere.
+    pub(super) fn issue_stops(&mut self, now: Instant, may_move: bool, commands: &mut Vec<PoolCommand>) {
         let retry = STOP_RETRY.max(self.timing.stop_timeout + MIN_POLL_INTERVAL);
         let mut due = Vec::new();
         for (id, worker) in &self.workers {
             for (task, run) in &worker.runs {
-                let is_allowed = run.stop_rule != StopRule::WhileSpared
-                    || (is_leadership_valid && self.is_move_due(id, task));
+                let is_allowed =
+                    run.stop_rule != StopRule::WhileSpared || (may_move && self.is_move_due(id, task));
                 if run.is_stop_due(now, retry) && is_allowed {
                     due.push((id.clone(), task.clone()));
                 }
--- a/src/node/command_executor.rs
+++ b/src/node/command_executor.rs
@@ -10,6 +10,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::model::id::{LeaderTerm, WorkerId};
 use crate::node::node_context::NodeContext;
+use crate::node::zone_watcher::ZoneReceiver;
 use crate::platform::advice;
 use crate::platform::worker::WorkerApiClient;
 
@@ -31,15 +32,21 @@
 pub struct CommandExecutor {
     context: NodeContext,
     client: WorkerApiClient,
+    zones: ZoneReceiver,
     log: Logger,
 }
 
 impl CommandExecutor {
     /// Creates an executor for the leader of this term, which the workers compare with the highest term they
-    /// have seen.
-    pub fn new(context: NodeContext, term: LeaderTerm, log: Logger) -> Self {
+    /// have seen. No task is started in the `zones` under evacuation.
+    pub fn new(context: NodeContext, term: LeaderTerm, zones: ZoneReceiver, log: Logger) -> Self {
         let client = WorkerApiClient::new(context.http_client.clone(), term);
-        Self { context, client, log }
+        Self {
+            context,
+            client,
+            zones,
+            log,
+        }
     }
 
     /// Sends a command that was decided at `sent_at` and waits for its outcome. Returns `None` for a change
@@ -47,7 +54,16 @@
     pub async fn execute(&self, command: PoolCommand, sent_at: Instant) -> Option<CommandOutcome> {
         match command {
             PoolCommand::Start(command) => {
-                let outcome = self.client.start(&command).await;
+                // The command may have waited for the processor since it was decided.
+                let may_start = self
+                    .zones
+                    .borrow()
+                    .may_start(self.context.clock.now(), &command.zone);
+                let outcome = if may_start {
+                    self.client.start(&command).await
+                } else {
+                    StartOutcome::Withheld
+                };
                 self.record("start", &format!("{outcome:?}"), sent_at);
                 Some(CommandOutcome::Started(
                     command.target.worker,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -24,3 +24,4 @@
 pub mod store_keys;
 pub mod waiting_counts;
 pub mod writer_handle;
+pub mod zone_watcher;
--- a/src/node/pool_leader.rs
+++ b/src/node/pool_leader.rs
@@ -25,6 +25,7 @@
 use crate::node::retention_lease::{self, RetentionLease};
 use crate::node::store_keys;
 use crate::node::writer_handle::{self, WriterHandle, WriterOutcome};
+use crate::node::zone_watcher::{self, ZoneReceiver};
 use crate::platform::discovery;
 use crate::platform::store::{StoreEvent, StoreItem, WORKER_PREFIX};
 
@@ -70,6 +71,8 @@
     Command(CommandOutcome),
     Writer(WriterEvent),
     LeaseGrant(Instant, Option<(LeaseId, Duration)>),
+    /// The view of the zones under evacuation was confirmed or has changed.
+    Zones,
 }
 
 struct PoolLeader {
@@ -78,6 +81,7 @@
     log: Logger,
     scheduler: PoolScheduler,
     executor: CommandExecutor,
+    zones: ZoneReceiver,
     sender: mpsc::UnboundedSender<PoolEvent>,
     writer: WriterHandle,
     next_flush: Instant,
@@ -121,9 +125,10 @@
         watch(WORKER_PREFIX.into(), WORKER_BATCH_INTERVAL, PoolEvent::Workers),
         watch(store_keys::plan_key(&pool), Duration::ZERO, PoolEvent::Plan),
     ];
-    let mut leader = PoolLeader::new(context, pool, log, &claim, records, sender, writer);
+    let (zones, zone_task) = zone_watcher::spawn(&context, &log, &sender, || PoolEvent::Zones);
+    let mut leader = PoolLeader::new(context, pool, log, &claim, records, sender, writer, zones);
     let reason = leader.run(&mut receiver).await;
-    tasks.iter().for_each(JoinHandle::abort);
+    tasks.iter().chain(&zone_task).for_each(JoinHandle::abort);
     leader.context.metrics.set_job_count(leader.pool.as_str(), 0);
     leader
         .context
@@ -133,6 +138,10 @@
 }
 
 impl PoolLeader {
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "a leader consists of these independent parts"
+    )]
     fn new(
         context: NodeContext,
         pool: PoolId,
@@ -141,6 +150,7 @@
         records: PoolRecords,
         sender: mpsc::UnboundedSender<PoolEvent>,
         writer: WriterHandle,
+        zones: ZoneReceiver,
     ) -> Self {
         let now = context.clock.now();
         let timing = context.settings.timing;
@@ -155,7 +165,8 @@
             .with_start_budget(budget)
             .with_poll_pace(PollPace::new(context.settings.cpu_share));
         scheduler.set_plan(records.plan);
-        let executor = CommandExecutor::new(context.clone(), claim.term, log.clone());
+        scheduler.set_evacuated_zones(zones.borrow().clone());
+        let executor = CommandExecutor::new(context.clone(), claim.term, zones.clone(), log.clone());
         Self {
             retention: RetentionLease::new(context.settings.retention),
             context,
@@ -163,6 +174,7 @@
             log,
             scheduler,
             executor,
+            zones,
             sender,
             writer,
             next_flush: now,
@@ -278,6 +290,8 @@
             PoolEvent::LeaseGrant(requested_at, granted) => {
                 self.retention.finish_request(requested_at, granted);
             }
+            // The view is read before each decision.
+            PoolEvent::Zones => {}
         }
         if self.scheduler.is_fenced() {
             self.end_reason = Some("a worker has seen a newer leader");
@@ -420,6 +434,7 @@
         let status = *self.context.lease.borrow();
         let valid_lease = status.valid_lease(&self.context.clock);
         let is_leadership_valid = self.writer.is_leader_under(valid_lease)?;
+        self.scheduler.set_evacuated_zones(self.zones.borrow().clone());
         let commands = self
             .scheduler
             .decide(now, self.context.wall_time(), is_leadership_valid);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -15,3 +15,4 @@
 pub mod settings;
 pub mod store;
 pub mod worker;
+pub mod zone_evacuation;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -7,6 +7,7 @@
 
 use serde::Deserialize;
 
+use crate::dispatch::evacuated_zones::START_MARGIN;
 use crate::dispatch::scheduler_timing::{DEFAULT_LEASE, SchedulerTiming};
 use crate::error::{Error, ErrorKind, Result};
 use crate::model::amount::ByteCount;
@@ -18,6 +19,10 @@
 /// Fraction of the platform's maximum lease that is requested if it is shorter than [`DEFAULT_LEASE`].
 const LEASE_FRACTION: f64 = 0.95;
 
+/// Minimum bound on starts in a zone under evacuation: with less the view of the zones, which is confirmed about once a
+/// second, would be too old for any start most of the time.
+const MIN_EVACUATION_BOUND: Duration = START_MARGIN.saturating_add(Duration::from_millis(2_500));
+
 const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
 /// Settings of the node that this process runs.
@@ -50,6 +55,9 @@
     pub grace_period: Duration,
     /// Time for which callers may read the state of a finished job.
     pub retention: Duration,
+    /// Time from the request to evacuate a zone within which the last start there has to have happened. Without it
+    /// such requests are not watched.
+    pub evacuation_bound: Option<Duration>,
     /// Durations on which the pool schedulers rely.
     pub timing: SchedulerTiming,
 }
@@ -126,6 +134,8 @@
     /// Time for which callers may read the state of a finished job.
     #[serde(rename = "status_s")]
     status_s: f64,
+    /// Time after the request to evacuate a zone from which nothing may start there.
+    evacuate_ms: Option<u64>,
 }
 
 impl Default for PlatformBounds {
@@ -136,6 +146,7 @@
             stop_ms: 900,
             early_ms: 250,
             status_s: 120.0,
+            evacuate_ms: None,
         }
     }
 }
@@ -153,6 +164,18 @@
     })
 }
 
+fn evacuation_bound(millis: u64) -> Result<Duration> {
+    let bound = Duration::from_millis(millis);
+    if bound < MIN_EVACUATION_BOUND {
+        let message = format!(
+            "bounds.evacuate-ms of {millis} is below the minimum of {}",
+            MIN_EVACUATION_BOUND.as_millis()
+        );
+        return Err(Error::new(ErrorKind::BadRecord, message));
+    }
+    Ok(bound)
+}
+
 impl NodeSettings {
     /// Reads and decodes a settings file.
     ///
@@ -168,7 +191,7 @@
     /// Decodes a settings file.
     ///
     /// # Errors
-    /// `bad_record` if the JSON is malformed; otherwise the error of the invalid zone name.
+    /// `bad_record` if the JSON is malformed or a bound is out of range; otherwise the error of the invalid zone name.
     pub fn parse(text: &[u8]) -> Result<Self> {
         let file: SettingsFile = serde_json::from_slice(text)
             .map_err(|error| Error::new(ErrorKind::BadRecord, error.to_string()))?;
@@ -194,6 +217,7 @@
             link_rate: file.limits.link_mbps.filter(|rate| *rate > 0.0).map(link_rate),
             grace_period: duration("grace-s", bounds.grace_s)?,
             retention: duration("status_s", bounds.status_s)?,
+            evacuation_bound: bounds.evacuate_ms.map(evacuation_bound).transpose()?,
             timing,
         })
     }
