--- a/tests/pool_decisions/crash_world.rs
+++ b/tests/pool_decisions/crash_world.rs
@@ -14,7 +14,7 @@
 use figloft::dispatch::task_id::{StepId, TaskId};
 use figloft::dispatch::worker_entry::WorkerEntry;
 use figloft::dispatch::worker_report::{EndedRun, RunOutcome, WorkerReport};
-use figloft::model::id::{JobId, RunNumber, WorkerId};
+use figloft::model::id::{JobId, RunNumber, WorkerId, ZoneId};
 use figloft::model::listed_rows::ListedRows;
 use figloft::model::resource::ResourceSet;
 use figloft::model::unix_time::UnixMillis;
@@ -78,6 +78,8 @@
     /// Whether the store accepts writes.
     pub is_storing: bool,
     pub starts: BTreeMap<TaskId, u32>,
+    /// Start commands that were issued, with the zone of their worker.
+    pub sent_starts: Vec<(Instant, ZoneId)>,
     /// Crashes that each task caused or was hit by.
     pub crashes: BTreeMap<TaskId, u32>,
     pub summaries: BTreeMap<JobId, JobSummary>,
@@ -129,6 +131,7 @@
             keeps_id: false,
             is_storing: true,
             starts: BTreeMap::new(),
+            sent_starts: Vec::new(),
             crashes: BTreeMap::new(),
             summaries: BTreeMap::new(),
             notes: Vec::new(),
@@ -398,6 +401,7 @@
         });
         match command {
             PoolCommand::Start(start) => {
+                self.sent_starts.push((now, start.zone.clone()));
                 let outcome = match reachable {
                     None => StartOutcome::NotSent,
                     Some(worker) if worker.mute_until.is_some() => {
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -25,3 +25,4 @@
 mod unplaced;
 mod waiting_tasks;
 mod worker_lease;
+mod zone_evacuation;
