Replace instances of zones under evacuation in the fleet planner

Pool sizes counted the instances of an evacuated zone until the pools' reports changed, moved spare instances of the zone into pools, and waves waited for its busy instances.

The list of instances gives the zone. Instances in a zone under evacuation are no capacity and move to the spare pool only, others replace them from the request on, and their busy ones take no slot of a wave. The fleet leader warns once of an unknown zone and of a request that leaves no zone open.

The literal InstanceEntry and SizingInput of other tests got the new fields.

--- a/src/dispatch/fleet_planner.rs
+++ b/src/dispatch/fleet_planner.rs
@@ -12,7 +12,7 @@
     InstanceEntry, InstanceOutcome, InstanceState, WavePlan, WaveProgress, WaveRequest,
 };
 use crate::model::amount::{AcceleratorCount, MemoryMib, MilliCores};
-use crate::model::id::{InstanceId, OrganisationId, PlanVersion, PoolId, WorkerId};
+use crate::model::id::{InstanceId, OrganisationId, PlanVersion, PoolId, WorkerId, ZoneId};
 use crate::model::resource::ResourceSet;
 
 /// Plans of a pool whose allowances are kept until the pool reports a later one. A pool without a leader confirms
@@ -52,6 +52,8 @@
     /// Workers that ended because their instance was moved or is under maintenance. Their discovery entries
     /// remain for some seconds, in which they must neither get work nor count as capacity.
     departed: BTreeMap<WorkerId, DepartedWorker>,
+    /// Zones under evacuation.
+    closed_zones: BTreeSet<ZoneId>,
 }
 
 /// A worker that ended because its instance was moved or is under maintenance.
@@ -77,6 +79,19 @@
         self.plans.insert(pool, plan);
     }
 
+    /// Replaces the zones under evacuation.
+    pub fn set_closed_zones(&mut self, zones: &BTreeSet<ZoneId>) {
+        if self.closed_zones != *zones {
+            self.closed_zones.clone_from(zones);
+        }
+    }
+
+    /// Zones that the list of instances names; empty if there is no list.
+    pub fn known_zones(&self) -> BTreeSet<&ZoneId> {
+        let entries = self.instances.values();
+        entries.filter_map(|entry| entry.zone.as_ref()).collect()
+    }
+
     /// Replaces the report of a pool. Departed workers that it no longer contains are forgotten.
     pub fn set_report(&mut self, pool: PoolId, report: PoolReport) {
         self.departed
@@ -206,7 +221,7 @@
         commands: &mut Vec<FleetCommand>,
     ) {
         for (number, wave) in &mut self.waves {
-            wave.choose_evacuations(now, &self.instances, usages);
+            wave.choose_evacuations(now, &self.instances, usages, &self.closed_zones);
             let ready = wave.take_ready(now, &self.instances, |entry| {
                 is_evacuated(entry, &self.config, usages)
             });
@@ -246,6 +261,7 @@
             reports: &self.reports,
             instances: &self.instances,
             reserved: &reserved,
+            closed_zones: &self.closed_zones,
         };
         let config = &self.config;
         let moves = self
--- a/src/dispatch/pool_size.rs
+++ b/src/dispatch/pool_size.rs
@@ -11,7 +11,7 @@
 
 use crate::dispatch::pool_plan::PoolReport;
 use crate::dispatch::wave_plan::{InstanceEntry, InstanceOutcome, InstanceState};
-use crate::model::id::{InstanceId, PoolId};
+use crate::model::id::{InstanceId, PoolId, ZoneId};
 use crate::model::resource::ResourceSet;
 
 /// Fraction of the capacity of a pool that tasks can use; the rest is lost to fragmentation.
@@ -68,6 +68,16 @@
     pub instances: &'a BTreeMap<InstanceId, InstanceEntry>,
     /// Instances that are evacuated for maintenance and must not be moved.
     pub reserved: &'a BTreeSet<InstanceId>,
+    /// Zones under evacuation. Their instances are no capacity, and are moved to no pool that runs tasks.
+    pub closed_zones: &'a BTreeSet<ZoneId>,
+}
+
+impl SizingInput<'_> {
+    /// Whether the instance is in a zone under evacuation.
+    fn is_closed(&self, id: &InstanceId) -> bool {
+        let entry = self.instances.get(id);
+        entry.is_some_and(|entry| entry.is_in(self.closed_zones))
+    }
 }
 
 /// Decides on the sizes of the pools and keeps track of evacuations and moves.
@@ -150,12 +160,12 @@
     fn compute_needs(&self, input: SizingInput<'_>) -> BTreeMap<PoolId, PoolNeed> {
         let needs = input.pools.iter().filter_map(|pool| {
             let report = input.reports.get(pool)?;
-            let arriving = self
-                .arrivals
-                .values()
-                .filter(|arrival| arrival.to == *pool)
-                .count();
-            let moving = self.moves_in_flight.values().filter(|to| *to == pool).count();
+            let is_open = |id: &InstanceId| !input.is_closed(id);
+            let arriving = self.arrivals.iter();
+            let arriving = arriving.filter(|(id, arrival)| arrival.to == *pool && is_open(id));
+            let arriving = arriving.count();
+            let moving = self.moves_in_flight.iter();
+            let moving = moving.filter(|(id, to)| *to == pool && is_open(id)).count();
             let need = PoolNeed {
                 target: target_workers(report),
                 available: (self.count_available_workers(pool, report, input) + arriving + moving) as u32,
@@ -166,13 +176,13 @@
     }
 
     /// Number of workers that accept work and are not being evacuated. A report may be older than the last
-    /// decision and then does not show the evacuations that this decision started.
+    /// decision, or than the request to evacuate a zone, and then does not show the evacuations that this started.
     fn count_available_workers(&self, pool: &PoolId, report: &PoolReport, input: SizingInput<'_>) -> usize {
         let is_available = |(id, entry): &(&InstanceId, &InstanceEntry)| {
             let worker = entry.worker.as_ref().filter(|_| entry.pool == *pool);
             let usage = worker.and_then(|worker| report.workers.get(worker));
             let is_reserved = input.reserved.contains(*id) || self.evacuating.contains(*id);
-            usage.is_some_and(|usage| usage.is_usable) && !is_reserved
+            usage.is_some_and(|usage| usage.is_usable) && !is_reserved && !entry.is_in(input.closed_zones)
         };
         input.instances.iter().filter(is_available).count()
     }
@@ -183,7 +193,8 @@
         if input.spare.is_none() {
             return;
         }
-        let evacuating = self.evacuating.len() as u32;
+        let open = self.evacuating.iter().filter(|id| !input.is_closed(id));
+        let evacuating = open.count() as u32;
         let mut shortage = shortage(input, needs).saturating_sub(evacuating);
         for (pool, need) in needs {
             let report = input.reports.get(pool);
@@ -220,7 +231,7 @@
             .evacuating
             .iter()
             .filter(of_pool)
-            .filter(|id| !self.moves_in_flight.contains_key(*id))
+            .filter(|id| !self.moves_in_flight.contains_key(*id) && !input.is_closed(id))
             .take(count as usize)
             .cloned()
             .collect();
@@ -235,7 +246,7 @@
         };
         let mut candidates: Vec<(u32, &InstanceId)> = Vec::new();
         for (id, entry) in input.instances {
-            let is_taken = input.reserved.contains(id) || self.evacuating.contains(id);
+            let is_taken = input.reserved.contains(id) || self.evacuating.contains(id) || input.is_closed(id);
             if entry.pool != *pool || entry.state != InstanceState::Up || is_taken {
                 continue;
             }
@@ -253,7 +264,8 @@
     }
 
     /// Moves spare and evacuated instances to the pools that lack workers, starting with the one that lacks
-    /// most, and the remaining evacuated instances to the spare pool.
+    /// most, and the remaining evacuated instances to the spare pool. Those in zones under evacuation move to the spare
+    /// pool only.
     fn assign_free_instances(
         &mut self,
         now: Instant,
@@ -273,9 +285,10 @@
             if !is_free || is_taken || entry.state != InstanceState::Up {
                 continue;
             }
+            let is_closed = input.is_closed(id);
             let neediest = needs
                 .iter_mut()
-                .filter(|(_, need)| need.available < need.target)
+                .filter(|(_, need)| need.available < need.target && !is_closed)
                 .max_by_key(|(_, need)| need.target - need.available);
             let to = match neediest {
                 Some((pool, need)) => {
@@ -339,7 +352,11 @@
         .sum();
     let is_spare =
         |entry: &&InstanceEntry| input.spare == Some(&entry.pool) && entry.state == InstanceState::Up;
-    let spare = input.instances.values().filter(is_spare).count() as u32;
+    let open = input
+        .instances
+        .values()
+        .filter(|entry| !entry.is_in(input.closed_zones));
+    let spare = open.filter(is_spare).count() as u32;
     missing.saturating_sub(spare)
 }
 
--- a/src/dispatch/wave_plan.rs
+++ b/src/dispatch/wave_plan.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::dispatch::pool_plan::WorkerUsage;
-use crate::model::id::{InstanceId, PoolId, WorkerId};
+use crate::model::id::{InstanceId, PoolId, WorkerId, ZoneId};
 
 /// Number of instances evacuated in addition to those that may be down at once.
 const EXTRA_EVACUATIONS: usize = 1;
@@ -57,6 +57,15 @@
     pub state: InstanceState,
     /// Worker on the instance, if there is one.
     pub worker: Option<WorkerId>,
+    /// Availability zone, if the list names it.
+    pub zone: Option<ZoneId>,
+}
+
+impl InstanceEntry {
+    /// Whether the instance is in one of the zones.
+    pub fn is_in(&self, zones: &BTreeSet<ZoneId>) -> bool {
+        self.zone.as_ref().is_some_and(|zone| zones.contains(zone))
+    }
 }
 
 /// A maintenance wave as requested by the platform.
@@ -193,20 +202,31 @@
         self.request.instances.difference(&self.progress.started)
     }
 
-    /// Chooses further instances to evacuate.
+    /// Chooses further instances to evacuate. Busy ones in `closed_zones`, which are under evacuation, take no slot: they
+    /// are chosen once nothing runs on them.
     pub fn choose_evacuations(
         &mut self,
         now: Instant,
         instances: &BTreeMap<InstanceId, InstanceEntry>,
         usages: &BTreeMap<WorkerId, WorkerUsage>,
+        closed_zones: &BTreeSet<ZoneId>,
     ) {
+        let is_closed_busy = |id: &InstanceId| {
+            let entry = instances.get(id).filter(|entry| entry.is_in(closed_zones));
+            let worker = entry.and_then(|entry| entry.worker.as_ref());
+            let usage = worker.and_then(|worker| usages.get(worker));
+            usage.is_some_and(|usage| usage.runs > 0)
+        };
+        let in_flight = &self.in_flight;
+        self.evacuating
+            .retain(|id| in_flight.contains(id) || !is_closed_busy(id));
         let free_slots = self.request.max_down + EXTRA_EVACUATIONS;
         let mut free_slots = free_slots.saturating_sub(self.evacuating.len() + self.down.len());
         let mut busy_quota = self.busy_evacuation_quota(now);
         let mut long_running_counts: BTreeMap<&PoolId, usize> = BTreeMap::new();
         let mut candidates: Vec<(bool, u32, &InstanceId, &PoolId)> = Vec::new();
         for id in self.request.instances.difference(&self.progress.started) {
-            let Some(entry) = instances.get(id) else {
+            let Some(entry) = instances.get(id).filter(|_| !is_closed_busy(id)) else {
                 continue;
             };
             let usage = entry.worker.as_ref().and_then(|worker| usages.get(worker));
--- a/src/node/fleet_leader.rs
+++ b/src/node/fleet_leader.rs
@@ -1,7 +1,7 @@
 //! Event loop of the fleet's leader, which handles what concerns several pools: plans, maintenance waves and
 //! moves of instances.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -15,7 +15,7 @@
 use crate::dispatch::pool_size::PoolNeed;
 use crate::dispatch::wave_plan::{InstanceEntry, InstanceOutcome, WaveProgress};
 use crate::error::Result;
-use crate::model::id::{InstanceId, PoolId};
+use crate::model::id::{InstanceId, PoolId, ZoneId};
 use crate::node::fenced_writer::{RoleClaim, WriterEvent};
 use crate::node::node_context::{self, NodeContext, STORE_TIMEOUT};
 use crate::node::node_lease::LeaseGuard;
@@ -23,6 +23,7 @@
 use crate::node::prefix_watcher::{self, PrefixUpdate};
 use crate::node::store_keys;
 use crate::node::writer_handle::{self, WriterHandle, WriterOutcome};
+use crate::node::zone_watcher::{self, ZoneReceiver};
 use crate::platform::instance::InstanceApiClient;
 use crate::platform::maintenance_wave;
 use crate::platform::store::{StoreItem, StoreTransaction};
@@ -49,6 +50,8 @@
     Maintenance(InstanceId, WaveNumber, InstanceOutcome),
     Moved(InstanceId, PoolId, InstanceOutcome),
     Writer(WriterEvent),
+    /// The view of the zones under evacuation was confirmed or has changed.
+    Zones,
 }
 
 struct FleetLeader {
@@ -66,6 +69,9 @@
     wave_progress: BTreeMap<WaveNumber, WaveProgress>,
     logged_needs: BTreeMap<PoolId, PoolNeed>,
     next_size_log: Instant,
+    zones: ZoneReceiver,
+    /// Requests to evacuate a zone that have been checked against the list of instances.
+    checked_zones: BTreeSet<ZoneId>,
     end_reason: Option<&'static str>,
 }
 
@@ -99,6 +105,7 @@
         let leader_session: Arc<str> = context.session.as_str().into();
         InstanceApiClient::new(context.http_client.clone(), address, leader_session, claim.term)
     });
+    let (zones, zone_task) = zone_watcher::spawn(&context, &log, &sender, || FleetEvent::Zones);
     let mut leader = FleetLeader {
         next_list: context.clock.now(),
         logged_needs: BTreeMap::new(),
@@ -112,10 +119,12 @@
         unwritten: VecDeque::new(),
         is_list_pending: false,
         wave_progress: waves,
+        zones,
+        checked_zones: BTreeSet::new(),
         end_reason: None,
     };
     let reason = leader.run(&mut receiver).await;
-    tasks.iter().for_each(JoinHandle::abort);
+    tasks.iter().chain(&zone_task).for_each(JoinHandle::abort);
     reason
 }
 
@@ -226,6 +235,8 @@
                 WriterOutcome::Stored | WriterOutcome::StoredUnbound | WriterOutcome::Resumed => {}
                 WriterOutcome::Deposed => self.end_reason = Some(writer_handle::DEPOSED),
             },
+            // The view is read before each decision.
+            FleetEvent::Zones => {}
         }
         Ok(())
     }
@@ -255,6 +266,9 @@
             return Ok(());
         }
         self.request_instance_list(now);
+        if !self.update_zones() {
+            return Ok(());
+        }
         let (status, clock) = (self.context.lease.clone(), Arc::clone(&self.context.clock));
         let guard = LeaseGuard::new(valid_lease, status, clock);
         for command in self.planner.decide(now) {
@@ -272,6 +286,36 @@
         self.flush()
     }
 
+    /// Passes the zones under evacuation to the planner. Returns false while they have not been read: an instance must
+    /// not be moved to a pool from a zone under evacuation.
+    fn update_zones(&mut self) -> bool {
+        let view = self.zones.borrow().clone();
+        if view.is_read() {
+            self.planner.set_closed_zones(view.zones());
+            self.check_zones(view.zones());
+        }
+        view.is_read()
+    }
+
+    /// Logs once for each request that its zone is unknown, or that it leaves no zone open.
+    fn check_zones(&mut self, zones: &BTreeSet<ZoneId>) {
+        self.checked_zones.retain(|zone| zones.contains(zone));
+        let known = self.planner.known_zones();
+        if known.is_empty() {
+            return;
+        }
+        let new: Vec<ZoneId> = zones.difference(&self.checked_zones).cloned().collect();
+        for zone in &new {
+            if !known.contains(zone) {
+                warn!(self.log, "zone evacuation without effect: no instance is in the zone"; "zone" => %zone);
+            }
+        }
+        if !new.is_empty() && known.iter().all(|zone| zones.contains(*zone)) {
+            warn!(self.log, "all zones are under evacuation; jobs wait"; "zones" => known.len());
+        }
+        self.checked_zones.extend(new);
+    }
+
     /// Logs the pool sizes that have changed, with the demand from which they were computed.
     fn log_pool_sizes(&mut self, now: Instant) {
         if now < self.next_size_log {
--- a/src/platform/instance.rs
+++ b/src/platform/instance.rs
@@ -12,7 +12,7 @@
 use crate::dispatch::fleet_planner::WaveNumber;
 use crate::dispatch::wave_plan::{InstanceEntry, InstanceOutcome, InstanceState};
 use crate::error::{Error, ErrorKind, Result};
-use crate::model::id::{InstanceId, LeaderTerm, PoolId, WorkerId};
+use crate::model::id::{InstanceId, LeaderTerm, PoolId, WorkerId, ZoneId};
 use crate::platform::http::{HttpClient, HttpError, HttpRequest, HttpResponse, escape_query};
 
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -38,6 +38,8 @@
     /// Worker on the machine; absent or empty if there is none.
     #[serde(default)]
     id: Option<Arc<str>>,
+    #[serde(default)]
+    zone: Option<Arc<str>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -163,6 +165,8 @@
         pool: PoolId::new(machine.pool)?,
         state,
         worker,
+        // Only evacuations need the zone; a list with an odd one is still of use.
+        zone: machine.zone.and_then(|zone| ZoneId::new(zone).ok()),
     };
     Ok((InstanceId::new(machine.machine)?, entry))
 }
--- a/tests/pool_decisions/cut_lists.rs
+++ b/tests/pool_decisions/cut_lists.rs
@@ -1,6 +1,6 @@
 //! Reports of workers that list only a part of the runs that have ended.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -257,6 +257,7 @@
         pool: pool(),
         state,
         worker: None,
+        zone: None,
     };
     let whole: BTreeMap<InstanceId, InstanceEntry> = [
         (instance_id(0), entry(InstanceState::Maintenance)),
@@ -268,7 +269,7 @@
         time += MS * 400;
         wave.set_instances(time, list);
         assert!(!wave.mark_complete(), "instance 1 had no maintenance");
-        wave.choose_evacuations(time, &whole, &BTreeMap::new());
+        wave.choose_evacuations(time, &whole, &BTreeMap::new(), &BTreeSet::new());
         assert_eq!(wave.take_ready(time, &whole, |_| true), Vec::new(), "one is down");
     }
     for _ in 0..2 {
--- a/tests/pool_decisions/fleet.rs
+++ b/tests/pool_decisions/fleet.rs
@@ -12,11 +12,12 @@
     InstanceEntry, InstanceOutcome, InstanceState, WavePlan, WaveProgress, WaveRequest,
 };
 use figloft::model::amount::{MemoryMib, MilliCores};
-use figloft::model::id::{InstanceId, OrganisationId, PoolId, WorkerId};
+use figloft::model::id::{InstanceId, OrganisationId, PoolId, WorkerId, ZoneId};
 use figloft::model::resource::ResourceSet;
 use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
 
 static NONE_RESERVED: BTreeSet<InstanceId> = BTreeSet::new();
+static NONE_CLOSED: BTreeSet<ZoneId> = BTreeSet::new();
 
 /// Sizing input with a spare pool and no instance reserved by a wave.
 fn sizing_input<'a>(
@@ -31,6 +32,7 @@
         reports,
         instances,
         reserved: &NONE_RESERVED,
+        closed_zones: &NONE_CLOSED,
     }
 }
 
@@ -47,6 +49,7 @@
         pool: pool_id(pool),
         state,
         worker: Some(WorkerId::new(format!("i-{number}")).expect("worker")),
+        zone: None,
     };
     (instance_id(number), entry)
 }
@@ -97,7 +100,7 @@
     ]
     .into();
     wave.set_instances(now, &instances);
-    wave.choose_evacuations(now, &instances, &BTreeMap::new());
+    wave.choose_evacuations(now, &instances, &BTreeMap::new(), &BTreeSet::new());
     assert_eq!(wave.take_ready(now, &instances, |_| true).len(), 1);
 }
 
@@ -372,7 +375,7 @@
         .collect();
     let usages = usages_with_long_running(0..20, 20..60);
     let mut wave = WavePlan::new(now, request, WaveProgress::default());
-    wave.choose_evacuations(now, &instances, &usages);
+    wave.choose_evacuations(now, &instances, &usages, &BTreeSet::new());
     let is_long_running = |id: &&InstanceId| (0..20).any(|number| **id == instance_id(number));
     let long_running = wave.evacuating().iter().filter(is_long_running).count();
     let busy = wave.evacuating().len() - long_running;
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -26,3 +26,4 @@
 mod waiting_tasks;
 mod worker_lease;
 mod zone_evacuation;
+mod zone_fleet;
--- a/tests/pool_decisions/unplaced.rs
+++ b/tests/pool_decisions/unplaced.rs
@@ -81,6 +81,7 @@
                 pool: pool(),
                 state: InstanceState::Up,
                 worker: Some(fleet.world.worker(number)),
+                zone: None,
             };
             fleet.instances.insert(instance_id(number), entry);
             if number >= present {
@@ -103,6 +104,7 @@
             pool: to.clone(),
             state: InstanceState::Up,
             worker: Some(worker),
+            zone: None,
         };
         self.instances.insert(instance_id(number), entry);
     }
