Bound the memory and the time of request bodies on a node

Cause: each connection could hold a body of legal size for as long as it liked, and whole bodies were decoded and stored any number at a time.

Change: BodyBudget reserves the declared length of a submission before its first byte is read: a quarter of limits.memory-mb, at most half of it for one organisation. What does not fit is refused with 503, retry-after and connection: close. A body has to be complete 2 s after the caller's deadline (10 s at most) and to keep 1 KB/s after 2 s. A whole body waits for a permit (1/64 of the memory) before it is decoded and handed to the store. Frames are copied into one buffer, since a small frame may keep a whole read buffer. Refusals are counted; one log line a second and reason.

A legal body in pieces over 3 s is served.

--- a/src/connection/backend_body.rs
+++ b/src/connection/backend_body.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use derive_more::Display;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
@@ -19,14 +19,20 @@
 /// Capacity of the channel between the two connections, in frames.
 const CHANNEL_FRAMES: usize = 1;
 
-/// The caller's body ended before its declared length. The connection to the backend server is then closed
-/// without a complete request.
+/// Why a caller's body is incomplete. The connection to the backend server is then closed without a complete
+/// request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, derive_more::Error)]
-#[display("the caller's body ended early")]
-pub struct BodyTruncated;
+pub enum BodyFault {
+    /// The body ended before its declared length.
+    #[display("the caller's body ended early")]
+    Truncated,
+    /// The body arrived more slowly than [`BodyPace`](crate::request::body_pace::BodyPace) allows.
+    #[display("the caller's body arrived too slowly")]
+    TooSlow,
+}
 
-/// One frame of the body, or the notice that the body is truncated. Nothing follows that notice.
-pub type BodyItem = std::result::Result<Bytes, BodyTruncated>;
+/// One frame of the body, or why it is incomplete. Nothing follows a fault.
+pub type BodyItem = std::result::Result<Bytes, BodyFault>;
 
 #[derive(Debug)]
 struct SourceState {
@@ -35,6 +41,7 @@
     remaining: u64,
     is_started: bool,
     is_truncated: bool,
+    is_refused: bool,
 }
 
 /// Sending end, held by the task that reads the caller's connection. That task reads nothing before
@@ -79,6 +86,7 @@
             remaining: length,
             is_started: false,
             is_truncated: false,
+            is_refused: false,
         };
         Self {
             source: Arc::new(Mutex::new(source)),
@@ -90,7 +98,7 @@
         !self.lock().is_started
     }
 
-    /// Whether the caller's body ended before its declared length.
+    /// Whether the caller's body is incomplete.
     pub fn is_truncated(&self) -> bool {
         self.lock().is_truncated
     }
@@ -105,19 +113,52 @@
         BackendBody { source: self.clone() }
     }
 
+    /// Refuses the body: the connection is closed after the answer, because the rest of the body may still be on
+    /// it.
+    pub fn refuse(&self) {
+        self.lock().is_refused = true;
+    }
+
+    /// Whether the body was refused.
+    pub fn is_refused(&self) -> bool {
+        self.lock().is_refused
+    }
+
+    /// Bytes that the body may still have if at most `limit` are accepted.
+    pub fn max_remaining(&self, limit: u64) -> u64 {
+        self.remaining().min(limit)
+    }
+
+    /// Checks the declared length.
+    ///
+    /// # Errors
+    /// `too_large` if more than `limit` bytes remain.
+    pub fn check_length(&self, limit: u64) -> Result<()> {
+        if self.remaining() <= limit {
+            return Ok(());
+        }
+        Err(too_large(limit))
+    }
+
     /// Reads the complete body into memory.
     ///
     /// # Errors
-    /// `too_large` if more than `limit` bytes remain, `bad_request` if the body is truncated.
+    /// `too_large` if more than `limit` bytes remain, `bad_request` if the body is truncated, `overloaded` if it
+    /// arrives too slowly.
     pub async fn collect(&self, limit: u64) -> Result<Bytes> {
-        if self.remaining() > limit {
-            let message = format!("the body is larger than {limit} bytes");
-            return Err(Error::new(ErrorKind::TooLarge, message));
+        self.check_length(limit)?;
+        let mut body = self.body();
+        // The frames are copied: a small frame may keep a whole read buffer of the server alive.
+        let mut collected = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(fault_error)?;
+            let Ok(bytes) = frame.into_data() else { continue };
+            if (collected.len() + bytes.len()) as u64 > limit {
+                return Err(too_large(limit));
+            }
+            collected.extend_from_slice(&bytes);
         }
-        let collected = self.body().collect().await;
-        let collected =
-            collected.map_err(|truncated| Error::new(ErrorKind::BadRequest, truncated.to_string()))?;
-        Ok(collected.to_bytes())
+        Ok(collected.freeze())
     }
 
     fn lock(&self) -> MutexGuard<'_, SourceState> {
@@ -125,6 +166,21 @@
     }
 }
 
+fn too_large(limit: u64) -> Error {
+    Error::new(
+        ErrorKind::TooLarge,
+        format!("the body is larger than {limit} bytes"),
+    )
+}
+
+fn fault_error(fault: BodyFault) -> Error {
+    let kind = match fault {
+        BodyFault::Truncated => ErrorKind::BadRequest,
+        BodyFault::TooSlow => ErrorKind::Overloaded,
+    };
+    Error::new(kind, fault.to_string())
+}
+
 /// Request body of one attempt. It yields the frames that no earlier attempt has read.
 #[derive(Debug)]
 pub struct BackendBody {
@@ -133,12 +189,12 @@
 
 impl Body for BackendBody {
     type Data = Bytes;
-    type Error = BodyTruncated;
+    type Error = BodyFault;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<std::result::Result<Frame<Bytes>, BodyTruncated>>> {
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, BodyFault>>> {
         let mut source = self.source.lock();
         let source = &mut *source;
         if let Some(start_signal) = source.start_signal.take() {
@@ -155,14 +211,14 @@
                 source.remaining = source.remaining.saturating_sub(bytes.len() as u64);
                 Poll::Ready(Some(Ok(Frame::data(bytes))))
             }
-            Poll::Ready(Some(Err(truncated))) => {
+            Poll::Ready(Some(Err(fault))) => {
                 source.is_started = true;
                 source.is_truncated = true;
-                Poll::Ready(Some(Err(truncated)))
+                Poll::Ready(Some(Err(fault)))
             }
             Poll::Ready(None) if source.remaining > 0 => {
                 source.is_truncated = true;
-                Poll::Ready(Some(Err(BodyTruncated)))
+                Poll::Ready(Some(Err(BodyFault::Truncated)))
             }
             Poll::Ready(None) => Poll::Ready(None),
         }
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -16,6 +16,7 @@
 use crate::platform::http::HttpClient;
 use crate::platform::settings::NodeSettings;
 use crate::platform::store::StoreApiClient;
+use crate::request::caller_limits::CallerLimits;
 use crate::version::retry_delay::RetryDelay;
 
 /// Time limit of one request to the store. Responses usually take milliseconds, and some tens of times that
@@ -73,6 +74,8 @@
     /// True once the process has received a stop signal.
     pub stopping: watch::Receiver<bool>,
     pub metrics: Arc<NodeMetrics>,
+    /// Limits on what callers may make this process hold.
+    pub limits: Arc<CallerLimits>,
     pub log: Logger,
 }
 
--- a/src/node/platform_node.rs
+++ b/src/node/platform_node.rs
@@ -25,6 +25,7 @@
 use crate::platform::http::HttpClient;
 use crate::platform::settings::{NodeSettings, SETTINGS_VARIABLE};
 use crate::platform::store::StoreApiClient;
+use crate::request::caller_limits::CallerLimits;
 use crate::request::explain_api;
 use crate::request::http_server::{self, EntryHandler, RunningServer, ServerLimits};
 use crate::request::queue_api::QueueApi;
@@ -66,7 +67,13 @@
     let log = log.new(o!("node" => settings.node.to_string(), "session" => session.to_string()));
     let signals = NodeSignals::new()?;
     let clock: SharedClock = Arc::new(SystemClock);
-    let metrics = Arc::new(NodeMetrics::new(Registry::new())?);
+    let registry = Registry::new();
+    let limits = Arc::new(CallerLimits::new(
+        settings.memory.map(|memory| memory.get()),
+        log.clone(),
+    )?);
+    limits.register(&registry)?;
+    let metrics = Arc::new(NodeMetrics::new(registry)?);
     let http_client = HttpClient::new();
     let store = StoreApiClient::new(
         http_client.clone(),
@@ -87,6 +94,7 @@
         lease,
         stopping,
         metrics,
+        limits,
         log: log.clone(),
     };
     let servers = start_servers(&context, metrics_port)?;
@@ -219,6 +227,7 @@
             if path != METRICS_PATH {
                 return response::text_response(StatusCode::NOT_FOUND, "text/plain", "not found\n");
             }
+            context.limits.update_gauges();
             match context.metrics.render() {
                 Ok(text) => response::text_response(StatusCode::OK, "text/plain; version=0.0.4", text),
                 Err(error) => response::error_response(&error),
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -18,6 +18,8 @@
 /// Fraction of the platform's maximum lease that is requested if it is shorter than [`DEFAULT_LEASE`].
 const LEASE_FRACTION: f64 = 0.95;
 
+const BYTES_PER_MEGABYTE: u64 = 1_000_000;
+
 const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
 /// Settings of the node that this process runs.
@@ -46,6 +48,10 @@
     pub cpu_share: f64,
     /// Bytes per second of the node's link; absent if the platform names no limit.
     pub link_rate: Option<ByteCount>,
+    /// Memory of the node's machine; absent if the platform names no limit.
+    pub memory: Option<ByteCount>,
+    /// Number of descriptors that the node may open; absent if the platform names no limit.
+    pub max_descriptors: Option<u64>,
     /// Time between SIGTERM and SIGKILL.
     pub grace_period: Duration,
     /// Time for which callers may read the state of a finished job.
@@ -82,6 +88,9 @@
     cpu_share: f64,
     /// Rate of the link in megabits per second.
     link_mbps: Option<f64>,
+    /// Memory in megabytes.
+    memory_mb: Option<u64>,
+    max_fds: Option<u64>,
 }
 
 impl Default for InstanceLimits {
@@ -89,6 +98,8 @@
         Self {
             cpu_share: 0.25,
             link_mbps: None,
+            memory_mb: None,
+            max_fds: None,
         }
     }
 }
@@ -144,6 +155,10 @@
     ByteCount::new((megabits_per_second * BYTES_PER_MEGABIT) as u64)
 }
 
+fn memory_size(megabytes: u64) -> ByteCount {
+    ByteCount::new(megabytes.saturating_mul(BYTES_PER_MEGABYTE))
+}
+
 fn duration(name: &str, seconds: f64) -> Result<Duration> {
     Duration::try_from_secs_f64(seconds).map_err(|error| {
         Error::new(
@@ -192,6 +207,12 @@
             min_store_lease: Duration::from_millis(file.platform.ttl_min_ms),
             cpu_share: file.limits.cpu_share,
             link_rate: file.limits.link_mbps.filter(|rate| *rate > 0.0).map(link_rate),
+            memory: file
+                .limits
+                .memory_mb
+                .filter(|megabytes| *megabytes > 0)
+                .map(memory_size),
+            max_descriptors: file.limits.max_fds.filter(|count| *count > 0),
             grace_period: duration("grace-s", bounds.grace_s)?,
             retention: duration("status_s", bounds.status_s)?,
             timing,
--- a/src/request/http_server.rs
+++ b/src/request/http_server.rs
@@ -9,10 +9,10 @@
 use std::net::TcpListener;
 use std::pin::pin;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::future::BoxFuture;
-use http::header;
+use http::header::{self, HeaderValue};
 use http::request::Parts;
 use http::{Method, Request, Response, StatusCode};
 use xitca_web::HttpServer;
@@ -20,7 +20,8 @@
 use xitca_web::http::RequestExt;
 use xitca_web::service::fn_service;
 
-use crate::connection::backend_body::{BodySender, BodySource, BodyTruncated};
+use crate::connection::backend_body::{BodyFault, BodySender, BodySource};
+use crate::request::body_pace::BodyPace;
 use crate::request::response;
 use crate::request::response_stream::ResponseStream;
 use crate::request::work_request;
@@ -117,7 +118,13 @@
     let response = match work_request::check_forwardable(&parts) {
         Ok(()) => {
             let body = open_body(caller_body);
-            handler(EntryRequest { parts, body }).await
+            let source = body.clone();
+            let mut response = handler(EntryRequest { parts, body }).await;
+            if source.is_refused() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            response
         }
         Err(error) => response::error_response(&error),
     };
@@ -164,24 +171,29 @@
         return;
     }
     let mut remaining = length;
+    let mut pace = BodyPace::default();
     loop {
         let mut reader = caller_body.as_mut();
+        let started = Instant::now();
         let mut read = pin!(reader.data());
         let next = tokio::select! {
             biased;
             () = sender.frames.closed() => return,
-            next = &mut read => next,
+            next = &mut read => Some(next),
+            () = tokio::time::sleep(pace.time_left()) => None,
         };
         let item = match next {
-            Some(Ok(bytes)) => {
+            Some(Some(Ok(bytes))) => {
+                pace.add(bytes.len() as u64, started.elapsed());
                 remaining = remaining.saturating_sub(bytes.len() as u64);
                 Ok(bytes)
             }
-            None if remaining == 0 => return,
-            None | Some(Err(_)) => Err(BodyTruncated),
+            None => Err(BodyFault::TooSlow),
+            Some(None) if remaining == 0 => return,
+            Some(None | Some(Err(_))) => Err(BodyFault::Truncated),
         };
-        let is_truncated = item.is_err();
-        if sender.frames.send(item).await.is_err() || is_truncated {
+        let is_incomplete = item.is_err();
+        if sender.frames.send(item).await.is_err() || is_incomplete {
             return;
         }
     }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -4,7 +4,10 @@
 pub mod admission_controller;
 pub mod admission_error;
 pub mod backend_probe;
+pub mod body_budget;
+pub mod body_pace;
 pub mod caller_api;
+pub mod caller_limits;
 pub mod entry_context;
 pub mod entry_metrics;
 pub mod explain_api;
@@ -15,6 +18,7 @@
 pub mod job_api;
 pub mod key_check;
 pub mod queue_api;
+pub mod refusal_burst;
 pub mod response;
 pub mod response_stream;
 pub mod submission_batcher;
--- a/src/request/queue_api.rs
+++ b/src/request/queue_api.rs
@@ -34,6 +34,13 @@
 /// Deadline of requests that give none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
 
+/// Time after the caller's deadline at which a body has to be complete. A caller that sends a body for as long as its
+/// deadline counts from the end of the body, so that it still waits then.
+const BODY_MARGIN: Duration = Duration::from_secs(2);
+
+/// Longest time for a body, whatever the caller's deadline. The largest body takes 0.2 s on the slowest link.
+const MAX_BODY_TIME: Duration = Duration::from_secs(10);
+
 /// Number of attempts to store a cancellation. A state changes at most twice after the submission, so that each
 /// attempt but the last can meet a change.
 const MAX_CANCEL_ATTEMPTS: usize = 3;
@@ -53,6 +60,7 @@
     organisation: Option<OrganisationId>,
     job_path: String,
     deadline: Instant,
+    body_deadline: Instant,
 }
 
 impl QueueApi {
@@ -141,6 +149,7 @@
             queue: queue.clone(),
             organisation,
             job_path: job_path.to_owned(),
+            body_deadline: started + (wait + BODY_MARGIN).min(MAX_BODY_TIME),
             deadline: started + wait.saturating_sub(RESPONSE_MARGIN),
             config: Arc::clone(&config),
         })
@@ -152,8 +161,15 @@
         queue_request: QueueRequest,
     ) -> Result<Response<ResponseStream>> {
         let id = caller_protocol::decode_job_id(&queue_request.job_path)?;
-        let body = request.body.collect(queue_request.config.max_body_bytes).await?;
-        let spec = caller_protocol::decode_job(&body)?;
+        let owner = queue_request.organisation.as_ref().map(|id| id.as_str().into());
+        let max_bytes = queue_request.config.max_body_bytes;
+        // The body counts against the memory for bodies until the request is answered.
+        let body =
+            self.context
+                .limits
+                .read_body(&request.body, owner, max_bytes, queue_request.body_deadline);
+        let body = body.await?;
+        let spec = caller_protocol::decode_job(&body.bytes)?;
         let started = self.context.clock.now();
         let record = JobRecord {
             id: id.clone(),
