Add one definition of what a delay costs callers

Cause: the start order, admission and load shedding each need to compare jobs by value, work and deadline, and would otherwise each define their own figure.

Pure functions without state; nothing uses them yet.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod allowance_split;
 pub mod command;
+pub mod delay_cost;
 pub mod ended_jobs;
 pub mod fleet_planner;
 pub mod flush_queue;
