--- a/src/cli/daemon_args.rs
+++ b/src/cli/daemon_args.rs
@@ -28,6 +28,9 @@
     /// Port on which to serve metrics on the platform; without it, no metrics are served.
     #[arg(long, value_name = "PORT", requires = "platform")]
     pub metrics_port: Option<u16>,
+    /// Order task starts by the cost of delay to callers when not all jobs can be in time; only with --platform.
+    #[arg(long, requires = "platform")]
+    pub shed_by_cost: bool,
     /// Arguments of the trial mode.
     #[command(flatten)]
     pub trial: TrialArgs,
--- a/src/dispatch/job_state.rs
+++ b/src/dispatch/job_state.rs
@@ -7,6 +7,7 @@
 use crate::dispatch::command::RunId;
 use crate::dispatch::job_record::{JobProgress, JobRecord, JobState, JobSummary, StepProgress};
 use crate::dispatch::job_spec::StepSpec;
+use crate::dispatch::queue_work::JobSize;
 use crate::dispatch::run_loss::{LossHistory, RunLoss};
 use crate::dispatch::task_checkpoint::TaskCheckpoint;
 use crate::dispatch::task_id::StepId;
@@ -170,6 +171,8 @@
     pub objective: Duration,
     /// Whether the estimated work is clearly above the average of the pool.
     pub is_large: bool,
+    /// Size among the jobs of its queue; only known if the order of starts depends on the cost of delay.
+    pub size: JobSize,
     /// Occurrences that have started, by number.
     pub occurrences: BTreeMap<u32, JobOccurrence>,
     /// State as shown to clients.
@@ -217,6 +220,7 @@
         }
         Self {
             is_large: false,
+            size: JobSize::default(),
             record,
             critical_paths,
             objective,
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -6,9 +6,10 @@
 //! tasks that crash workers; `isolation` starts suspects without other jobs beside them. `demand_report`
 //! reports demand and capacity to the fleet leader, with the tasks that `unplaced_tasks` finds no worker for, and
 //! `progress_flush` collects the changes that have to be stored. `held_tasks` finds out what holds back tasks that
-//! wait.
+//! wait. `cost_order` orders the starts by the cost of delay, if that is set.
 
 mod command_outcomes;
+mod cost_order;
 mod demand_report;
 mod evacuation;
 mod held_tasks;
@@ -37,6 +38,7 @@
 use crate::dispatch::open_losses::OpenLosses;
 use crate::dispatch::poll_pace::{MIN_POLL_INTERVAL, PollPace};
 use crate::dispatch::pool_plan::PoolPlan;
+use crate::dispatch::pool_scheduler::cost_order::CostOrder;
 use crate::dispatch::pool_scheduler::held_tasks::HeldTasks;
 use crate::dispatch::pool_scheduler::isolation::{IsolatedJob, PlannedStart};
 use crate::dispatch::pool_scheduler::unplaced_tasks::UnplacedSteps;
@@ -119,6 +121,8 @@
     usage: BTreeMap<OrganisationId, ResourceSet>,
     takeover: TakeoverState,
     rate_limiter: RateLimiter,
+    /// Present if the order of starts depends on the cost of delay.
+    cost_order: Option<CostOrder>,
     start_budget: LinkBudget,
     poll_pace: PollPace,
     inflow: InflowForecast,
@@ -167,6 +171,7 @@
             usage: BTreeMap::new(),
             takeover,
             rate_limiter: RateLimiter::default(),
+            cost_order: None,
             start_budget: LinkBudget::default(),
             poll_pace: PollPace::default(),
             inflow: InflowForecast::default(),
@@ -198,6 +203,13 @@
         self
     }
 
+    /// Orders the starts by the cost of delay to callers.
+    #[must_use]
+    pub fn with_shedding_by_cost(mut self) -> Self {
+        self.cost_order = Some(CostOrder::default());
+        self
+    }
+
     /// Whether a worker has rejected a command because it has seen a newer leader. The scheduler then issues
     /// no more commands.
     pub fn is_fenced(&self) -> bool {
@@ -270,6 +282,9 @@
                 .map_or(0.0, |config| config.weight);
             job.is_over_rate = self.rate_limiter.is_over_rate(now, organisation, weight);
         }
+        if let Some(order) = &mut self.cost_order {
+            job.size = order.observe_job(&job.record);
+        }
         job.is_large = self.work_average.observe(job.record.spec.estimated_work());
         if !job.is_recovered && !job.is_over_rate {
             let age = now.saturating_duration_since(accepted_at);
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -66,7 +66,14 @@
 
 impl PoolScheduler {
     pub(super) fn issue_starts(&mut self, now: Instant, commands: &mut Vec<PoolCommand>) {
-        let mut ready = self.ready_steps(now);
+        let mut ready = match self.cost_order.take() {
+            Some(mut order) => {
+                let keys = order.order_starts(now, self);
+                self.cost_order = Some(order);
+                keys
+            }
+            None => self.ready_steps(now),
+        };
         ready.sort_unstable();
         let usable = self.workers.values().filter(|worker| {
             let is_open = worker.isolated_for.is_none() && !self.plan.evacuating.contains(&worker.entry.id);
@@ -115,10 +122,7 @@
         let waiting = self.waiting_steps(now);
         let ready = waiting.filter(|(_, job)| !self.is_waiting_for_takeover(now, job));
         let keys = ready.map(|(step, job)| {
-            let due_at = job
-                .occurrences
-                .get(&step.occurrence)
-                .map_or(job.accepted_at, |occurrence| occurrence.due_at);
+            let due_at = due_at(job, &step);
             let inputs = priority_inputs(job, step.step as usize, due_at);
             StartKey::new(now, &inputs, step)
         });
@@ -368,6 +372,9 @@
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
+        if let Some(order) = &mut self.cost_order {
+            order.record_start(now, job.size.class, spec);
+        }
         let payload = Arc::clone(&job.record.spec.payload);
         let Some(step) = job.step_mut(&task.step) else {
             return;
@@ -515,6 +522,12 @@
     }
 }
 
+/// Time from which the objective of a step's job counts.
+pub(super) fn due_at(job: &JobRun, step: &StepId) -> Instant {
+    let occurrence = job.occurrences.get(&step.occurrence);
+    occurrence.map_or(job.accepted_at, |occurrence| occurrence.due_at)
+}
+
 pub(super) fn priority_inputs(job: &JobRun, step: usize, accepted_at: Instant) -> PriorityInputs {
     let spec = &job.record.spec.steps[step];
     PriorityInputs {
--- a/src/dispatch/start_priority.rs
+++ b/src/dispatch/start_priority.rs
@@ -112,8 +112,7 @@
     /// Computes the key of a step at `now`.
     pub fn new(now: Instant, inputs: &PriorityInputs, step: StepId) -> Self {
         let class = StartClass::of(now, inputs);
-        let end = expected_end(now, inputs);
-        let slack_ms = inputs.objective.as_millis() as i64 - end.as_millis() as i64;
+        let slack_ms = Self::slack_ms(now, inputs);
         let is_urgent = slack_ms < (inputs.objective.mul_f64(URGENT_SLACK_SHARE)).as_millis() as i64;
         Self {
             class,
@@ -124,6 +123,30 @@
         }
     }
 
+    /// Time until the latest start that meets the objective, in milliseconds; negative if the job will be late.
+    pub fn slack_ms(now: Instant, inputs: &PriorityInputs) -> i64 {
+        inputs.objective.as_millis() as i64 - expected_end(now, inputs).as_millis() as i64
+    }
+
+    /// Orders the step within its class by its latest start only, whatever its priority and size.
+    #[must_use]
+    pub fn with_latest_start(self) -> Self {
+        let slack_ms = self.slack_ms;
+        self.with_order(false, slack_ms)
+    }
+
+    /// Orders the step within its class by `order`, whatever its priority and size, and after all others if it can
+    /// wait.
+    #[must_use]
+    pub fn with_order(self, can_wait: bool, order: i64) -> Self {
+        Self {
+            priority: 0,
+            can_wait,
+            slack_ms: order,
+            ..self
+        }
+    }
+
     /// Step to which the key belongs.
     pub fn step(&self) -> &StepId {
         &self.step
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -56,11 +56,19 @@
 /// The configuration in force; `None` before the first one has been read.
 pub type ConfigReceiver = watch::Receiver<Option<Arc<SiteConfig>>>;
 
+/// Optional behaviour of a node, from the arguments of the process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct NodeOptions {
+    /// Whether the starts are ordered by the cost of delay to callers.
+    pub shed_by_cost: bool,
+}
+
 /// State shared by the leaders and the API for callers of one node.
 #[expect(missing_docs, reason = "the types of the other fields say what they hold")]
 #[derive(Debug, Clone)]
 pub struct NodeContext {
     pub settings: Arc<NodeSettings>,
+    pub options: NodeOptions,
     /// Identifies this incarnation of the process.
     pub session: SessionId,
     pub clock: SharedClock,
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -5,10 +5,13 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+    CounterVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 use crate::dispatch::hold_reason::HoldReason;
+use crate::dispatch::queue_work::SizeClass;
+use crate::dispatch::shed_order::ShedSummary;
 use crate::error::{Error, ErrorKind, Result};
 
 /// Upper bounds of the latency histograms' buckets in seconds.
@@ -27,6 +30,9 @@
     jobs: IntGaugeVec,
     most_losses: IntGaugeVec,
     held_tasks: IntGaugeVec,
+    shed_jobs: IntGaugeVec,
+    shed_work: IntGaugeVec,
+    started_work: CounterVec,
     in_flight: IntGauge,
     store_calls: IntCounterVec,
 }
@@ -71,6 +77,21 @@
             "Tasks that have waited for more than a second, by what holds them back.",
         );
         let held_tasks = register(&registry, IntGaugeVec::new(held_tasks, &["pool", "reason"]))?;
+        let shed_jobs = Opts::new(
+            "figloft_shed_jobs",
+            "Jobs that could be in time and wait because the pool cannot start all, by reason.",
+        );
+        let shed_jobs = register(&registry, IntGaugeVec::new(shed_jobs, &["pool", "reason"]))?;
+        let shed_work = Opts::new(
+            "figloft_shed_work_core_milliseconds",
+            "Work of the jobs in figloft_shed_jobs.",
+        );
+        let shed_work = register(&registry, IntGaugeVec::new(shed_work, &["pool", "reason"]))?;
+        let started_work = Opts::new(
+            "figloft_started_work_core_milliseconds_total",
+            "Estimated work of the tasks that were started, by the size of their job within its queue.",
+        );
+        let started_work = register(&registry, CounterVec::new(started_work, &["pool", "size"]))?;
         let in_flight = IntGauge::new(
             "figloft_calls_in_flight",
             "Calls of callers that are not answered.",
@@ -116,6 +137,9 @@
             jobs,
             most_losses,
             held_tasks,
+            shed_jobs,
+            shed_work,
+            started_work,
             registry,
         })
     }
@@ -180,6 +204,22 @@
         }
     }
 
+    /// Sets what waits in a pool that orders its starts by the cost of delay, and adds what it has started.
+    pub fn set_shed_work(&self, pool: &str, summary: &ShedSummary) {
+        for (reason, count) in [("cost", summary.by_cost), ("share", summary.by_share)] {
+            let jobs = i64::try_from(count.jobs).unwrap_or(i64::MAX);
+            self.shed_jobs.with_label_values(&[pool, reason]).set(jobs);
+            self.shed_work
+                .with_label_values(&[pool, reason])
+                .set(count.work as i64);
+        }
+        for (size, work) in SizeClass::ALL.into_iter().zip(summary.started) {
+            self.started_work
+                .with_label_values(&[pool, size.as_str()])
+                .inc_by(work);
+        }
+    }
+
     /// Renders all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/src/node/platform_node.rs
+++ b/src/node/platform_node.rs
@@ -18,7 +18,7 @@
 use crate::model::id::SessionId;
 use crate::node::config_watcher;
 use crate::node::leader_election;
-use crate::node::node_context::NodeContext;
+use crate::node::node_context::{NodeContext, NodeOptions};
 use crate::node::node_lease::{self, LeaseStatus};
 use crate::node::node_metrics::NodeMetrics;
 use crate::platform::caller_protocol::READINESS_PATH;
@@ -59,7 +59,7 @@
 ///
 /// # Errors
 /// `bad_record` if the settings cannot be read, `internal` if an address cannot be bound.
-pub async fn run(metrics_port: Option<u16>, log: &Logger) -> Result<()> {
+pub async fn run(metrics_port: Option<u16>, options: NodeOptions, log: &Logger) -> Result<()> {
     let path = settings_path()?;
     let settings = Arc::new(NodeSettings::read(&path)?);
     let session = generate_session_id(&settings.node)?;
@@ -79,6 +79,7 @@
     let (stop_lease, lease_stopping) = watch::channel(false);
     let context = NodeContext {
         settings: Arc::clone(&settings),
+        options,
         session,
         clock: Arc::clone(&clock),
         http_client,
@@ -107,7 +108,7 @@
     let election_task = tokio::spawn(leader_election::run(context.clone()));
     info!(log, "process started"; "version" => env!("CARGO_PKG_VERSION"), "zone" => %settings.zone,
         "callers" => %settings.caller_address, "store" => %settings.store_address,
-        "cpu_share" => settings.cpu_share);
+        "cpu_share" => settings.cpu_share, "shed_by_cost" => options.shed_by_cost);
     wait_for_stop_signal(signals, &path, &settings, &log).await;
     let stop_started = clock.now();
     info!(log, "process stops"; "grace_ms" => settings.grace_period.as_millis() as u64);
--- a/src/node/pool_leader.rs
+++ b/src/node/pool_leader.rs
@@ -13,6 +13,7 @@
 use crate::dispatch::poll_pace::PollPace;
 use crate::dispatch::pool_plan::PoolReport;
 use crate::dispatch::pool_scheduler::PoolScheduler;
+use crate::dispatch::shed_order::ShedSummary;
 use crate::dispatch::takeover::TakeoverState;
 use crate::error::Result;
 use crate::model::id::{JobId, LeaseId, PoolId, QueueId, WorkerId};
@@ -129,6 +130,10 @@
         .context
         .metrics
         .set_held_tasks(leader.pool.as_str(), &BTreeMap::new());
+    if leader.context.options.shed_by_cost {
+        let metrics = &leader.context.metrics;
+        metrics.set_shed_work(leader.pool.as_str(), &ShedSummary::default());
+    }
     reason
 }
 
@@ -154,6 +159,9 @@
         let mut scheduler = PoolScheduler::new(pool.clone(), claim.term, timing, takeover)
             .with_start_budget(budget)
             .with_poll_pace(PollPace::new(context.settings.cpu_share));
+        if context.options.shed_by_cost {
+            scheduler = scheduler.with_shedding_by_cost();
+        }
         scheduler.set_plan(records.plan);
         let executor = CommandExecutor::new(context.clone(), claim.term, log.clone());
         Self {
@@ -440,6 +448,9 @@
         self.context
             .metrics
             .set_most_losses(self.pool.as_str(), self.scheduler.most_losses());
+        if let Some(summary) = self.scheduler.take_shed_summary() {
+            self.context.metrics.set_shed_work(self.pool.as_str(), &summary);
+        }
         if let Some(counts) = self.scheduler.take_held_counts() {
             self.context.metrics.set_held_tasks(self.pool.as_str(), &counts);
         }
--- a/src/process/command.rs
+++ b/src/process/command.rs
@@ -8,6 +8,7 @@
 
 use crate::cli::daemon_args::DaemonArgs;
 use crate::clock::SystemClock;
+use crate::node::node_context::NodeOptions;
 use crate::node::platform_node;
 use crate::port::store::memory_store::MemoryStore;
 use crate::port::store::server;
@@ -30,7 +31,7 @@
         return trial::command::run(args.trial.trial_user, args.trial.trial_exit);
     }
     if args.platform {
-        return run_on_platform(args.metrics_port);
+        return run_on_platform(args);
     }
     let settings = match args.settings.as_deref().map(settings_file::read_settings) {
         None => DaemonSettings::default(),
@@ -71,14 +72,17 @@
 }
 
 /// Runs a node of the production platform on one thread, since an instance has less than one core.
-fn run_on_platform(metrics_port: Option<u16>) -> ExitCode {
+fn run_on_platform(args: &DaemonArgs) -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => return exit_with_error(&error),
     };
     let (logger, guard) = log::start_logger(LogLevel::Info);
-    let result = runtime.block_on(platform_node::run(metrics_port, &logger));
+    let options = NodeOptions {
+        shed_by_cost: args.shed_by_cost,
+    };
+    let result = runtime.block_on(platform_node::run(args.metrics_port, options, &logger));
     runtime.shutdown_timeout(daemon::RUNTIME_SHUTDOWN_TIMEOUT);
     drop(guard);
     match result {
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -21,6 +21,7 @@
 mod replaced_workers;
 mod scheduler;
 mod setup;
+mod shortage;
 mod simulation;
 mod unplaced;
 mod waiting_tasks;
