--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod allowance_split;
 pub mod command;
+pub mod delay_cost;
 pub mod ended_jobs;
 pub mod evacuated_zones;
 pub mod fleet_planner;
@@ -24,9 +25,11 @@
 pub mod pool_plan;
 pub mod pool_scheduler;
 pub mod pool_size;
+pub mod queue_work;
 pub mod rate_limiter;
 pub mod run_loss;
 pub mod scheduler_timing;
+pub mod shed_order;
 pub mod site_config;
 pub mod speed_control;
 pub mod start_priority;
