Forecast whether a submission can still be of use

Cause: a submission is refused only when the queue in front of the store is full, never by what its pool can still do.

The objective of a job and the expected run time of a step become functions of their own, as both sides need them.

--- a/src/dispatch/job_record.rs
+++ b/src/dispatch/job_record.rs
@@ -90,6 +90,13 @@
     pub advice: Option<AdviceRule>,
 }
 
+impl QueueRule {
+    /// Time after its acceptance by which a job should have ended, given the estimate of its longest chain of steps.
+    pub fn objective(&self, critical_path: Duration) -> Duration {
+        critical_path.mul_f64(self.slack_factor.max(1.0)) + self.target_latency
+    }
+}
+
 /// A job as accepted from a client.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
--- a/src/dispatch/job_state.rs
+++ b/src/dispatch/job_state.rs
@@ -204,7 +204,7 @@
     pub fn new(record: JobRecord, progress: Option<&JobProgress>, accepted_at: Instant) -> Self {
         let critical_paths = record.spec.critical_paths();
         let longest = critical_paths.iter().copied().max().unwrap_or_default();
-        let objective = longest.mul_f64(record.rule.slack_factor.max(1.0)) + record.rule.target_latency;
+        let objective = record.rule.objective(longest);
         let mut occurrences = BTreeMap::new();
         let stored = progress.map(|progress| &progress.occurrences);
         if record.spec.schedule.is_none() {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 //! `pool_scheduler` holds the state of one pool and turns events into commands; most other modules are parts
 //! of it. `fleet_planner` takes the decisions that concern several pools.
 
+pub mod admission_forecast;
 pub mod allowance_split;
 pub mod command;
 pub mod ended_jobs;
@@ -16,6 +17,7 @@
 pub mod job_spec;
 pub mod job_state;
 pub mod link_budget;
+pub mod load_digest;
 pub mod millis;
 pub mod open_losses;
 pub mod placement;
--- a/src/dispatch/start_priority.rs
+++ b/src/dispatch/start_priority.rs
@@ -104,8 +104,17 @@
 
 /// Expected time from acceptance to the end of the job if the step starts at `now`.
 fn expected_end(now: Instant, inputs: &PriorityInputs) -> Duration {
-    let age = now.saturating_duration_since(inputs.accepted_at);
-    age + inputs.critical_path.mul_f64(ESTIMATE_MARGIN.0) + ESTIMATE_MARGIN.1
+    now.saturating_duration_since(inputs.accepted_at) + expected_run_time(inputs.critical_path)
+}
+
+/// Expected time from the start of a step to the end of its job, with a margin.
+pub fn expected_run_time(critical_path: Duration) -> Duration {
+    critical_path.mul_f64(ESTIMATE_MARGIN.0) + ESTIMATE_MARGIN.1
+}
+
+/// Time from `now` to the latest start of the step with which its job meets its objective; zero if it has passed.
+pub fn slack(now: Instant, inputs: &PriorityInputs) -> Duration {
+    inputs.objective.saturating_sub(expected_end(now, inputs))
 }
 
 impl StartKey {
