Store a digest of each pool's load

Cause: the instances that accept submissions know neither the jobs nor the workers of a pool.

It takes one of the 28 entries for changes, so that a transaction keeps within 32. The fleet leader stores load/fleet/growth, the workers that each pool could have within seconds, every 500 ms while a pool lacks workers. Without the setting nothing of this is computed or stored.

--- a/src/cli/daemon_args.rs
+++ b/src/cli/daemon_args.rs
@@ -11,6 +11,10 @@
 #[derive(Debug, Clone, Parser)]
 #[command(name = "figloftd", version, about, max_term_width = 100)]
 #[command(group(ArgGroup::new("mode").args(["check", "print_defaults", "trial", "serve_store", "platform"])))]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other"
+)]
 pub struct DaemonArgs {
     /// Settings file; without it, the default settings apply.
     #[arg(long, value_name = "FILE", env = "FIGLOFTD_SETTINGS")]
@@ -28,6 +32,10 @@
     /// Port on which to serve metrics on the platform; without it, no metrics are served.
     #[arg(long, value_name = "PORT", requires = "platform")]
     pub metrics_port: Option<u16>,
+    /// Refuse submissions on the platform that can no longer be of use to their caller, by a forecast of the pool's
+    /// load; without it, submissions are refused only when the store cannot take them.
+    #[arg(long, requires = "platform")]
+    pub admission_forecast: bool,
     /// Arguments of the trial mode.
     #[command(flatten)]
     pub trial: TrialArgs,
--- a/src/dispatch/fleet_planner.rs
+++ b/src/dispatch/fleet_planner.rs
@@ -173,6 +173,30 @@
         self.sizer.needs()
     }
 
+    /// Whether a pool had fewer workers than it needs at the last decision.
+    pub fn has_shortage(&self) -> bool {
+        self.sizer.has_shortage()
+    }
+
+    /// Number of workers that each pool could have within seconds: the available ones, all instances that no other
+    /// pool needs, and those that are on the way somewhere or under maintenance.
+    pub fn growth(&self) -> BTreeMap<PoolId, u32> {
+        let is_spare = |pool: &PoolId| self.config.pools.get(pool).is_some_and(|pool| pool.is_spare);
+        let is_free = |entry: &&InstanceEntry| match entry.state {
+            InstanceState::Up => is_spare(&entry.pool),
+            InstanceState::Moving | InstanceState::Maintenance => true,
+            InstanceState::Down => false,
+        };
+        let free = self.instances.values().filter(is_free).count() + self.sizer.evacuating().len();
+        let surplus = |need: &PoolNeed| need.available.saturating_sub(need.target);
+        let free = free as u32 + self.needs().values().map(surplus).sum::<u32>();
+        let workers = |need: &PoolNeed| need.available + free - surplus(need);
+        self.needs()
+            .iter()
+            .map(|(pool, need)| (pool.clone(), workers(need)))
+            .collect()
+    }
+
     /// Latest report of a pool.
     pub fn report(&self, pool: &PoolId) -> Option<&PoolReport> {
         self.reports.get(pool)
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -5,7 +5,8 @@
 //! issues stops, speeds and polls. `worker_losses` records runs that end with their worker and gives up
 //! tasks that crash workers; `isolation` starts suspects without other jobs beside them. `demand_report`
 //! reports demand and capacity to the fleet leader, with the tasks that `unplaced_tasks` finds no worker for, and
-//! `progress_flush` collects the changes that have to be stored. `held_tasks` finds out what holds back tasks that
+//! `progress_flush` collects the changes that have to be stored. `load_report` digests the load for the admission of
+//! submissions. `held_tasks` finds out what holds back tasks that
 //! wait.
 
 mod command_outcomes;
@@ -13,6 +14,7 @@
 mod evacuation;
 mod held_tasks;
 mod isolation;
+mod load_report;
 mod progress_flush;
 mod task_starts;
 mod unplaced_tasks;
@@ -50,6 +52,7 @@
 use crate::dispatch::worker_entry::WorkerEntry;
 use crate::dispatch::worker_state::{PlacedRun, StopRule, WorkerState};
 
+use crate::model::amount::MilliCores;
 use crate::model::id::{JobId, LeaderTerm, OrganisationId, PoolId, WorkerId};
 use crate::model::resource::ResourceSet;
 use crate::model::unix_time::UnixMillis;
@@ -138,6 +141,8 @@
     /// Earliest time at which tasks are moved; until then a stop by the previous leader may still take
     /// effect.
     evacuate_after: Option<Instant>,
+    /// Processor capacity of the largest worker that was seen in any pool.
+    largest_worker: MilliCores,
     /// Earliest due time of an occurrence that has not started, as of the last pass that started occurrences.
     /// Absent if there was none.
     next_due: Option<UnixMillis>,
@@ -180,6 +185,7 @@
             notes: Vec::new(),
             is_fenced: false,
             evacuate_after: None,
+            largest_worker: MilliCores::default(),
             next_due: None,
         }
     }
--- a/src/dispatch/pool_scheduler/worker_losses.rs
+++ b/src/dispatch/pool_scheduler/worker_losses.rs
@@ -30,6 +30,7 @@
     /// Handles a worker's entry, of any pool. A new process on an instance proves that the former one has
     /// ended.
     pub fn observe_entry(&mut self, now: Instant, entry: &WorkerEntry) {
+        self.largest_worker = self.largest_worker.max(entry.capacity.cores);
         let former = self.instance_workers.observe(entry);
         if let Some(former) = former {
             self.lose_replaced_worker(now, &former, entry);
--- a/src/node/fleet_leader.rs
+++ b/src/node/fleet_leader.rs
@@ -11,11 +11,12 @@
 use tokio::task::JoinHandle;
 
 use crate::dispatch::fleet_planner::{FleetCommand, FleetPlanner, WaveNumber};
+use crate::dispatch::load_digest::GrowthDigest;
 use crate::dispatch::pool_plan::PoolPlan;
 use crate::dispatch::pool_size::PoolNeed;
 use crate::dispatch::wave_plan::{InstanceEntry, InstanceOutcome, WaveProgress};
 use crate::error::Result;
-use crate::model::id::{InstanceId, PoolId};
+use crate::model::id::{InstanceId, LeaderTerm, PoolId};
 use crate::node::fenced_writer::{RoleClaim, WriterEvent};
 use crate::node::node_context::{self, NodeContext, STORE_TIMEOUT};
 use crate::node::node_lease::LeaseGuard;
@@ -39,6 +40,10 @@
 /// Minimum time between two checks for changed pool sizes to log.
 const SIZE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Minimum time between two writes of the workers that pools could have, which is stored only while a pool lacks
+/// workers. Readers ignore one that is 3 s old.
+const GROWTH_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Maximum number of plans and waves in one write; a wave takes two of the entries that a transaction may have.
 const MAX_WRITE_COMMANDS: usize = 10;
 
@@ -55,6 +60,7 @@
     context: NodeContext,
     log: Logger,
     planner: FleetPlanner,
+    term: LeaderTerm,
     client: Option<InstanceApiClient>,
     sender: mpsc::UnboundedSender<FleetEvent>,
     writer: WriterHandle,
@@ -66,6 +72,7 @@
     wave_progress: BTreeMap<WaveNumber, WaveProgress>,
     logged_needs: BTreeMap<PoolId, PoolNeed>,
     next_size_log: Instant,
+    next_growth: Instant,
     end_reason: Option<&'static str>,
 }
 
@@ -103,6 +110,8 @@
         next_list: context.clock.now(),
         logged_needs: BTreeMap::new(),
         next_size_log: context.clock.now(),
+        next_growth: context.clock.now(),
+        term: claim.term,
         context,
         log,
         planner,
@@ -269,7 +278,7 @@
             }
         }
         self.log_pool_sizes(now);
-        self.flush()
+        self.flush(now)
     }
 
     /// Logs the pool sizes that have changed, with the demand from which they were computed.
@@ -344,13 +353,31 @@
         });
     }
 
-    fn flush(&mut self) -> Result<()> {
-        if self.writer.is_writing() || self.unwritten.is_empty() {
+    fn flush(&mut self, now: Instant) -> Result<()> {
+        let is_growth_due = self.is_growth_due(now);
+        if self.writer.is_writing() || (self.unwritten.is_empty() && !is_growth_due) {
             return Ok(());
         }
         let count = self.unwritten.len().min(MAX_WRITE_COMMANDS);
         let commands: Vec<FleetCommand> = self.unwritten.drain(..count).collect();
-        self.writer.write(encode(&commands)?)
+        let mut write = encode(&commands)?;
+        if is_growth_due {
+            self.next_growth = now + GROWTH_INTERVAL;
+            let growth = GrowthDigest {
+                at: self.context.wall_time(),
+                term: self.term,
+                workers: self.planner.growth(),
+            };
+            let lease = Some(self.writer.lease());
+            write.put(store_keys::GROWTH_KEY, store_keys::encode(&growth)?, lease);
+        }
+        self.writer.write(write)
+    }
+
+    /// Whether the workers that pools could have are to be stored. Without them nothing is refused for the load of a
+    /// pool, so that they are needed only while a pool lacks workers.
+    fn is_growth_due(&self, now: Instant) -> bool {
+        self.context.forecasts_admission && now >= self.next_growth && self.planner.has_shortage()
     }
 }
 
--- a/src/node/flush_write.rs
+++ b/src/node/flush_write.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::dispatch::load_digest::LoadDigest;
 use crate::dispatch::pool_plan::PoolReport;
 use crate::dispatch::pool_scheduler::{FlushBatch, JobKey};
 use crate::error::Result;
@@ -16,6 +17,8 @@
     pub report: Option<&'a PoolReport>,
     /// Waiting jobs by queue, with the node's lease that removes them when the leader is lost.
     pub counts: Option<&'a (LeaseId, BTreeMap<QueueId, u32>)>,
+    /// Digest of load, with the lease like the counts.
+    pub digest: Option<&'a (LeaseId, LoadDigest)>,
 }
 
 /// Encodes the changes of jobs and the due records of the leader. Summaries of ended jobs are attached to
@@ -61,5 +64,9 @@
         let key = store_keys::waiting_counts_key(pool);
         write.put(key, store_keys::encode(counts)?, Some(*lease));
     }
+    if let Some((lease, digest)) = records.digest {
+        let key = store_keys::load_key(pool);
+        write.put(key, store_keys::encode(digest)?, Some(*lease));
+    }
     Ok(write)
 }
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -73,6 +73,8 @@
     /// True once the process has received a stop signal.
     pub stopping: watch::Receiver<bool>,
     pub metrics: Arc<NodeMetrics>,
+    /// Whether submissions that can no longer be of use are refused (`--admission-forecast`).
+    pub forecasts_admission: bool,
     pub log: Logger,
 }
 
--- a/src/node/platform_node.rs
+++ b/src/node/platform_node.rs
@@ -59,7 +59,7 @@
 ///
 /// # Errors
 /// `bad_record` if the settings cannot be read, `internal` if an address cannot be bound.
-pub async fn run(metrics_port: Option<u16>, log: &Logger) -> Result<()> {
+pub async fn run(metrics_port: Option<u16>, forecasts_admission: bool, log: &Logger) -> Result<()> {
     let path = settings_path()?;
     let settings = Arc::new(NodeSettings::read(&path)?);
     let session = generate_session_id(&settings.node)?;
@@ -87,6 +87,7 @@
         lease,
         stopping,
         metrics,
+        forecasts_admission,
         log: log.clone(),
     };
     let servers = start_servers(&context, metrics_port)?;
--- a/src/node/pool_leader.rs
+++ b/src/node/pool_leader.rs
@@ -10,6 +10,7 @@
 use crate::dispatch::command::PoolCommand;
 use crate::dispatch::job_record::{JobProgress, JobRecord};
 use crate::dispatch::link_budget::LinkBudget;
+use crate::dispatch::load_digest::LoadDigest;
 use crate::dispatch::poll_pace::PollPace;
 use crate::dispatch::pool_plan::PoolReport;
 use crate::dispatch::pool_scheduler::PoolScheduler;
@@ -29,7 +30,7 @@
 use crate::platform::store::{StoreEvent, StoreItem, WORKER_PREFIX};
 
 /// Entries of a write for changes of jobs: the store accepts 32, of which the expected revision, the term record,
-/// the report and the waiting counts take one each.
+/// the report and the waiting counts take one each. A digest of load takes one of these.
 const MAX_FLUSH_ENTRIES: usize = 28;
 
 /// Minimum time between two writes; results that arrive close together are stored together. A write that leaves
@@ -48,6 +49,15 @@
 /// Minimum time between two writes of the waiting counts, which may be up to 2 s old.
 const WAITING_COUNTS_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Minimum time between two digests of load while jobs wait.
+const DIGEST_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The same while none waits; submissions are then admitted with or without a digest.
+const IDLE_DIGEST_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time after which a digest is written by itself while jobs wait. Readers ignore one that is 3 s old.
+const MAX_DIGEST_DELAY: Duration = Duration::from_secs(1);
+
 /// Minimum pause between two decisions; events that arrive close together are decided on together.
 const MIN_DECISION_PAUSE: Duration = Duration::from_millis(3);
 
@@ -89,6 +99,8 @@
     /// Waiting counts of the last write that held some, with the lease to which they are bound.
     last_counts: Option<(LeaseId, BTreeMap<QueueId, u32>)>,
     next_counts_at: Instant,
+    /// Time of the last digest; absent if there was none or it was not stored.
+    last_digest_at: Option<Instant>,
     retention: RetentionLease,
     /// Progress of jobs under earlier leaders; `None` once the first read of the inbox has used it.
     former_progress: Option<BTreeMap<JobId, JobProgress>>,
@@ -172,6 +184,7 @@
             next_report_check: now,
             last_counts: None,
             next_counts_at: now,
+            last_digest_at: None,
             former_progress: Some(records.progress),
             next_decision: now,
             end_reason: None,
@@ -267,6 +280,7 @@
                     self.scheduler.confirm_flush();
                     if outcome == WriterOutcome::StoredUnbound {
                         self.last_counts = None;
+                        self.last_digest_at = None;
                     }
                     if self.has_flush_backlog {
                         self.flush(now)?;
@@ -471,16 +485,18 @@
         }
         let report = self.due_report(now);
         let counts = self.due_counts(now);
-        if !self.scheduler.has_changes() && report.is_none() && counts.is_none() {
+        let has_records = report.is_some() || counts.is_some();
+        let digest = self.due_digest(now, has_records || self.scheduler.has_changes());
+        if !self.scheduler.has_changes() && !has_records && digest.is_none() {
             return Ok(());
         }
-        let batch = self
-            .scheduler
-            .take_flush(self.context.wall_time(), MAX_FLUSH_ENTRIES);
+        let max_entries = MAX_FLUSH_ENTRIES - usize::from(digest.is_some());
+        let batch = self.scheduler.take_flush(self.context.wall_time(), max_entries);
         let retention_lease = self.retention.current_lease(now);
         let records = LeaderRecords {
             report: report.as_ref(),
             counts: counts.as_ref(),
+            digest: digest.as_ref(),
         };
         let write = flush_write::encode(&self.pool, &batch, &records, retention_lease)?;
         if report.is_some() {
@@ -491,6 +507,9 @@
             self.last_counts = counts;
             self.next_counts_at = now + WAITING_COUNTS_INTERVAL;
         }
+        if digest.is_some() {
+            self.last_digest_at = Some(now);
+        }
         self.has_flush_backlog = self.scheduler.has_changes();
         self.next_flush = if self.has_flush_backlog {
             now
@@ -520,13 +539,40 @@
         if now < self.next_counts_at {
             return None;
         }
+        let counts = (self.binding_lease()?, self.scheduler.waiting_counts());
+        (self.last_counts.as_ref() != Some(&counts)).then_some(counts)
+    }
+
+    /// The node's lease if it is valid and the role is held under it, so that records can be bound to it.
+    fn binding_lease(&self) -> Option<LeaseId> {
         let status = *self.context.lease.borrow();
         let lease = status.valid_lease(&self.context.clock)?;
-        if lease != self.writer.lease() {
+        (lease == self.writer.lease()).then_some(lease)
+    }
+
+    /// Digest of load to store with other records or changes, if there are any, bound like the waiting counts.
+    fn due_digest(&self, now: Instant, has_write: bool) -> Option<(LeaseId, LoadDigest)> {
+        if !self.context.forecasts_admission {
             return None;
         }
-        let counts = (lease, self.scheduler.waiting_counts());
-        (self.last_counts.as_ref() != Some(&counts)).then_some(counts)
+        let age = self
+            .last_digest_at
+            .map_or(Duration::MAX, |at| now.saturating_duration_since(at));
+        if age < DIGEST_INTERVAL {
+            return None;
+        }
+        let has_waiting = self.scheduler.has_waiting_jobs();
+        let is_due = match (has_write, has_waiting) {
+            (true, true) => true,
+            (true, false) => age >= IDLE_DIGEST_INTERVAL,
+            (false, _) => has_waiting && age >= MAX_DIGEST_DELAY,
+        };
+        if !is_due {
+            return None;
+        }
+        let lease = self.binding_lease()?;
+        let digest = self.scheduler.load_digest(now, self.context.wall_time())?;
+        Some((lease, digest))
     }
 
     fn execute(&self, command: PoolCommand) {
--- a/src/node/store_keys.rs
+++ b/src/node/store_keys.rs
@@ -25,6 +25,12 @@
 /// Prefix of the progress of maintenance waves.
 pub const WAVE_PREFIX: &str = "wave/";
 
+/// Prefix of the digests of load for the admission of submissions.
+pub const LOAD_PREFIX: &str = "load/";
+
+/// Key of the number of workers that each pool could have. Names of pools contain no slash.
+pub const GROWTH_KEY: &str = "load/fleet/growth";
+
 /// Suffix of the key of a cancellation in a pool's inbox.
 const CANCEL_SUFFIX: &str = ".cancel";
 
@@ -73,6 +79,11 @@
     format!("{WAITING_PREFIX}{pool}").into()
 }
 
+/// Key of a pool's digest of load.
+pub fn load_key(pool: &PoolId) -> Arc<str> {
+    format!("{LOAD_PREFIX}{pool}").into()
+}
+
 /// Key of a pool's report.
 pub fn report_key(pool: &PoolId) -> Arc<str> {
     format!("{REPORT_PREFIX}{pool}").into()
--- a/src/process/command.rs
+++ b/src/process/command.rs
@@ -30,7 +30,7 @@
         return trial::command::run(args.trial.trial_user, args.trial.trial_exit);
     }
     if args.platform {
-        return run_on_platform(args.metrics_port);
+        return run_on_platform(args.metrics_port, args.admission_forecast);
     }
     let settings = match args.settings.as_deref().map(settings_file::read_settings) {
         None => DaemonSettings::default(),
@@ -71,14 +71,14 @@
 }
 
 /// Runs a node of the production platform on one thread, since an instance has less than one core.
-fn run_on_platform(metrics_port: Option<u16>) -> ExitCode {
+fn run_on_platform(metrics_port: Option<u16>, forecasts_admission: bool) -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => return exit_with_error(&error),
     };
     let (logger, guard) = log::start_logger(LogLevel::Info);
-    let result = runtime.block_on(platform_node::run(metrics_port, &logger));
+    let result = runtime.block_on(platform_node::run(metrics_port, forecasts_admission, &logger));
     runtime.shutdown_timeout(daemon::RUNTIME_SHUTDOWN_TIMEOUT);
     drop(guard);
     match result {
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -14,6 +14,7 @@
 mod isolation;
 mod late_starts;
 mod load;
+mod load_digest;
 mod malformed;
 mod narrow_link;
 mod odd_entries;
