Refuse submissions that can no longer be of use

Cause: an overloaded pool accepts jobs that end when nobody waits for them.

Change: AdmissionGate decides after the body is decoded and before the submission is handed to the store.

--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -29,6 +29,8 @@
     held_tasks: IntGaugeVec,
     in_flight: IntGauge,
     store_calls: IntCounterVec,
+    admissions: IntCounterVec,
+    digest_age: HistogramVec,
 }
 
 fn metrics_error(error: &prometheus::Error) -> Error {
@@ -113,6 +115,18 @@
                 "Logged decisions.",
                 &["decision"],
             )?,
+            admissions: counter(
+                &registry,
+                "figloft_admission_total",
+                "Submissions by pool and decision of the forecast.",
+                &["pool", "decision"],
+            )?,
+            digest_age: histogram(
+                &registry,
+                "figloft_admission_digest_age_seconds",
+                "Age of the digest of load at a decision of the forecast.",
+                &[],
+            )?,
             jobs,
             most_losses,
             held_tasks,
@@ -158,6 +172,18 @@
         self.decisions.with_label_values(&[decision]).inc();
     }
 
+    /// Counts a submission by the decision of the forecast.
+    pub fn record_admission(&self, pool: &str, decision: &str) {
+        self.admissions.with_label_values(&[pool, decision]).inc();
+    }
+
+    /// Records the age of the digest on which a decision of the forecast rests.
+    pub fn observe_digest_age(&self, age: Duration) {
+        self.digest_age
+            .with_label_values(&[] as &[&str])
+            .observe(age.as_secs_f64());
+    }
+
     /// Sets the number of jobs of a pool that this node leads.
     pub fn set_job_count(&self, pool: &str, jobs: usize) {
         self.jobs
--- a/src/node/platform_node.rs
+++ b/src/node/platform_node.rs
@@ -25,6 +25,7 @@
 use crate::platform::http::HttpClient;
 use crate::platform::settings::{NodeSettings, SETTINGS_VARIABLE};
 use crate::platform::store::StoreApiClient;
+use crate::request::admission_gate::AdmissionGate;
 use crate::request::explain_api;
 use crate::request::http_server::{self, EntryHandler, RunningServer, ServerLimits};
 use crate::request::queue_api::QueueApi;
@@ -169,7 +170,8 @@
 
 fn start_servers(context: &NodeContext, metrics_port: Option<u16>) -> Result<Vec<RunningServer>> {
     let batcher = SubmissionBatcher::start(context.store.clone(), Arc::clone(&context.clock));
-    let api = Arc::new(QueueApi::new(context.clone(), batcher));
+    let gate = context.forecasts_admission.then(|| AdmissionGate::start(context));
+    let api = Arc::new(QueueApi::new(context.clone(), batcher).with_admission_gate(gate));
     let mut servers = vec![
         start_server(context.settings.caller_address, api.handler())?,
         start_server(
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admission_controller;
 pub mod admission_error;
+pub mod admission_gate;
 pub mod backend_probe;
 pub mod caller_api;
 pub mod entry_context;
--- a/src/request/queue_api.rs
+++ b/src/request/queue_api.rs
@@ -14,12 +14,14 @@
 use crate::dispatch::job_record::{JobRecord, JobSummary};
 use crate::dispatch::site_config::{QueueConfig, SiteConfig};
 use crate::error::{Error, ErrorKind, Result};
+use crate::model::amount::MilliCores;
 use crate::model::id::{JobId, OrganisationId, QueueId, StoreRevision};
 use crate::node::node_context::{NodeContext, STORE_TIMEOUT};
 use crate::node::store_keys;
 use crate::node::waiting_counts;
 use crate::platform::caller_protocol;
 use crate::platform::store::{CommitOutcome, StoreTransaction};
+use crate::request::admission_gate::AdmissionGate;
 use crate::request::http_server::{EntryHandler, EntryRequest};
 use crate::request::response;
 use crate::request::response_stream::ResponseStream;
@@ -43,6 +45,8 @@
 pub struct QueueApi {
     context: NodeContext,
     batcher: SubmissionBatcher,
+    /// Present if submissions are admitted by forecast.
+    gate: Option<AdmissionGate>,
 }
 
 /// What [`QueueApi::find_queue`] finds out about a request. `organisation` is `None` for requests
@@ -58,7 +62,18 @@
 impl QueueApi {
     /// Creates the API. Accepted jobs are stored through `batcher`.
     pub fn new(context: NodeContext, batcher: SubmissionBatcher) -> Self {
-        Self { context, batcher }
+        Self {
+            context,
+            batcher,
+            gate: None,
+        }
+    }
+
+    /// Admits submissions by forecast.
+    #[must_use]
+    pub fn with_admission_gate(mut self, gate: Option<AdmissionGate>) -> Self {
+        self.gate = gate;
+        self
     }
 
     /// Request handler for [`start_server`](crate::request::http_server::start_server).
@@ -155,6 +170,7 @@
         let body = request.body.collect(queue_request.config.max_body_bytes).await?;
         let spec = caller_protocol::decode_job(&body)?;
         let started = self.context.clock.now();
+        let limit = organisation_limit(&queue_request);
         let record = JobRecord {
             id: id.clone(),
             pool: queue_request.queue.pool,
@@ -165,7 +181,13 @@
             spec,
         };
         let pool = record.pool.clone();
-        let outcome = self.batcher.submit(record, queue_request.deadline).await?;
+        let outcome = match &self.gate {
+            None => self.batcher.submit(record, queue_request.deadline).await?,
+            Some(gate) => {
+                gate.submit(&self.batcher, record, limit, queue_request.deadline)
+                    .await?
+            }
+        };
         let elapsed = self.context.clock.now().saturating_duration_since(started);
         info!(self.context.log, "job taken in"; "job" => %id, "outcome" => %outcome,
             "queue" => %queue_request.queue.id, "pool" => %pool,
@@ -259,6 +281,13 @@
     }
 }
 
+/// Processor capacity that the organisation of a request may use in the whole fleet; 0 if it has no limit.
+fn organisation_limit(request: &QueueRequest) -> MilliCores {
+    let organisation = request.organisation.as_ref();
+    let config = organisation.and_then(|organisation| request.config.organisations.get(organisation));
+    config.map(|config| config.limit.cores).unwrap_or_default()
+}
+
 fn operation_name(method: &Method) -> &'static str {
     match *method {
         Method::GET => "show",
--- a/tests/platform_soak/main.rs
+++ b/tests/platform_soak/main.rs
@@ -5,6 +5,7 @@
 //! platform_soak` runs a range of seeds. Each seed that has failed once is added to `REGRESSION_SEEDS` with
 //! the cause.
 
+mod admission;
 mod checker;
 mod fake_server;
 mod fake_store;
