--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -62,6 +62,8 @@
 pub struct NodeOptions {
     /// Whether the starts are ordered by the cost of delay to callers.
     pub shed_by_cost: bool,
+    /// Whether submissions that can no longer be of use are refused.
+    pub forecasts_admission: bool,
 }
 
 /// State shared by the leaders and the API for callers of one node.
--- a/src/node/platform_node.rs
+++ b/src/node/platform_node.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::{SharedClock, SystemClock};
 use crate::error::{Error, ErrorKind, Result};
+use crate::model::amount::ByteCount;
 use crate::model::id::SessionId;
 use crate::node::config_watcher;
 use crate::node::leader_election;
@@ -25,6 +26,7 @@
 use crate::platform::http::HttpClient;
 use crate::platform::settings::{NodeSettings, SETTINGS_VARIABLE};
 use crate::platform::store::StoreApiClient;
+use crate::request::admission_gate::AdmissionGate;
 use crate::request::caller_limits::CallerLimits;
 use crate::request::explain_api;
 use crate::request::http_server::{self, EntryHandler, RunningServer, ServerLimits};
@@ -69,7 +71,7 @@
     let clock: SharedClock = Arc::new(SystemClock);
     let registry = Registry::new();
     let limits = Arc::new(CallerLimits::new(
-        settings.memory.map(|memory| memory.get()),
+        settings.memory.map(ByteCount::get),
         log.clone(),
     )?);
     limits.register(&registry)?;
@@ -177,7 +179,11 @@
 
 fn start_servers(context: &NodeContext, metrics_port: Option<u16>) -> Result<Vec<RunningServer>> {
     let batcher = SubmissionBatcher::start(context.store.clone(), Arc::clone(&context.clock));
-    let api = Arc::new(QueueApi::new(context.clone(), batcher));
+    let gate = context
+        .options
+        .forecasts_admission
+        .then(|| AdmissionGate::start(context));
+    let api = Arc::new(QueueApi::new(context.clone(), batcher).with_admission_gate(gate));
     let mut servers = vec![
         start_server(context.settings.caller_address, api.handler())?,
         start_server(
--- a/src/process/command.rs
+++ b/src/process/command.rs
@@ -81,6 +81,7 @@
     let (logger, guard) = log::start_logger(LogLevel::Info);
     let options = NodeOptions {
         shed_by_cost: args.shed_by_cost,
+        forecasts_admission: args.admission_forecast,
     };
     let result = runtime.block_on(platform_node::run(args.metrics_port, options, &logger));
     runtime.shutdown_timeout(daemon::RUNTIME_SHUTDOWN_TIMEOUT);
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admission_controller;
 pub mod admission_error;
+pub mod admission_gate;
 pub mod backend_probe;
 pub mod body_budget;
 pub mod body_pace;
