--- a/tests/platform_soak/admission.rs
+++ b/tests/platform_soak/admission.rs
@@ -14,7 +14,7 @@
 use figloft::model::id::{JobId, LeaderTerm, PoolId, QueueId, SessionId};
 use figloft::model::resource::ResourceSet;
 use figloft::model::unix_time::UnixMillis;
-use figloft::node::node_context::NodeContext;
+use figloft::node::node_context::{NodeContext, NodeOptions};
 use figloft::node::node_lease::LeaseStatus;
 use figloft::node::node_metrics::NodeMetrics;
 use figloft::node::store_keys;
@@ -22,6 +22,7 @@
 use figloft::platform::settings::NodeSettings;
 use figloft::platform::store::StoreApiClient;
 use figloft::request::admission_gate::AdmissionGate;
+use figloft::request::caller_limits::CallerLimits;
 use figloft::request::submission_batcher::{SubmissionBatcher, SubmissionOutcome};
 use prometheus::Registry;
 use serde_json::json;
@@ -50,7 +51,11 @@
         lease: watch::channel(LeaseStatus::default()).1,
         stopping: watch::channel(false).1,
         metrics: Arc::new(NodeMetrics::new(Registry::new()).expect("metrics")),
-        forecasts_admission: true,
+        limits: Arc::new(CallerLimits::new(None, Logger::root(Discard, o!())).expect("limits")),
+        options: NodeOptions {
+            forecasts_admission: true,
+            ..NodeOptions::default()
+        },
         log: Logger::root(Discard, o!()),
     }
 }
--- a/tests/store_recovery.rs
+++ b/tests/store_recovery.rs
@@ -20,7 +20,7 @@
 const SHORT: Duration = Duration::from_millis(60);
 
 /// Time limit of requests that are answered. Far above what they take, so that it only ends a test that hangs.
-const PATIENT: Duration = Duration::from_secs(60);
+const PATIENT: Duration = Duration::from_mins(1);
 
 /// Answers requests while it is up. During an outage it reads them and never answers.
 #[derive(Debug, Clone, Default)]
