Show zones under evacuation to operators

Nothing told an operator when a zone is empty.

The leader of a pool sets figloft_evacuated_zone_runs and reports the runs left; GET /evacuations on the metrics address of any node joins the requests with the reports. The wait of the watch follows from the bound, so that bounds down to 2.5 s work; less is refused with the settings.

--- a/src/dispatch/evacuated_zones.rs
+++ b/src/dispatch/evacuated_zones.rs
@@ -12,6 +12,11 @@
 /// to a worker times out after 600 ms, and a slow instance decides for some 100 ms.
 pub const START_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// Age of the last confirmation up to which tasks may be started under a bound.
+pub fn max_age(bound: Duration) -> Duration {
+    bound.saturating_sub(START_MARGIN)
+}
+
 /// Change of the set of zones under evacuation.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ZoneChange {
@@ -38,7 +43,7 @@
     /// to have happened.
     pub fn new(bound: Duration) -> Self {
         Self {
-            max_age: Some(bound.saturating_sub(START_MARGIN)),
+            max_age: Some(max_age(bound)),
             ..Self::default()
         }
     }
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -9,7 +9,9 @@
 };
 
 use crate::dispatch::hold_reason::HoldReason;
+use crate::dispatch::pool_plan::ZoneRuns;
 use crate::error::{Error, ErrorKind, Result};
+use crate::model::id::ZoneId;
 
 /// Upper bounds of the latency histograms' buckets in seconds.
 const LATENCY_BOUNDS: [f64; 12] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
@@ -27,6 +29,7 @@
     jobs: IntGaugeVec,
     most_losses: IntGaugeVec,
     held_tasks: IntGaugeVec,
+    zone_runs: IntGaugeVec,
     in_flight: IntGauge,
     store_calls: IntCounterVec,
 }
@@ -71,6 +74,11 @@
             "Tasks that have waited for more than a second, by what holds them back.",
         );
         let held_tasks = register(&registry, IntGaugeVec::new(held_tasks, &["pool", "reason"]))?;
+        let zone_runs = Opts::new(
+            "figloft_evacuated_zone_runs",
+            "Runs of the pool that are, or may be, in a zone under evacuation.",
+        );
+        let zone_runs = register(&registry, IntGaugeVec::new(zone_runs, &["pool", "zone", "kind"]))?;
         let in_flight = IntGauge::new(
             "figloft_calls_in_flight",
             "Calls of callers that are not answered.",
@@ -116,6 +124,7 @@
             jobs,
             most_losses,
             held_tasks,
+            zone_runs,
             registry,
         })
     }
@@ -180,6 +189,27 @@
         }
     }
 
+    /// Sets the runs of a pool in the zones under evacuation, and removes those of the `former` zones that are not given.
+    pub fn set_zone_runs(
+        &self,
+        pool: &str,
+        former: &BTreeMap<ZoneId, ZoneRuns>,
+        runs: &BTreeMap<ZoneId, ZoneRuns>,
+    ) {
+        for zone in former.keys().filter(|zone| !runs.contains_key(*zone)) {
+            for kind in ["finite", "long_running"] {
+                // A zone without a value has been removed already.
+                let _ = self.zone_runs.remove_label_values(&[pool, zone.as_str(), kind]);
+            }
+        }
+        for (zone, runs) in runs {
+            for (kind, count) in [("finite", runs.finite), ("long_running", runs.long_running)] {
+                let labels = [pool, zone.as_str(), kind];
+                self.zone_runs.with_label_values(&labels).set(i64::from(count));
+            }
+        }
+    }
+
     /// Renders all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/src/node/platform_node.rs
+++ b/src/node/platform_node.rs
@@ -25,6 +25,7 @@
 use crate::platform::http::HttpClient;
 use crate::platform::settings::{NodeSettings, SETTINGS_VARIABLE};
 use crate::platform::store::StoreApiClient;
+use crate::request::evacuations_api;
 use crate::request::explain_api;
 use crate::request::http_server::{self, EntryHandler, RunningServer, ServerLimits};
 use crate::request::queue_api::QueueApi;
@@ -207,7 +208,7 @@
     })
 }
 
-/// Serves the metrics and the explanations of jobs.
+/// Serves the metrics, the explanations of jobs and the zones under evacuation.
 fn metrics_handler(context: NodeContext) -> EntryHandler {
     Arc::new(move |request| {
         let context = context.clone();
@@ -216,6 +217,9 @@
             if let Some(job) = path.strip_prefix(explain_api::EXPLAIN_JOB_PATH) {
                 return explain_api::show_job(&context, job).await;
             }
+            if path == evacuations_api::EVACUATIONS_PATH {
+                return evacuations_api::show(&context).await;
+            }
             if path != METRICS_PATH {
                 return response::text_response(StatusCode::NOT_FOUND, "text/plain", "not found\n");
             }
--- a/src/node/pool_leader.rs
+++ b/src/node/pool_leader.rs
@@ -11,11 +11,11 @@
 use crate::dispatch::job_record::{JobProgress, JobRecord};
 use crate::dispatch::link_budget::LinkBudget;
 use crate::dispatch::poll_pace::PollPace;
-use crate::dispatch::pool_plan::PoolReport;
+use crate::dispatch::pool_plan::{PoolReport, ZoneRuns};
 use crate::dispatch::pool_scheduler::PoolScheduler;
 use crate::dispatch::takeover::TakeoverState;
 use crate::error::Result;
-use crate::model::id::{JobId, LeaseId, PoolId, QueueId, WorkerId};
+use crate::model::id::{JobId, LeaseId, PoolId, QueueId, WorkerId, ZoneId};
 use crate::node::command_executor::{CommandExecutor, CommandOutcome};
 use crate::node::fenced_writer::{RoleClaim, WriterEvent};
 use crate::node::flush_write::{self, LeaderRecords};
@@ -82,6 +82,8 @@
     scheduler: PoolScheduler,
     executor: CommandExecutor,
     zones: ZoneReceiver,
+    /// Runs in the zones under evacuation, as the metrics show them.
+    zone_runs: BTreeMap<ZoneId, ZoneRuns>,
     sender: mpsc::UnboundedSender<PoolEvent>,
     writer: WriterHandle,
     next_flush: Instant,
@@ -129,6 +131,7 @@
     let mut leader = PoolLeader::new(context, pool, log, &claim, records, sender, writer, zones);
     let reason = leader.run(&mut receiver).await;
     tasks.iter().chain(&zone_task).for_each(JoinHandle::abort);
+    leader.show_zone_runs(BTreeMap::new());
     leader.context.metrics.set_job_count(leader.pool.as_str(), 0);
     leader
         .context
@@ -175,6 +178,7 @@
             scheduler,
             executor,
             zones,
+            zone_runs: BTreeMap::new(),
             sender,
             writer,
             next_flush: now,
@@ -455,12 +459,21 @@
         self.context
             .metrics
             .set_most_losses(self.pool.as_str(), self.scheduler.most_losses());
+        self.show_zone_runs(self.scheduler.zone_runs());
         if let Some(counts) = self.scheduler.take_held_counts() {
             self.context.metrics.set_held_tasks(self.pool.as_str(), &counts);
         }
         Ok(())
     }
 
+    fn show_zone_runs(&mut self, runs: BTreeMap<ZoneId, ZoneRuns>) {
+        if runs != self.zone_runs {
+            let metrics = &self.context.metrics;
+            metrics.set_zone_runs(self.pool.as_str(), &self.zone_runs, &runs);
+            self.zone_runs = runs;
+        }
+    }
+
     /// Requests a lease for the records of ended jobs, if one is needed.
     fn request_retention_lease(&mut self, now: Instant) {
         if !self.retention.start_request(now) {
--- a/src/node/zone_watcher.rs
+++ b/src/node/zone_watcher.rs
@@ -12,16 +12,19 @@
 use tokio::task::JoinHandle;
 
 use crate::clock::SharedClock;
-use crate::dispatch::evacuated_zones::{EvacuatedZones, ZoneChange};
+use crate::dispatch::evacuated_zones::{self, EvacuatedZones, ZoneChange};
 use crate::error::Result;
 use crate::model::id::{StoreRevision, ZoneId};
 use crate::node::node_context::{self, NodeContext};
 use crate::platform::store::{StoreApiClient, StoreEvent, WatchResponse};
 use crate::platform::zone_evacuation::{self, EVACUATION_PREFIX};
 
-/// Time for which the store holds a watch open. A view may be 3.5 s old with the usual bound of 5 s: that covers two
-/// watches, of which the second fails 0.7 s late, and the read after it.
-const LONG_POLL_WAIT: Duration = Duration::from_secs(1);
+/// Maximum time for which the store holds a watch open.
+const MAX_LONG_POLL_WAIT: Duration = Duration::from_secs(1);
+
+/// Time for which the store holds a watch open, as part of the greatest age of a view. That age is 3.5 s with the usual
+/// bound of 5 s, and covers two watches of 1 s, of which the second fails 0.7 s late, and the read after it.
+const LONG_POLL_PART: f64 = 2.0 / 7.0;
 
 /// Time limit of a read. The store answers within some tens of milliseconds when it is slow.
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
@@ -43,12 +46,14 @@
     let Some(bound) = context.settings.evacuation_bound else {
         return (watch::channel(EvacuatedZones::default()).1, None);
     };
+    let long_poll_wait = evacuated_zones::max_age(bound).mul_f64(LONG_POLL_PART);
     let (view, receiver) = watch::channel(EvacuatedZones::new(bound));
     let watcher = ZoneWatcher {
         store: context.store.clone(),
         clock: Arc::clone(&context.clock),
         log: log.clone(),
         view,
+        long_poll_wait: long_poll_wait.min(MAX_LONG_POLL_WAIT),
         revision: None,
         ignored: BTreeSet::new(),
     };
@@ -62,6 +67,7 @@
     clock: SharedClock,
     log: Logger,
     view: watch::Sender<EvacuatedZones>,
+    long_poll_wait: Duration,
     /// Revision from which to watch; absent if the prefix has to be read.
     revision: Option<StoreRevision>,
     ignored: BTreeSet<Arc<str>>,
@@ -111,7 +117,11 @@
             self.revision = Some(as_of);
             return Ok(());
         };
-        match self.store.watch(EVACUATION_PREFIX, after, LONG_POLL_WAIT).await? {
+        match self
+            .store
+            .watch(EVACUATION_PREFIX, after, self.long_poll_wait)
+            .await?
+        {
             WatchResponse::Compacted => self.revision = None,
             WatchResponse::Events(events, as_of) => {
                 let as_of = as_of.max(after);
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -19,9 +19,9 @@
 /// Fraction of the platform's maximum lease that is requested if it is shorter than [`DEFAULT_LEASE`].
 const LEASE_FRACTION: f64 = 0.95;
 
-/// Minimum bound on starts in a zone under evacuation: with less the view of the zones, which is confirmed about once a
-/// second, would be too old for any start most of the time.
-const MIN_EVACUATION_BOUND: Duration = START_MARGIN.saturating_add(Duration::from_millis(2_500));
+/// Minimum bound on starts in a zone under evacuation. With less the view of the zones would need several
+/// confirmations a second, and a slow answer would stop all starts.
+const MIN_EVACUATION_BOUND: Duration = START_MARGIN.saturating_add(Duration::from_secs(1));
 
 const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -7,6 +7,7 @@
 pub mod caller_api;
 pub mod entry_context;
 pub mod entry_metrics;
+pub mod evacuations_api;
 pub mod explain_api;
 pub mod forward;
 pub mod header_rule;
