Test a take-over right after the request to evacuate a zone

A next leader must not start tasks before it has read the requests, and the zone must open again at the end.

Two nodes, two workers in two zones; the leader of the pool is killed right after the request.

--- a/tests/platform_soak/fake_store.rs
+++ b/tests/platform_soak/fake_store.rs
@@ -173,6 +173,13 @@
         state.put(key, &text, 0);
     }
 
+    /// Deletes a key, as operators do.
+    pub fn delete(&self, key: &str) {
+        let mut state = self.state.lock().expect("state");
+        state.revision += 1;
+        state.remove(key);
+    }
+
     /// Leaves the next commit that writes a key with `prefix` without a response, and executes it after `delay`.
     pub fn delay_commit(&self, prefix: &'static str, delay: Duration) {
         *self.delayed_commit.lock().expect("rule") = Some(DelayedCommit { prefix, delay });
--- a/tests/platform_soak/late_writes.rs
+++ b/tests/platform_soak/late_writes.rs
@@ -34,7 +34,7 @@
 }
 
 /// Waits until `is_reached` holds.
-async fn wait_until(what: &str, is_reached: impl Fn() -> bool) {
+pub async fn wait_until(what: &str, is_reached: impl Fn() -> bool) {
     let end = Instant::now() + MAX_WAIT;
     while !is_reached() {
         assert!(Instant::now() < end, "not reached: {what}");
@@ -189,7 +189,8 @@
     assert_eq!(fake.history("job/1").len(), 1);
 }
 
-fn test_directory(name: &str) -> std::path::PathBuf {
+/// Directory of a test, for settings and logs.
+pub fn test_directory(name: &str) -> std::path::PathBuf {
     let directory = std::env::temp_dir().join(format!("figloft-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&directory).expect("directory");
     directory
--- a/tests/platform_soak/main.rs
+++ b/tests/platform_soak/main.rs
@@ -14,6 +14,7 @@
 mod node_process;
 mod scenario;
 mod store_lists;
+mod zone_evacuation;
 
 use std::ops::Range;
 
--- a/tests/platform_soak/node_process.rs
+++ b/tests/platform_soak/node_process.rs
@@ -3,9 +3,10 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// Environment variable with the path of another build of `figloftd`, which the nodes with odd numbers run.
 const OTHER_BUILD_VARIABLE: &str = "FIGLOFT_OTHER_BUILD";
@@ -15,6 +16,8 @@
 pub struct NodeProcess {
     /// Address on which the node serves callers.
     pub caller_address: SocketAddr,
+    /// Port of the metrics and the pages for operators, if they are served.
+    pub metrics_port: Option<u16>,
     program: PathBuf,
     settings_path: PathBuf,
     log_path: PathBuf,
@@ -51,6 +54,7 @@
         let log_path = directory.join(format!("{name}.log"));
         Self {
             caller_address,
+            metrics_port: None,
             program: daemon_path(number),
             settings_path,
             log_path,
@@ -58,6 +62,16 @@
         }
     }
 
+    /// Adds the bound on starts in zones under evacuation to the settings, and serves the pages for operators.
+    pub fn with_evacuations(mut self, bound: Duration) -> Self {
+        let text = std::fs::read(&self.settings_path).expect("settings");
+        let mut settings: Value = serde_json::from_slice(&text).expect("settings");
+        settings["bounds"]["evacuate-ms"] = json!(bound.as_millis() as u64);
+        std::fs::write(&self.settings_path, settings.to_string()).expect("settings");
+        self.metrics_port = Some(unused_address().port());
+        self
+    }
+
     /// Starts the process unless it is running.
     pub fn start(&mut self) {
         if let Some(child) = &mut self.child
@@ -72,6 +86,7 @@
             .expect("log");
         let child = Command::new(&self.program)
             .arg("--platform")
+            .args(self.metrics_port.map(|port| format!("--metrics-port={port}")))
             .env("FIGLOFT_SETTINGS", &self.settings_path)
             .stdout(Stdio::from(log))
             .spawn()
