--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -11,6 +11,7 @@
 pub mod caller_limits;
 pub mod entry_context;
 pub mod entry_metrics;
+pub mod evacuations_api;
 pub mod explain_api;
 pub mod forward;
 pub mod header_rule;
