Limit the connections, heads and unread answers of a node's servers

Cause: a server held any number of connections, read up to 1 MB of a head, worked through the pipelined requests of one connection without a pause, and waited without end for callers to read answers.

Change: the servers are built from the parts of the server library, with a guard where the library expects a TLS acceptor. The guard limits connections (descriptors and memory of the settings; 32 for readiness, 16 for metrics) and closes the one whose loss costs least (connection_choice). A request whose connection is closed no longer stays counted as in flight.

--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -31,6 +31,16 @@
     store_calls: IntCounterVec,
 }
 
+/// A request without a response.
+#[derive(Debug)]
+pub struct InFlightRequest(IntGauge);
+
+impl Drop for InFlightRequest {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 fn metrics_error(error: &prometheus::Error) -> Error {
     Error::new(ErrorKind::Internal, format!("metrics: {error}"))
 }
@@ -125,9 +135,10 @@
         self.store_calls.clone()
     }
 
-    /// Counts a request as in flight until [`Self::record_request`].
-    pub fn begin_request(&self) {
+    /// Counts a request as in flight until the guard is dropped, also if its connection is closed before the answer.
+    pub fn begin_request(&self) -> InFlightRequest {
         self.in_flight.inc();
+        InFlightRequest(self.in_flight.clone())
     }
 
     /// Number of requests without a response.
@@ -137,7 +148,6 @@
 
     /// Records a response with its HTTP status and the time since the request arrived.
     pub fn record_request(&self, request: &str, status: u16, elapsed: Duration) {
-        self.in_flight.dec();
         let status = status.to_string();
         self.requests.with_label_values(&[request, status.as_str()]).inc();
         self.request_times
--- a/src/node/platform_node.rs
+++ b/src/node/platform_node.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::{SharedClock, SystemClock};
 use crate::error::{Error, ErrorKind, Result};
+use crate::model::amount::ByteCount;
 use crate::model::id::SessionId;
 use crate::node::config_watcher;
 use crate::node::leader_election;
@@ -26,6 +27,7 @@
 use crate::platform::settings::{NodeSettings, SETTINGS_VARIABLE};
 use crate::platform::store::StoreApiClient;
 use crate::request::caller_limits::CallerLimits;
+use crate::request::connection_guard::ConnectionGuard;
 use crate::request::explain_api;
 use crate::request::http_server::{self, EntryHandler, RunningServer, ServerLimits};
 use crate::request::queue_api::QueueApi;
@@ -42,6 +44,12 @@
     head_timeout: Duration::from_secs(3),
 };
 
+/// Connections of the readiness address. A load balancer has one or two open at a time.
+const READINESS_CONNECTIONS: usize = 32;
+
+/// Connections of the metrics address, for a few collectors and operators.
+const METRICS_CONNECTIONS: usize = 16;
+
 /// Time limit for the leaders to store their state when the process stops, and then for the lease to be
 /// revoked.
 const LEADER_STOP_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -69,7 +77,8 @@
     let clock: SharedClock = Arc::new(SystemClock);
     let registry = Registry::new();
     let limits = Arc::new(CallerLimits::new(
-        settings.memory.map(|memory| memory.get()),
+        settings.memory.map(ByteCount::get),
+        settings.max_descriptors,
         log.clone(),
     )?);
     limits.register(&registry)?;
@@ -178,24 +187,37 @@
     let batcher = SubmissionBatcher::start(context.store.clone(), Arc::clone(&context.clock));
     let api = Arc::new(QueueApi::new(context.clone(), batcher));
     let mut servers = vec![
-        start_server(context.settings.caller_address, api.handler())?,
+        start_server(
+            context.settings.caller_address,
+            context.limits.caller_guard(),
+            api.handler(),
+        )?,
         start_server(
             context.settings.readiness_address,
+            context.limits.guard("readiness", READINESS_CONNECTIONS),
             readiness_handler(context.clone()),
         )?,
     ];
     if let Some(port) = metrics_port {
         let address = SocketAddr::new(context.settings.bind_ip, port);
-        servers.push(start_server(address, metrics_handler(context.clone()))?);
+        servers.push(start_server(
+            address,
+            context.limits.guard("metrics", METRICS_CONNECTIONS),
+            metrics_handler(context.clone()),
+        )?);
     }
     Ok(servers)
 }
 
-fn start_server(address: SocketAddr, handler: EntryHandler) -> Result<RunningServer> {
+fn start_server(
+    address: SocketAddr,
+    guard: Arc<ConnectionGuard>,
+    handler: EntryHandler,
+) -> Result<RunningServer> {
     let bind_error =
         |error: std::io::Error| Error::new(ErrorKind::Internal, format!("address {address}: {error}"));
     let listener = TcpListener::bind(address).map_err(bind_error)?;
-    http_server::start_server(listener, SERVER_LIMITS, handler).map_err(bind_error)
+    http_server::start_guarded_server(listener, SERVER_LIMITS, guard, handler).map_err(bind_error)
 }
 
 /// Reports readiness while a configuration is in force, the store responds and the process is not stopping.
--- a/src/request/caller_limits.rs
+++ b/src/request/caller_limits.rs
@@ -1,6 +1,6 @@
 //! Limits on what callers may make a process hold, with their metrics and log lines.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -11,6 +11,8 @@
 use crate::connection::backend_body::BodySource;
 use crate::error::{Error, ErrorKind, Result};
 use crate::request::body_budget::{BodyBudget, BodyOwner, DEFAULT_MEMORY_BYTES};
+use crate::request::connection_choice::{self, DEFAULT_DESCRIPTORS};
+use crate::request::connection_guard::ConnectionGuard;
 use crate::request::refusal_burst::RefusalBursts;
 
 /// `retry-after` of refused requests: bodies are held for seconds at most.
@@ -36,6 +38,10 @@
     bursts: Mutex<RefusalBursts>,
     refused: IntCounterVec,
     budget_bytes: IntGaugeVec,
+    guards: Mutex<Vec<Weak<ConnectionGuard>>>,
+    connections: IntGaugeVec,
+    memory: u64,
+    descriptors: u64,
     log: Logger,
 }
 
@@ -63,11 +69,12 @@
 }
 
 impl CallerLimits {
-    /// Creates the limits of a process. `memory` is its memory in bytes, if the settings name it.
+    /// Creates the limits of a process. `memory` is its memory in bytes and `descriptors` the number of descriptors
+    /// that it may open, if the settings name them.
     ///
     /// # Errors
     /// `internal` if the metrics are invalid.
-    pub fn new(memory: Option<u64>, log: Logger) -> Result<Self> {
+    pub fn new(memory: Option<u64>, descriptors: Option<u64>, log: Logger) -> Result<Self> {
         let memory = memory.unwrap_or(DEFAULT_MEMORY_BYTES);
         let permits = (memory / DECODE_DIVISOR / PERMIT_BYTES).max(MIN_PERMITS);
         let permits = u32::try_from(permits).unwrap_or(u32::MAX >> 4);
@@ -75,6 +82,10 @@
             "figloft_refused_callers_total",
             "Requests and connections of callers that were refused or closed, by server and reason.",
         );
+        let connections = Opts::new(
+            "figloft_connections",
+            "Connections of callers by server and by what they do; the limit as the state limit.",
+        );
         let budget_bytes = Opts::new(
             "figloft_body_budget_bytes",
             "Memory for bodies of callers that are not answered.",
@@ -88,6 +99,11 @@
                 .map_err(|error| metrics_error(&error))?,
             budget_bytes: IntGaugeVec::new(budget_bytes, &["state"])
                 .map_err(|error| metrics_error(&error))?,
+            guards: Mutex::default(),
+            connections: IntGaugeVec::new(connections, &["server", "state"])
+                .map_err(|error| metrics_error(&error))?,
+            memory,
+            descriptors: descriptors.unwrap_or(DEFAULT_DESCRIPTORS),
             log,
         })
     }
@@ -97,7 +113,7 @@
     /// # Errors
     /// `internal` if the metrics are invalid.
     pub fn without_log() -> Result<Self> {
-        Self::new(None, Logger::root(slog::Discard, o!()))
+        Self::new(None, None, Logger::root(slog::Discard, o!()))
     }
 
     /// Adds the metrics to a registry.
@@ -108,9 +124,26 @@
         registry
             .register(Box::new(self.refused.clone()))
             .and_then(|()| registry.register(Box::new(self.budget_bytes.clone())))
+            .and_then(|()| registry.register(Box::new(self.connections.clone())))
             .map_err(|error| metrics_error(&error))
     }
 
+    /// Creates the guard of the server for callers, whose number of connections follows from memory and descriptors.
+    pub fn caller_guard(self: &Arc<Self>) -> Arc<ConnectionGuard> {
+        let count = connection_choice::caller_connections(self.memory, self.descriptors);
+        self.guard(CALLERS, count as usize)
+    }
+
+    /// Creates the guard of a server.
+    pub fn guard(self: &Arc<Self>, server: &'static str, max_connections: usize) -> Arc<ConnectionGuard> {
+        let guard = Arc::new(ConnectionGuard::new(server, max_connections, Arc::clone(self)));
+        let gauge = self.connections.with_label_values(&[server, "limit"]);
+        gauge.set(max_connections.cast_signed() as i64);
+        let mut guards = self.guards.lock().unwrap_or_else(PoisonError::into_inner);
+        guards.push(Arc::downgrade(&guard));
+        guard
+    }
+
     /// Sets the gauges, before the metrics are rendered.
     pub fn update_gauges(&self) {
         let budget = self.budget();
@@ -123,6 +156,15 @@
             let gauge = self.budget_bytes.with_label_values(&[state]);
             gauge.set(bytes.cast_signed());
         }
+        drop(budget);
+        let guards = self.guards.lock().unwrap_or_else(PoisonError::into_inner);
+        for guard in guards.iter().filter_map(Weak::upgrade) {
+            for (phase, count) in guard.count_phases() {
+                let state = phase.to_string();
+                let gauge = self.connections.with_label_values(&[guard.server(), &state]);
+                gauge.set(count);
+            }
+        }
     }
 
     /// Counts a refused request or connection, and writes at most one log line a second for each reason.
--- a/src/request/http_server.rs
+++ b/src/request/http_server.rs
@@ -6,7 +6,7 @@
 
 use std::convert::Infallible;
 use std::fmt;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -15,13 +15,17 @@
 use http::header::{self, HeaderValue};
 use http::request::Parts;
 use http::{Method, Request, Response, StatusCode};
-use xitca_web::HttpServer;
+use xitca_http::HttpServiceBuilder;
+use xitca_http::config::HttpServiceConfig;
+use xitca_io::net::TcpStream;
 use xitca_web::body::{Body, BodyExt, RequestBody, ResponseBody, SizeHint};
 use xitca_web::http::RequestExt;
-use xitca_web::service::fn_service;
+use xitca_web::service::{Service, ServiceExt, fn_service};
 
 use crate::connection::backend_body::{BodyFault, BodySender, BodySource};
 use crate::request::body_pace::BodyPace;
+use crate::request::caller_limits::{self, CallerLimits};
+use crate::request::connection_guard::{self, ConnectionGuard, GuardAcceptor, GuardedConnection};
 use crate::request::response;
 use crate::request::response_stream::ResponseStream;
 use crate::request::work_request;
@@ -29,6 +33,10 @@
 /// Largest body that is read and dropped if no handler reads it, so that the caller can still read the
 /// response.
 const DISCARD_BYTES: u64 = 64 * 1024;
+/// Largest head of a request, and most bytes that are read ahead of a body. Heads of callers have hundreds of bytes.
+const READ_BUFFER_BYTES: usize = 32 << 10;
+/// Bytes of answers after which the server waits until the caller has read them.
+const WRITE_BUFFER_BYTES: usize = 64 << 10;
 /// Time limit for reading a body that is dropped.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -56,7 +64,7 @@
     pub head_timeout: Duration,
 }
 
-/// Starts a server on its own threads.
+/// Starts a server on its own threads, without a limit on its connections.
 ///
 /// # Errors
 /// The operating system's error if the listener cannot be used.
@@ -65,16 +73,43 @@
     limits: ServerLimits,
     handler: EntryHandler,
 ) -> std::io::Result<RunningServer> {
+    let caller_limits = CallerLimits::without_log().map_err(std::io::Error::other)?;
+    let guard = ConnectionGuard::new(caller_limits::CALLERS, usize::MAX, Arc::new(caller_limits));
+    start_guarded_server(listener, limits, Arc::new(guard), handler)
+}
+
+/// Starts a server on its own threads, whose connections `guard` limits.
+///
+/// # Errors
+/// The operating system's error if the listener cannot be used.
+pub fn start_guarded_server(
+    listener: TcpListener,
+    limits: ServerLimits,
+    guard: Arc<ConnectionGuard>,
+    handler: EntryHandler,
+) -> std::io::Result<RunningServer> {
+    connection_guard::limit_socket_buffers(&listener);
     let service = fn_service(async move |request: Request<RequestExt<RequestBody>>| {
         Ok::<_, Infallible>(serve_request(&handler, request).await)
     });
-    let mut server = HttpServer::serve(service)
-        .worker_threads(limits.workers)
+    let config = HttpServiceConfig::new()
         .keep_alive_timeout(limits.keep_alive)
         .request_head_timeout(limits.head_timeout)
+        .max_read_buf_size::<READ_BUFFER_BYTES>()
+        .max_write_buf_size::<WRITE_BUFFER_BYTES>();
+    let http = HttpServiceBuilder::h1().config(config).with_tls(GuardAcceptor);
+    let service =
+        service
+            .enclosed(http)
+            .enclosed_fn(async move |http: &_, connection: (TcpStream, SocketAddr)| {
+                guard.run(Service::call(http, connection)).await;
+                Ok::<_, Infallible>(())
+            });
+    let mut server = xitca_server::Builder::new()
+        .worker_threads(limits.workers)
         .disable_signal()
-        .listen(listener)?
-        .run();
+        .listen("http", listener, service)
+        .build();
     let handle = server.handle()?;
     let stop: Box<dyn Fn() + Send + Sync> = Box::new(move || handle.stop(true));
     let thread = std::thread::Builder::new()
@@ -115,9 +150,17 @@
     let (parts, extension) = request.into_parts();
     let (_, caller_body) = extension.replace_body(());
     let is_head = parts.method == Method::HEAD;
+    let connection = GuardedConnection::current();
+    if let Some(connection) = &connection {
+        let has_body = body_length(&caller_body) > 0;
+        if connection.begin_request(has_body) {
+            // A caller that pipelines requests must not keep the thread from other connections.
+            tokio::task::yield_now().await;
+        }
+    }
     let response = match work_request::check_forwardable(&parts) {
         Ok(()) => {
-            let body = open_body(caller_body);
+            let body = open_body(caller_body, connection.clone());
             let source = body.clone();
             let mut response = handler(EntryRequest { parts, body }).await;
             if source.is_refused() {
@@ -128,6 +171,9 @@
         }
         Err(error) => response::error_response(&error),
     };
+    if let Some(connection) = &connection {
+        connection.end_request();
+    }
     let (mut parts, stream) = response.into_parts();
     let has_no_body = parts.status == StatusCode::NO_CONTENT || parts.status == StatusCode::NOT_MODIFIED;
     let body = if has_no_body {
@@ -144,24 +190,36 @@
     Response::from_parts(parts, body)
 }
 
-/// Returns a source for a caller's body that may be used on other threads.
-fn open_body(caller_body: RequestBody) -> BodySource {
-    let length = match caller_body.size_hint() {
+/// Declared length of a body.
+fn body_length(body: &RequestBody) -> u64 {
+    match body.size_hint() {
         SizeHint::Exact(length) => length,
         SizeHint::None | SizeHint::Unknown => 0,
-    };
+    }
+}
+
+/// Returns a source for a caller's body that may be used on other threads.
+fn open_body(caller_body: RequestBody, connection: Option<Arc<GuardedConnection>>) -> BodySource {
+    let length = body_length(&caller_body);
     if length == 0 {
         return BodySource::empty();
     }
     let (sender, source) = BodySource::channel(length);
-    tokio::task::spawn_local(copy_body(caller_body, length, sender));
+    tokio::task::spawn_local(async move {
+        copy_body(caller_body, length, sender, connection.as_deref()).await;
+    });
     source
 }
 
 /// Copies a caller's body once a handler reads it. A small body that no handler reads is read here and
 /// dropped, because closing a connection with unread bytes can destroy the response before the caller has
 /// read it.
-async fn copy_body(caller_body: RequestBody, length: u64, sender: BodySender) {
+async fn copy_body(
+    caller_body: RequestBody,
+    length: u64,
+    sender: BodySender,
+    connection: Option<&GuardedConnection>,
+) {
     let mut caller_body = pin!(caller_body);
     if sender.start_signal.await.is_err() {
         if length <= DISCARD_BYTES {
@@ -193,6 +251,9 @@
             Some(None | Some(Err(_))) => Err(BodyFault::Truncated),
         };
         let is_incomplete = item.is_err();
+        if let (0, Some(connection)) = (remaining, connection) {
+            connection.end_body();
+        }
         if sender.frames.send(item).await.is_err() || is_incomplete {
             return;
         }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -8,6 +8,8 @@
 pub mod body_pace;
 pub mod caller_api;
 pub mod caller_limits;
+pub mod connection_choice;
+pub mod connection_guard;
 pub mod entry_context;
 pub mod entry_metrics;
 pub mod explain_api;
--- a/src/request/queue_api.rs
+++ b/src/request/queue_api.rs
@@ -79,7 +79,7 @@
 
     async fn handle(&self, request: EntryRequest) -> Response<ResponseStream> {
         let started = self.context.clock.now();
-        self.context.metrics.begin_request();
+        let _in_flight = self.context.metrics.begin_request();
         let operation = operation_name(&request.parts.method);
         let path = request.parts.uri.path().to_owned();
         let result = self.route(request, started).await;
