--- a/tests/platform_soak/admission.rs
+++ b/tests/platform_soak/admission.rs
@@ -51,7 +51,7 @@
         lease: watch::channel(LeaseStatus::default()).1,
         stopping: watch::channel(false).1,
         metrics: Arc::new(NodeMetrics::new(Registry::new()).expect("metrics")),
-        limits: Arc::new(CallerLimits::new(None, Logger::root(Discard, o!())).expect("limits")),
+        limits: Arc::new(CallerLimits::new(None, None, Logger::root(Discard, o!())).expect("limits")),
         options: NodeOptions {
             forecasts_admission: true,
             ..NodeOptions::default()
