Limit the daemon's callers' address and admin API

Cause: the daemon's two HTTP listeners had no limit on connections, and the admin API read bodies of up to 512 KB before it checked the operator's token.

Change: settings limits.memory_mb (256) and limits.max_fds (1024) of figloftd; both listeners use the guarded server. The admin API checks the token first and reads bodies within the body budget, as do the job submissions of the daemon. A listener accepts no further socket while a quarter more than the limit are open, so that connections about to be closed stay bounded too.

Other test binaries not yet run.

--- a/src/process/admin/api.rs
+++ b/src/process/admin/api.rs
@@ -172,7 +172,11 @@
         }
     }
 
-    fn check_token(&self, request: &AdminRequest) -> Result<()> {
+    /// Checks the operator's token.
+    ///
+    /// # Errors
+    /// `key_missing` without a token, `key_refused` if it is another one.
+    pub fn check_token(&self, request: &AdminRequest) -> Result<()> {
         let Some(presented) = request.authorization.as_deref() else {
             return Err(Error::new(ErrorKind::KeyMissing, "the operator token is missing"));
         };
--- a/src/process/admin/key.rs
+++ b/src/process/admin/key.rs
@@ -28,12 +28,11 @@
     actor: EntryActor,
     request: KeyRequest,
 ) -> Result<AdminAnswer> {
-    let mut random = rand::rng();
     let id = match request.id {
         Some(id) => id,
-        None => draw_id(request.team.as_str(), &mut random)?,
+        None => draw_id(request.team.as_str(), &mut rand::rng())?,
     };
-    let secret = key::generate_secret(&mut random);
+    let secret = key::generate_secret(&mut rand::rng());
     let document = new_document(&id, request.team.as_str(), &secret, request.offline_grant_ms);
     if let Some(fault) = check::check_document(&document).0.first() {
         return Err(Error::new(ErrorKind::BadRecord, fault.to_string()));
--- a/src/process/admin/server.rs
+++ b/src/process/admin/server.rs
@@ -2,56 +2,60 @@
 
 use std::fmt;
 use std::net::{SocketAddr, TcpListener};
-use std::pin::pin;
-use std::time::Duration;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
-use xitca_web::body::{BodyExt, RequestBody, ResponseBody};
-use xitca_web::handler::body::Body;
-use xitca_web::handler::handler_service;
-use xitca_web::http::{HeaderValue, StatusCode, WebRequest, WebResponse, header};
-use xitca_web::{App, WebContext};
+use http::header::{self, HeaderValue};
+use http::{Response, StatusCode};
 
 use crate::error::{Error, ErrorKind, Result};
 use crate::process::admin::api::{AdminAnswer, AdminApi, AdminRequest, MAX_BODY_LENGTH};
 use crate::process::admin::message::OPERATOR_HEADER;
+use crate::request::caller_limits::CallerLimits;
+use crate::request::http_server::{self, EntryHandler, EntryRequest, RunningServer, ServerLimits};
+use crate::request::response;
+use crate::request::response_stream::ResponseStream;
 
 /// Longest time for a body to arrive; operators' networks are slow at times, and a stalled body ends here.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Idle time after which an operator's connection is closed.
-const KEEP_ALIVE: Duration = Duration::from_secs(5);
+/// Limits of the server. A head of an operator's request has a few hundred bytes.
+const SERVER_LIMITS: ServerLimits = ServerLimits {
+    workers: 1,
+    keep_alive: Duration::from_secs(5),
+    head_timeout: Duration::from_secs(5),
+};
+/// Connections of the admin API, for a few operators and their scripts.
+const MAX_CONNECTIONS: usize = 32;
 
 /// A running admin server.
 pub struct AdminServer {
     address: SocketAddr,
-    stop: Box<dyn Fn(bool) + Send + Sync>,
+    server: Mutex<Option<RunningServer>>,
 }
 
 impl AdminServer {
-    /// Starts the server on a bound listener, with threads of its own.
+    /// Starts the server on a bound listener, with threads and limits of its own.
     ///
     /// # Errors
     /// `internal` if the listener has no address or the server does not start.
     pub fn start(listener: TcpListener, api: AdminApi) -> Result<Self> {
+        Self::start_limited(listener, api, &Arc::new(CallerLimits::without_log()?))
+    }
+
+    /// Starts the server with the limits of its process.
+    ///
+    /// # Errors
+    /// `internal` if the listener has no address or the server does not start.
+    pub fn start_limited(listener: TcpListener, api: AdminApi, limits: &Arc<CallerLimits>) -> Result<Self> {
         let fault = |error: std::io::Error| Error::new(ErrorKind::Internal, format!("admin server: {error}"));
         let address = listener.local_addr().map_err(fault)?;
-        let mut server = App::new()
-            .with_state(api)
-            .at("/", handler_service(answer))
-            .at("/{*path}", handler_service(answer))
-            .serve()
-            .worker_threads(1)
-            .keep_alive_timeout(KEEP_ALIVE)
-            .disable_signal()
-            .listen(listener)
-            .map_err(fault)?
-            .run();
-        let handle = server.handle().map_err(fault)?;
-        // The server owns a runtime, which must not be dropped inside another one.
-        let thread = std::thread::Builder::new().name("admin-server".to_owned());
-        thread.spawn(move || server.wait()).map_err(fault)?;
-        let stop = Box::new(move |is_graceful| handle.stop(is_graceful));
-        Ok(Self { address, stop })
+        let guard = limits.guard("admin", MAX_CONNECTIONS);
+        let handler = admin_handler(api, Arc::clone(limits));
+        let server = http_server::start_guarded_server(listener, SERVER_LIMITS, guard, handler);
+        Ok(Self {
+            address,
+            server: Mutex::new(Some(server.map_err(fault)?)),
+        })
     }
 
     /// Address of the server.
@@ -59,9 +63,12 @@
         self.address
     }
 
-    /// Stops the server; a graceful stop lets calls in flight end.
+    /// Stops the server without waiting for it; a graceful stop lets calls in flight end.
     pub fn stop(&self, is_graceful: bool) {
-        (self.stop)(is_graceful);
+        let mut server = self.server.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(server) = server.take() {
+            server.request_stop(is_graceful);
+        }
     }
 }
 
@@ -73,59 +80,50 @@
     }
 }
 
-async fn answer(ctx: &WebContext<'_, AdminApi>, body: Body<RequestBody>) -> WebResponse {
-    let answer = match read_body(body.0).await {
-        Ok(body) => ctx.state().answer(admin_request(ctx.req(), body)).await,
+fn admin_handler(api: AdminApi, limits: Arc<CallerLimits>) -> EntryHandler {
+    Arc::new(move |request| {
+        let (api, limits) = (api.clone(), Arc::clone(&limits));
+        Box::pin(async move { response(answer(&api, &limits, request).await) })
+    })
+}
+
+/// Answers a request. The token is checked before the body is read.
+async fn answer(api: &AdminApi, limits: &Arc<CallerLimits>, request: EntryRequest) -> AdminAnswer {
+    let mut admin_request = admin_request(&request);
+    if let Err(error) = api.check_token(&admin_request) {
+        return error.into();
+    }
+    let deadline = Instant::now() + BODY_TIMEOUT;
+    let body = limits.read_body(&request.body, None, MAX_BODY_LENGTH as u64, deadline);
+    match body.await {
+        Ok(body) => {
+            admin_request.body = body.bytes.clone();
+            api.answer(admin_request).await
+        }
         Err(error) => error.into(),
-    };
-    response(answer)
+    }
 }
 
-fn admin_request(request: &WebRequest<()>, body: Bytes) -> AdminRequest {
-    let header = |name: &str| request.headers().get(name)?.to_str().ok().map(str::to_owned);
+fn admin_request(request: &EntryRequest) -> AdminRequest {
+    let parts = &request.parts;
+    let header = |name: &str| parts.headers.get(name)?.to_str().ok().map(str::to_owned);
     AdminRequest {
-        method: request.method().clone(),
-        path: request.uri().path().to_owned(),
-        query: request.uri().query().unwrap_or_default().to_owned(),
+        method: parts.method.clone(),
+        path: parts.uri.path().to_owned(),
+        query: parts.uri.query().unwrap_or_default().to_owned(),
         authorization: header("authorization"),
         operator: header(OPERATOR_HEADER),
-        body,
+        body: bytes::Bytes::new(),
     }
 }
 
-fn response(answer: AdminAnswer) -> WebResponse {
-    let is_refused = answer.status >= 400;
-    let mut response = WebResponse::new(ResponseBody::from(answer.body));
-    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let headers = response.headers_mut();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if is_refused {
+fn response(answer: AdminAnswer) -> Response<ResponseStream> {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = response::text_response(status, "application/json", answer.body);
+    if answer.status >= 400 {
         // The rest of a refused body may still be on the connection.
-        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
     }
     response
 }
-
-async fn read_body(body: RequestBody) -> Result<Bytes> {
-    match tokio::time::timeout(BODY_TIMEOUT, collect(body)).await {
-        Ok(body) => body,
-        Err(_) => Err(Error::new(
-            ErrorKind::BadRequest,
-            "the body did not arrive in time",
-        )),
-    }
-}
-
-async fn collect(body: RequestBody) -> Result<Bytes> {
-    let mut body = pin!(body);
-    let mut bytes = BytesMut::new();
-    while let Some(data) = body.as_mut().data().await {
-        let data = data.map_err(|e| Error::new(ErrorKind::BadRequest, format!("body: {e}")))?;
-        if bytes.len() + data.len() > MAX_BODY_LENGTH {
-            let message = format!("the body is above {MAX_BODY_LENGTH} bytes");
-            return Err(Error::new(ErrorKind::TooLarge, message));
-        }
-        bytes.extend_from_slice(&data);
-    }
-    Ok(bytes.freeze())
-}
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -34,6 +34,7 @@
 use crate::request::admission_controller::{AdmissionController, AdmissionLimits};
 use crate::request::backend_probe;
 use crate::request::caller_api;
+use crate::request::caller_limits::CallerLimits;
 use crate::request::entry_context::EntryContext;
 use crate::request::entry_metrics::EntryMetrics;
 use crate::request::http_server::{self, RunningServer, ServerLimits};
@@ -43,6 +44,8 @@
 /// Time that blocking tasks of the runtime get to finish at shutdown.
 pub const RUNTIME_SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(1);
 
+const BYTES_PER_MEGABYTE: u64 = 1_000_000;
+
 /// A running daemon.
 #[derive(Debug)]
 pub struct Daemon {
@@ -124,7 +127,8 @@
         let log = log.new(o!("session" => control.session().to_string()));
         let counter = TeamCounter::new();
         let context = build_context(&settings, &control, counter.clone(), version, clock, log)?;
-        let context = Arc::new(context);
+        let caller_limits = build_limits(&settings, &context)?;
+        let context = Arc::new(context.with_limits(Arc::clone(&caller_limits)));
         let runner = job_links::job_runner(&context, &control, &clients, counter);
         let jobs = job_links::job_api(&context, &control, &runner);
         entry_links::register_peer_handlers(control.hub(), &context, &runner);
@@ -136,7 +140,8 @@
             keep_alive: settings.keep_alive,
             head_timeout: settings.head_timeout,
         };
-        let server = http_server::start_server(listeners.callers, limits, handler)
+        let guard = caller_limits.caller_guard();
+        let server = http_server::start_guarded_server(listeners.callers, limits, guard, handler)
             .map_err(|error| internal_error("cannot start the server for callers", &error))?;
         let token = OperatorToken::new(&settings.operator_token)?;
         let waits = WaitBoard::default();
@@ -144,7 +149,7 @@
         let load_context = Arc::clone(&context);
         let sources = sources.with_team_load(move |team| Some(entry_links::team_load(&load_context, team)));
         let api = AdminApi::new(token, sources);
-        let admin = AdminServer::start(listeners.admin, api)?;
+        let admin = AdminServer::start_limited(listeners.admin, api, &caller_limits)?;
         let jobs = runner.clone();
         let coordinator = CoordinatorContext {
             workers: clients.workers,
@@ -291,6 +296,16 @@
         .with_log(log))
 }
 
+fn build_limits(settings: &DaemonSettings, context: &EntryContext) -> Result<Arc<CallerLimits>> {
+    let limits = CallerLimits::new(
+        Some(settings.memory_mb * BYTES_PER_MEGABYTE),
+        Some(settings.max_descriptors),
+        context.log.clone(),
+    )?;
+    limits.register(context.metrics.registry())?;
+    Ok(Arc::new(limits))
+}
+
 fn generate_ticket_key() -> TicketKey {
     let mut bytes = [0; 32];
     rand::rng().fill_bytes(&mut bytes);
--- a/src/process/job_links.rs
+++ b/src/process/job_links.rs
@@ -1,7 +1,7 @@
 //! Creates the job runner of this session and connects it with callers, peers and the journal.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::Response;
 use rand::RngCore;
@@ -28,6 +28,8 @@
 /// Time after which a job request no longer delays a drain. Above the 5 s that a submission waits for the
 /// store.
 const JOB_REQUEST_LIMIT: Duration = Duration::from_secs(10);
+/// Time for the body of a job request to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Interval between checks for ended sessions whose jobs must be adopted.
 const ADOPTION_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -149,10 +151,27 @@
     request: &EntryRequest,
 ) -> Result<Response<ResponseStream>> {
     context.check_open()?;
-    let body = request.body.collect(MAX_BODY_BYTES as u64).await?;
+    let limits = context.limits.as_ref();
+    // The body counts against the memory for bodies until the job is stored.
+    let (held, collected);
+    let body = match limits {
+        Some(limits) => {
+            let deadline = Instant::now() + BODY_TIMEOUT;
+            let key = key_check::check_key(&context.current_state(), &request.parts.headers).ok();
+            let owner = key.map(|key| key.team.as_str().into());
+            held = limits
+                .read_body(&request.body, owner, MAX_BODY_BYTES as u64, deadline)
+                .await?;
+            &held.bytes
+        }
+        None => {
+            collected = request.body.collect(MAX_BODY_BYTES as u64).await?;
+            &collected
+        }
+    };
     let parts = &request.parts;
     let job_response = api
-        .handle(&parts.method, parts.uri.path(), &parts.headers, &body)
+        .handle(&parts.method, parts.uri.path(), &parts.headers, body)
         .await?;
     let mut http_response =
         response::text_response(job_response.status, "application/json", job_response.body);
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -71,6 +71,10 @@
     pub drain_notice: Duration,
     /// Time without a new request, with none in flight, after which a draining server stops.
     pub drain_linger: Duration,
+    /// Memory of the process in megabytes, from which the memory for bodies and connections follows.
+    pub memory_mb: u64,
+    /// Number of descriptors that the process may open, from which the number of connections follows.
+    pub max_descriptors: u64,
     /// Minimum level of the log lines that are written.
     pub log_level: LogLevel,
 }
@@ -99,6 +103,8 @@
             retry: RetryLimits::default(),
             drain_notice: Duration::from_secs(5),
             drain_linger: Duration::from_secs(1),
+            memory_mb: 256,
+            max_descriptors: 1_024,
             log_level: LogLevel::Info,
         }
     }
--- a/src/process/settings_field.rs
+++ b/src/process/settings_field.rs
@@ -136,6 +136,22 @@
         "Time without a new request after which the server stops, once nothing is in flight, in milliseconds.",
         "a whole number from 0 to 60000",
         |s, v| s.drain_linger => millis(v, 0, 60_000), s.drain_linger.as_millis()),
+    field!(
+        "limits",
+        "memory_mb",
+        "Memory of the process in megabytes; a quarter of it is for bodies and a quarter for connections of callers.",
+        "a whole number from 16 to 1048576",
+        |s, v| s.memory_mb => number(v, 16, 1_048_576),
+        s.memory_mb
+    ),
+    field!(
+        "limits",
+        "max_fds",
+        "Descriptors that the process may open; half of them less 200 for files is for connections of callers.",
+        "a whole number from 256 to 1048576",
+        |s, v| s.max_descriptors => number(v, 256, 1_048_576),
+        s.max_descriptors
+    ),
     field!("log", "level", "Minimum level of the log lines that are written.",
         "one of error, warning, info, debug",
         |s, v| s.log_level => v.as_str()?.parse::<LogLevel>().ok(), s.log_level),
--- a/src/request/connection_guard.rs
+++ b/src/request/connection_guard.rs
@@ -11,9 +11,10 @@
 use std::time::{Duration, Instant};
 
 use socket2::SockRef;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use xitca_io::io::{AsyncBufRead, AsyncBufWrite, BoundedBuf, BoundedBufMut};
-use xitca_io::net::TcpStream;
+use xitca_io::net::{Stream, TcpStream};
+use xitca_server::net::{IntoListener, Listen};
 use xitca_web::service::Service;
 
 use crate::request::caller_limits::CallerLimits;
@@ -27,6 +28,9 @@
 /// Time for a caller to read some bytes of an answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Part of the connections that may be about to be closed while new ones are accepted.
+const CLOSING_DIVISOR: usize = 4;
+
 tokio::task_local! {
     static CONNECTION: Arc<GuardedConnection>;
 }
@@ -38,6 +42,8 @@
     max_connections: usize,
     limits: Arc<CallerLimits>,
     next_id: AtomicU64,
+    /// Sockets that may be open at the same time, those included that are about to be closed.
+    sockets: Semaphore,
     connections: Mutex<BTreeMap<u64, Arc<GuardedConnection>>>,
 }
 
@@ -60,6 +66,53 @@
     closing: Notify,
 }
 
+/// Frees the place of a socket, after the socket has been closed.
+#[derive(Debug)]
+struct OpenSocket(Arc<ConnectionGuard>);
+
+impl Drop for OpenSocket {
+    fn drop(&mut self) {
+        self.0.sockets.add_permits(1);
+    }
+}
+
+/// Listener that accepts a connection only when the guard has room for its socket.
+#[derive(Debug)]
+pub struct GuardedListener<L> {
+    listener: L,
+    guard: Arc<ConnectionGuard>,
+}
+
+impl<L> GuardedListener<L> {
+    /// Puts a guard in front of a listener.
+    pub fn new(listener: L, guard: Arc<ConnectionGuard>) -> Self {
+        Self { listener, guard }
+    }
+}
+
+impl<L: IntoListener> IntoListener for GuardedListener<L> {
+    type Listener = GuardedListener<L::Listener>;
+
+    fn into_listener(self) -> std::io::Result<Self::Listener> {
+        Ok(GuardedListener {
+            listener: self.listener.into_listener()?,
+            guard: self.guard,
+        })
+    }
+}
+
+impl<L: Listen> Listen for GuardedListener<L> {
+    async fn accept(&self) -> std::io::Result<Stream> {
+        let permit = self.guard.sockets.acquire().await;
+        let stream = self.listener.accept().await?;
+        if let Ok(permit) = permit {
+            // The place is freed when the connection ends.
+            permit.forget();
+        }
+        Ok(stream)
+    }
+}
+
 /// Removes a connection from its server when its task ends.
 #[derive(Debug)]
 struct OpenConnection(Arc<GuardedConnection>);
@@ -81,17 +134,20 @@
 impl ConnectionGuard {
     /// Creates the guard of the server with this name.
     pub fn new(server: &'static str, max_connections: usize, limits: Arc<CallerLimits>) -> Self {
+        let sockets = max_connections.saturating_add(max_connections / CLOSING_DIVISOR + 1);
         Self {
             server,
             max_connections,
             limits,
             next_id: AtomicU64::new(0),
+            sockets: Semaphore::new(sockets.min(Semaphore::MAX_PERMITS)),
             connections: Mutex::default(),
         }
     }
 
     /// Serves a connection with `serve` until it ends or is closed for another one.
     pub async fn run<F: Future>(self: &Arc<Self>, serve: F) {
+        let _socket = OpenSocket(Arc::clone(self));
         let Some(open) = self.open() else {
             self.limits.record_refusal(self.server, "connections");
             return;
--- a/src/request/entry_context.rs
+++ b/src/request/entry_context.rs
@@ -13,6 +13,7 @@
 use crate::journal::fleet_state::FleetState;
 use crate::model::id::{RequestId, SessionId};
 use crate::request::admission_controller::AdmissionController;
+use crate::request::caller_limits::CallerLimits;
 use crate::request::entry_metrics::EntryMetrics;
 use crate::request::in_flight::InFlightCounter;
 use crate::request::key_check::{self, CheckedKey};
@@ -74,6 +75,8 @@
     pub max_deadline: Duration,
     /// Metrics of the request path.
     pub metrics: EntryMetrics,
+    /// Limits on what callers may make this process hold; none are set unless by [`EntryContext::with_limits`].
+    pub limits: Option<Arc<CallerLimits>>,
     /// Logger; discards everything unless set by [`EntryContext::with_log`].
     pub log: Logger,
     is_ready: AtomicBool,
@@ -105,6 +108,7 @@
             wait_share_permille: DEFAULT_WAIT_SHARE_PERMILLE,
             max_deadline: DEFAULT_MAX_DEADLINE,
             metrics,
+            limits: None,
             log: Logger::root(slog::Discard, slog::o!()),
             is_ready: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
@@ -120,6 +124,13 @@
         self
     }
 
+    /// Sets the limits on what callers may make this process hold.
+    #[must_use]
+    pub fn with_limits(mut self, limits: Arc<CallerLimits>) -> Self {
+        self.limits = Some(limits);
+        self
+    }
+
     /// Sets the share of a request's time that it may wait for a slot, in thousandths.
     #[must_use]
     pub fn with_wait_share(mut self, permille: u32) -> Self {
--- a/src/request/entry_metrics.rs
+++ b/src/request/entry_metrics.rs
@@ -80,6 +80,9 @@
             .set(context.tickets.kept_count().cast_signed() as i64);
         self.revision
             .set(context.version.current().revision.get().cast_signed());
+        if let Some(limits) = &context.limits {
+            limits.update_gauges();
+        }
         let mut text = Vec::new();
         // Encoding into memory fails only for a metric family without a name, and every metric here has one.
         let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
--- a/src/request/http_server.rs
+++ b/src/request/http_server.rs
@@ -25,7 +25,9 @@
 use crate::connection::backend_body::{BodyFault, BodySender, BodySource};
 use crate::request::body_pace::BodyPace;
 use crate::request::caller_limits::{self, CallerLimits};
-use crate::request::connection_guard::{self, ConnectionGuard, GuardAcceptor, GuardedConnection};
+use crate::request::connection_guard::{
+    self, ConnectionGuard, GuardAcceptor, GuardedConnection, GuardedListener,
+};
 use crate::request::response;
 use crate::request::response_stream::ResponseStream;
 use crate::request::work_request;
@@ -89,6 +91,7 @@
     handler: EntryHandler,
 ) -> std::io::Result<RunningServer> {
     connection_guard::limit_socket_buffers(&listener);
+    let guard_of_listener = Arc::clone(&guard);
     let service = fn_service(async move |request: Request<RequestExt<RequestBody>>| {
         Ok::<_, Infallible>(serve_request(&handler, request).await)
     });
@@ -108,10 +111,10 @@
     let mut server = xitca_server::Builder::new()
         .worker_threads(limits.workers)
         .disable_signal()
-        .listen("http", listener, service)
+        .listen("http", GuardedListener::new(listener, guard_of_listener), service)
         .build();
     let handle = server.handle()?;
-    let stop: Box<dyn Fn() + Send + Sync> = Box::new(move || handle.stop(true));
+    let stop: Box<dyn Fn(bool) + Send + Sync> = Box::new(move |is_graceful| handle.stop(is_graceful));
     let thread = std::thread::Builder::new()
         .name("http-server".to_owned())
         .spawn(move || server.wait())?;
@@ -120,18 +123,23 @@
 
 /// Handle of a running server.
 pub struct RunningServer {
-    stop: Box<dyn Fn() + Send + Sync>,
+    stop: Box<dyn Fn(bool) + Send + Sync>,
     thread: std::thread::JoinHandle<std::io::Result<()>>,
 }
 
 impl RunningServer {
+    /// Tells the server to stop, without waiting for it.
+    pub fn request_stop(&self, is_graceful: bool) {
+        (self.stop)(is_graceful);
+    }
+
     /// Stops the server: new connections are no longer served, and open ones have 30 s to end. Blocks until
     /// then.
     ///
     /// # Errors
     /// The operating system's error if the server failed, or an error if its thread panicked.
     pub fn stop(self) -> std::io::Result<()> {
-        (self.stop)();
+        (self.stop)(true);
         let ended = self.thread.join();
         ended.unwrap_or_else(|_| Err(std::io::Error::other("the server's thread panicked")))
     }
