Count each instance that a pool can get once

Cause: an instance on its way to a pool counted as available there and as free for all pools, so that the capacity to come was too large while instances move.

Change: FleetPlanner::growth leaves out instances that their new pool counts as available. Tests for growth and for the lease of the digest.

--- a/src/dispatch/fleet_planner.rs
+++ b/src/dispatch/fleet_planner.rs
@@ -182,12 +182,15 @@
     /// pool needs, and those that are on the way somewhere or under maintenance.
     pub fn growth(&self) -> BTreeMap<PoolId, u32> {
         let is_spare = |pool: &PoolId| self.config.pools.get(pool).is_some_and(|pool| pool.is_spare);
-        let is_free = |entry: &&InstanceEntry| match entry.state {
-            InstanceState::Up => is_spare(&entry.pool),
-            InstanceState::Moving | InstanceState::Maintenance => true,
-            InstanceState::Down => false,
+        let is_free = |(id, entry): &(&InstanceId, &InstanceEntry)| {
+            let is_available = match entry.state {
+                InstanceState::Up => is_spare(&entry.pool) || self.sizer.evacuating().contains(*id),
+                InstanceState::Moving | InstanceState::Maintenance => true,
+                InstanceState::Down => false,
+            };
+            is_available && !self.sizer.is_moving(id)
         };
-        let free = self.instances.values().filter(is_free).count() + self.sizer.evacuating().len();
+        let free = self.instances.iter().filter(is_free).count();
         let surplus = |need: &PoolNeed| need.available.saturating_sub(need.target);
         let free = free as u32 + self.needs().values().map(surplus).sum::<u32>();
         let workers = |need: &PoolNeed| need.available + free - surplus(need);
--- a/src/dispatch/pool_size.rs
+++ b/src/dispatch/pool_size.rs
@@ -96,6 +96,11 @@
         &self.needs
     }
 
+    /// Whether an instance is on its way to a pool, which counts it as available.
+    pub fn is_moving(&self, instance: &InstanceId) -> bool {
+        self.arrivals.contains_key(instance) || self.moves_in_flight.contains_key(instance)
+    }
+
     /// Whether instances are being moved or evacuated.
     pub fn is_busy(&self) -> bool {
         !self.evacuating.is_empty() || !self.arrivals.is_empty() || !self.moves_in_flight.is_empty()
--- a/tests/pool_decisions/load_digest.rs
+++ b/tests/pool_decisions/load_digest.rs
@@ -3,16 +3,20 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use figloft::dispatch::fleet_planner::FleetPlanner;
 use figloft::dispatch::job_record::JobRecord;
 use figloft::dispatch::load_digest::LoadDigest;
-use figloft::dispatch::pool_scheduler::PoolScheduler;
-use figloft::dispatch::site_config::{OrganisationConfig, SiteConfig};
+use figloft::dispatch::pool_plan::{PoolReport, WorkerUsage};
+use figloft::dispatch::pool_scheduler::{FlushBatch, PoolScheduler};
+use figloft::dispatch::site_config::{OrganisationConfig, PoolConfig, SiteConfig};
 use figloft::dispatch::takeover::TakeoverState;
+use figloft::dispatch::wave_plan::{InstanceEntry, InstanceState};
 use figloft::model::amount::{MemoryMib, MilliCores};
-use figloft::model::id::OrganisationId;
+use figloft::model::id::{LeaseId, OrganisationId, PoolId};
 use figloft::model::resource::ResourceSet;
+use figloft::node::flush_write::{self, LeaderRecords};
 
-use crate::setup::{WALL, empty_scheduler, record, scheduler, start_all, step, worker_id};
+use crate::setup::{WALL, empty_scheduler, instance_id, pool, record, scheduler, start_all, step, worker_id};
 
 fn digest(scheduler: &PoolScheduler, now: Instant) -> LoadDigest {
     scheduler.load_digest(now, WALL).expect("digest")
@@ -109,3 +113,81 @@
     scheduler.submit(now, now, record(1, vec![labelled]), None);
     assert_eq!(on_time(&digest(&scheduler, now), 0), 0);
 }
+
+/// Guards against refusals by a pool that can still get instances: the spare ones, and those that other pools do not
+/// need, count once each, also while they move.
+#[test]
+fn growth_counts_the_instances_that_no_other_pool_needs() {
+    let now = Instant::now();
+    let pools = ["pool-a", "pool-b", "spare"].map(|name| PoolId::new(name).expect("pool"));
+    let config = SiteConfig {
+        pools: BTreeMap::from([
+            (pools[0].clone(), PoolConfig::default()),
+            (pools[1].clone(), PoolConfig::default()),
+            (
+                pools[2].clone(),
+                PoolConfig {
+                    is_spare: true,
+                    ..PoolConfig::default()
+                },
+            ),
+        ]),
+        ..SiteConfig::default()
+    };
+    let instance = |number: usize| {
+        let pool = match number {
+            0..4 => &pools[0],
+            4..10 => &pools[1],
+            _ => &pools[2],
+        };
+        let entry = InstanceEntry {
+            pool: pool.clone(),
+            state: InstanceState::Up,
+            worker: Some(worker_id(number)),
+        };
+        (instance_id(number), entry)
+    };
+    let cores = |cores: u64| ResourceSet::new(MilliCores::new(cores * 1_000), MemoryMib::new(cores));
+    let report = |workers: std::ops::Range<usize>, inflow| {
+        let usage = WorkerUsage {
+            is_usable: true,
+            ..WorkerUsage::default()
+        };
+        PoolReport {
+            capacity: cores(10 * workers.len() as u64),
+            workers: workers.map(|number| (worker_id(number), usage.clone())).collect(),
+            inflow: cores(inflow),
+            ..PoolReport::default()
+        }
+    };
+    let mut planner = FleetPlanner::new();
+    planner.set_config(&config);
+    planner.set_instances(now, (0..15).map(instance).collect());
+    planner.set_report(pools[0].clone(), report(0..4, 1_000));
+    planner.set_report(pools[1].clone(), report(4..10, 10));
+    for _ in 0..2 {
+        planner.decide(now);
+    }
+    assert!(planner.has_shortage());
+    assert_eq!(
+        planner.growth()[&pools[0]],
+        4 + 5 + 4,
+        "pool-b keeps two of its six"
+    );
+}
+
+/// Guards against a digest that outlives the leadership of its writer.
+#[test]
+fn digest_is_bound_to_the_lease() {
+    let digest = (LeaseId::new(7), LoadDigest::default());
+    let records = LeaderRecords {
+        digest: Some(&digest),
+        ..LeaderRecords::default()
+    };
+    let write = flush_write::encode(&pool(), &FlushBatch::default(), &records, None).expect("write");
+    assert_eq!(write.puts.len(), 1);
+    assert_eq!(
+        (&*write.puts[0].key, write.puts[0].lease),
+        ("load/pool-a", Some(LeaseId::new(7)))
+    );
+}
