--- a/src/request/connection_guard.rs
+++ b/src/request/connection_guard.rs
@@ -362,6 +362,9 @@
 
     async fn call(&self, req: TcpStream) -> Result<GuardedStream, Infallible> {
         let connection = GuardedConnection::current();
-        Ok(GuardedStream { stream: req, connection })
+        Ok(GuardedStream {
+            stream: req,
+            connection,
+        })
     }
 }
--- a/tests/pool_decisions/shortage.rs
+++ b/tests/pool_decisions/shortage.rs
@@ -132,9 +132,9 @@
     let mut steps = random_steps(rng);
     let is_other_queue = rng.random_bool(0.3);
     if is_other_queue {
-        steps
-            .iter_mut()
-            .for_each(|step| step.estimate = step.estimate.mul_f64(0.4));
+        for step in &mut steps {
+            step.estimate = step.estimate.mul_f64(0.4);
+        }
     }
     let lengths = steps.iter().map(|step| {
         let mean = step.estimate.as_millis() as f64;
@@ -150,9 +150,9 @@
     });
     let lengths = lengths.collect();
     let error = load.estimate_error.powf(rng.random_range(-1.0..1.0));
-    steps
-        .iter_mut()
-        .for_each(|step| step.estimate = step.estimate.mul_f64(error));
+    for step in &mut steps {
+        step.estimate = step.estimate.mul_f64(error);
+    }
     let mut record = record(number, steps);
     record.organisation = Some(organisation_id(organisation));
     record.queue = QueueId::new(if is_other_queue { "r-2" } else { "r-1" }).expect("queue");
