Accept chunked submissions within the body budget

Cause: HTTP/1.1 allows a body without a length, and a node refused it with 400 for every request.

Change: a node's callers' address accepts chunked bodies. They reserve max-body-bytes, and a longer one gets 413 and a closed connection. A truncated chunked body cannot run: the library reports it as complete, but a truncated job is not valid JSON.

--- a/src/connection/backend_body.rs
+++ b/src/connection/backend_body.rs
@@ -39,6 +39,8 @@
     receiver: Option<mpsc::Receiver<BodyItem>>,
     start_signal: Option<oneshot::Sender<()>>,
     remaining: u64,
+    /// Whether the length was declared; otherwise `remaining` is the largest number.
+    is_sized: bool,
     is_started: bool,
     is_truncated: bool,
     is_refused: bool,
@@ -75,6 +77,13 @@
         (BodySender { start_signal, frames }, source)
     }
 
+    /// Creates the source of a body without a declared length, and its sender.
+    pub fn unsized_channel() -> (BodySender, Self) {
+        let (sender, source) = Self::channel(u64::MAX);
+        source.lock().is_sized = false;
+        (sender, source)
+    }
+
     fn from_parts(
         receiver: Option<mpsc::Receiver<BodyItem>>,
         start_signal: Option<oneshot::Sender<()>>,
@@ -84,6 +93,7 @@
             receiver,
             start_signal,
             remaining: length,
+            is_sized: true,
             is_started: false,
             is_truncated: false,
             is_refused: false,
@@ -132,9 +142,10 @@
     /// Checks the declared length.
     ///
     /// # Errors
-    /// `too_large` if more than `limit` bytes remain.
+    /// `too_large` if more than `limit` bytes were declared and not yet read.
     pub fn check_length(&self, limit: u64) -> Result<()> {
-        if self.remaining() <= limit {
+        let source = self.lock();
+        if !source.is_sized || source.remaining <= limit {
             return Ok(());
         }
         Err(too_large(limit))
@@ -216,7 +227,7 @@
                 source.is_truncated = true;
                 Poll::Ready(Some(Err(fault)))
             }
-            Poll::Ready(None) if source.remaining > 0 => {
+            Poll::Ready(None) if source.is_sized && source.remaining > 0 => {
                 source.is_truncated = true;
                 Poll::Ready(Some(Err(BodyFault::Truncated)))
             }
--- a/src/error.rs
+++ b/src/error.rs
@@ -91,6 +91,7 @@
     Conflict, "conflict", 409, NotRun, Never, "The object changed since the caller read it.";
     AlreadyRan, "already_ran", 409, Ran, Never, "The ticket's work ran and its answer is no longer kept.";
     InProgress, "in_progress", 409, Unknown, After, "The ticket's work is running.";
+    LengthRequired, "length_required", 411, NotRun, Never, "The body needs a content-length.";
     TooLarge, "too_large", 413, NotRun, Never, "A body or value exceeds its size limit.";
     LimitReached, "limit_reached", 429, NotRun, After, "The team has as much running as its upper limit allows.";
     QueueFull, "queue_full", 429, NotRun, After, "The queue is full.";
--- a/src/node/platform_node.rs
+++ b/src/node/platform_node.rs
@@ -189,7 +189,7 @@
     let mut servers = vec![
         start_server(
             context.settings.caller_address,
-            context.limits.caller_guard(),
+            context.limits.submission_guard(),
             api.handler(),
         )?,
         start_server(
--- a/src/request/caller_limits.rs
+++ b/src/request/caller_limits.rs
@@ -134,6 +134,13 @@
         self.guard(CALLERS, count as usize)
     }
 
+    /// Like [`Self::caller_guard`], for a server that also accepts bodies without a length.
+    pub fn submission_guard(self: &Arc<Self>) -> Arc<ConnectionGuard> {
+        let guard = self.caller_guard();
+        guard.accept_chunked();
+        guard
+    }
+
     /// Creates the guard of a server.
     pub fn guard(self: &Arc<Self>, server: &'static str, max_connections: usize) -> Arc<ConnectionGuard> {
         let guard = Arc::new(ConnectionGuard::new(server, max_connections, Arc::clone(self)));
@@ -198,7 +205,11 @@
             Ok(Err(error)) if error.kind() == ErrorKind::Overloaded => {
                 return Err(self.refuse(body, "slow_body", error.message()));
             }
-            Ok(Err(error)) => return Err(error),
+            Ok(Err(error)) => {
+                // The rest of the body may still be on the connection.
+                body.refuse();
+                return Err(error);
+            }
             Err(_) => return Err(self.refuse(body, "late_body", "the body did not arrive in time")),
         };
         let permits = u32::try_from(bytes / PERMIT_BYTES + 1).unwrap_or(u32::MAX);
--- a/src/request/connection_guard.rs
+++ b/src/request/connection_guard.rs
@@ -41,6 +41,7 @@
     server: &'static str,
     max_connections: usize,
     limits: Arc<CallerLimits>,
+    accepts_chunked: AtomicBool,
     next_id: AtomicU64,
     /// Sockets that may be open at the same time, those included that are about to be closed.
     sockets: Semaphore,
@@ -139,6 +140,7 @@
             server,
             max_connections,
             limits,
+            accepts_chunked: AtomicBool::new(false),
             next_id: AtomicU64::new(0),
             sockets: Semaphore::new(sockets.min(Semaphore::MAX_PERMITS)),
             connections: Mutex::default(),
@@ -189,6 +191,11 @@
         Some(OpenConnection(connection))
     }
 
+    /// Accepts bodies without a declared length from now on.
+    pub fn accept_chunked(&self) {
+        self.accepts_chunked.store(true, Ordering::Relaxed);
+    }
+
     /// Number of connections in each phase.
     pub fn count_phases(&self) -> BTreeMap<ConnectionPhase, i64> {
         let phases = [
@@ -220,6 +227,11 @@
         CONNECTION.try_with(Arc::clone).ok()
     }
 
+    /// Whether the server accepts bodies without a declared length.
+    pub fn accepts_chunked(&self) -> bool {
+        self.guard.accepts_chunked.load(Ordering::Relaxed)
+    }
+
     fn state(&self) -> MutexGuard<'_, ConnectionState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/request/http_server.rs
+++ b/src/request/http_server.rs
@@ -160,18 +160,22 @@
     let is_head = parts.method == Method::HEAD;
     let connection = GuardedConnection::current();
     if let Some(connection) = &connection {
-        let has_body = body_length(&caller_body) > 0;
+        let has_body = body_length(&caller_body) != Some(0);
         if connection.begin_request(has_body) {
             // A caller that pipelines requests must not keep the thread from other connections.
             tokio::task::yield_now().await;
         }
     }
-    let response = match work_request::check_forwardable(&parts) {
+    let accepts_chunked = connection
+        .as_ref()
+        .is_some_and(|connection| connection.accepts_chunked());
+    let is_chunked = parts.headers.contains_key(header::TRANSFER_ENCODING);
+    let response = match work_request::check_forwardable(&parts, accepts_chunked) {
         Ok(()) => {
-            let body = open_body(caller_body, connection.clone());
+            let body = open_body(caller_body, is_chunked, connection.clone());
             let source = body.clone();
             let mut response = handler(EntryRequest { parts, body }).await;
-            if source.is_refused() {
+            if source.is_refused() || (is_chunked && !response.status().is_success()) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
@@ -198,21 +202,32 @@
     Response::from_parts(parts, body)
 }
 
-/// Declared length of a body.
-fn body_length(body: &RequestBody) -> u64 {
+/// Declared length of a body; `None` if there is a body without one.
+fn body_length(body: &RequestBody) -> Option<u64> {
     match body.size_hint() {
-        SizeHint::Exact(length) => length,
-        SizeHint::None | SizeHint::Unknown => 0,
+        SizeHint::Exact(length) => Some(length),
+        SizeHint::None => Some(0),
+        SizeHint::Unknown => None,
     }
 }
 
 /// Returns a source for a caller's body that may be used on other threads.
-fn open_body(caller_body: RequestBody, connection: Option<Arc<GuardedConnection>>) -> BodySource {
-    let length = body_length(&caller_body);
-    if length == 0 {
-        return BodySource::empty();
-    }
-    let (sender, source) = BodySource::channel(length);
+fn open_body(
+    caller_body: RequestBody,
+    is_chunked: bool,
+    connection: Option<Arc<GuardedConnection>>,
+) -> BodySource {
+    let length = if is_chunked {
+        None
+    } else {
+        body_length(&caller_body)
+    };
+    let (sender, source) = match length {
+        Some(0) => return BodySource::empty(),
+        Some(length) => BodySource::channel(length),
+        None if is_chunked => BodySource::unsized_channel(),
+        None => return BodySource::empty(),
+    };
     tokio::task::spawn_local(async move {
         copy_body(caller_body, length, sender, connection.as_deref()).await;
     });
@@ -224,19 +239,19 @@
 /// read it.
 async fn copy_body(
     caller_body: RequestBody,
-    length: u64,
+    length: Option<u64>,
     sender: BodySender,
     connection: Option<&GuardedConnection>,
 ) {
     let mut caller_body = pin!(caller_body);
     if sender.start_signal.await.is_err() {
-        if length <= DISCARD_BYTES {
+        if length.is_some_and(|length| length <= DISCARD_BYTES) {
             let discard = async { while let Some(Ok(_)) = caller_body.as_mut().data().await {} };
             drop(tokio::time::timeout(DISCARD_TIMEOUT, discard).await);
         }
         return;
     }
-    let mut remaining = length;
+    let mut remaining = length.unwrap_or(0);
     let mut pace = BodyPace::default();
     loop {
         let mut reader = caller_body.as_mut();
@@ -255,11 +270,16 @@
                 Ok(bytes)
             }
             None => Err(BodyFault::TooSlow),
-            Some(None) if remaining == 0 => return,
+            Some(None) if remaining == 0 => {
+                if let Some(connection) = connection {
+                    connection.end_body();
+                }
+                return;
+            }
             Some(None | Some(Err(_))) => Err(BodyFault::Truncated),
         };
         let is_incomplete = item.is_err();
-        if let (0, Some(connection)) = (remaining, connection) {
+        if let (0, Some(_), Some(connection)) = (remaining, length, connection) {
             connection.end_body();
         }
         if sender.frames.send(item).await.is_err() || is_incomplete {
--- a/src/request/work_request.rs
+++ b/src/request/work_request.rs
@@ -107,11 +107,11 @@
     })
 }
 
-/// Rejects requests that cannot be forwarded.
+/// Rejects requests that cannot be handled. `accepts_chunked` tells whether the server accepts bodies without a length.
 ///
 /// # Errors
-/// `bad_request` for other versions than HTTP/1.1, for `CONNECT` and for bodies without a declared length.
-pub fn check_forwardable(parts: &Parts) -> Result<()> {
+/// `bad_request` for other versions than HTTP/1.1 and for `CONNECT`, `length_required` for bodies without a length.
+pub fn check_forwardable(parts: &Parts, accepts_chunked: bool) -> Result<()> {
     if parts.version != Version::HTTP_11 {
         let message =
             "HTTP/1.1 is required: without chunked encoding a truncated response could be taken as complete";
@@ -120,10 +120,11 @@
     if parts.method == Method::CONNECT {
         return Err(Error::new(ErrorKind::BadRequest, "CONNECT is not forwarded"));
     }
-    // The server library reports a truncated chunked body as complete, so a truncated upload would be run.
-    if parts.headers.contains_key(http::header::TRANSFER_ENCODING) {
+    // The server library reports a truncated chunked body as complete, so a truncated upload would be run. A
+    // submission to a node is safe: a truncated job is not valid JSON.
+    if !accepts_chunked && parts.headers.contains_key(http::header::TRANSFER_ENCODING) {
         let message = "the body needs a content-length; chunked requests are not accepted";
-        return Err(Error::new(ErrorKind::BadRequest, message));
+        return Err(Error::new(ErrorKind::LengthRequired, message));
     }
     Ok(())
 }
--- a/tests/caller_limits.rs
+++ b/tests/caller_limits.rs
@@ -4,6 +4,7 @@
 
 use figloft::request::body_budget::{BodyBudget, BodyOwner, BudgetRefusal};
 use figloft::request::body_pace::BodyPace;
+use figloft::request::connection_choice::{self, ConnectionPhase, ConnectionView};
 use figloft::request::refusal_burst::RefusalBursts;
 
 const BODY: u64 = 262_144;
@@ -78,3 +79,45 @@
     assert_eq!(bursts.record(("callers", "late_body"), start), Some(1));
     assert_eq!(bursts.record(key, start + Duration::from_secs(1)), Some(51));
 }
+
+fn view(id: u64, phase: ConnectionPhase, last_progress: Instant) -> ConnectionView {
+    ConnectionView {
+        id,
+        phase,
+        last_progress,
+    }
+}
+
+/// Guards against the loss of an accepted request to a crowd of new connections, and against a crowd without heads
+/// that outlasts ordinary connections.
+#[test]
+fn cheapest_connection_is_closed_first() {
+    let start = Instant::now();
+    let later = |seconds| start + Duration::from_secs(seconds);
+    let mut connections = vec![
+        view(1, ConnectionPhase::Accepted, start),
+        view(2, ConnectionPhase::Transfer, later(1)),
+        view(3, ConnectionPhase::Transfer, later(2)),
+        view(4, ConnectionPhase::Idle, later(3)),
+        view(5, ConnectionPhase::Head, later(5)),
+        view(6, ConnectionPhase::Head, later(4)),
+    ];
+    for closed in [6, 5, 4, 2, 3] {
+        let choice = connection_choice::connection_to_close(connections.iter().copied());
+        assert_eq!(choice, Some(closed));
+        connections.retain(|connection| connection.id != closed);
+    }
+    assert_eq!(
+        connection_choice::connection_to_close(connections.into_iter()),
+        None
+    );
+}
+
+/// Guards against connections that use up the descriptors or the memory of the smallest machine, and against a
+/// machine so small that no load balancer is served.
+#[test]
+fn connections_follow_memory_and_descriptors() {
+    assert_eq!(connection_choice::caller_connections(160_000_000, 4_100), 406);
+    assert_eq!(connection_choice::caller_connections(160_000_000, 500), 150);
+    assert_eq!(connection_choice::caller_connections(1_000_000, 100), 16);
+}
--- a/tests/untrusted_clients/client.rs
+++ b/tests/untrusted_clients/client.rs
@@ -239,3 +239,24 @@
     let length = stream.read(&mut answer).await.unwrap_or(0);
     String::from_utf8_lossy(&answer[..length]).into_owned()
 }
+
+/// Sends a job of `length` bytes in chunks, and returns the answer.
+pub async fn send_chunked(address: SocketAddr, length: usize) -> String {
+    let head = head(length, ORDINARY_KEY, length);
+    let head = head.replace(&format!("content-length: {length}"), "transfer-encoding: chunked");
+    let mut stream = TcpStream::connect(address).await.expect("connection");
+    stream.write_all(head.as_bytes()).await.expect("head");
+    for chunk in job(length).chunks(1_000) {
+        let mut text = format!("{:x}\r\n", chunk.len()).into_bytes();
+        text.extend_from_slice(chunk);
+        text.extend_from_slice(b"\r\n");
+        if stream.write_all(&text).await.is_err() {
+            // The answer says why the server closed the connection.
+            break;
+        }
+    }
+    let _ = stream.write_all(b"0\r\n\r\n").await;
+    let mut answer = [0; 512];
+    let length = stream.read(&mut answer).await.unwrap_or(0);
+    String::from_utf8_lossy(&answer[..length]).into_owned()
+}
--- a/tests/untrusted_clients/main.rs
+++ b/tests/untrusted_clients/main.rs
@@ -76,6 +76,19 @@
     });
 }
 
+/// Guards against chunked submissions that are refused, or that exceed the largest body without being noticed.
+#[test]
+fn chunked_submissions_are_bounded() {
+    let _turn = case::take_turn();
+    case::runtime().block_on(async {
+        let target = NodeTarget::start().await;
+        let answer = client::send_chunked(target.callers, 2_000).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        let answer = client::send_chunked(target.callers, 300_000).await;
+        assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    });
+}
+
 /// Guards against crowds that the list of cases leaves out.
 #[test]
 fn every_kind_of_client_has_a_case() {
