--- a/tests/store_recovery.rs
+++ b/tests/store_recovery.rs
@@ -135,11 +135,8 @@
     store.wait_for("kv-watch", 1).await;
     lose_store(&client).await;
     regain_store(&client, &store).await;
-    let watched = tokio::time::timeout(PATIENT / 2, watch).await;
-    let response = watched
-        .expect("the watch hangs")
-        .expect("task")
-        .expect("response");
+    let ended = tokio::time::timeout(PATIENT / 2, watch).await;
+    let response = ended.expect("the watch hangs").expect("task").expect("response");
     assert_eq!(response, WatchResponse::Events(Vec::new(), StoreRevision::new(7)));
     assert_eq!(store.count("kv-watch"), 2);
 }
