--- a/tests/caller_limits.rs
+++ b/tests/caller_limits.rs
@@ -10,7 +10,7 @@
 
 const BODY: u64 = 262_144;
 
-fn organisation(name: &str) -> Arc<str> {
+fn owner(name: &str) -> Arc<str> {
     name.into()
 }
 
@@ -20,26 +20,23 @@
 fn bodies_of_all_owners_stay_within_the_budget() {
     let mut budget = BodyBudget::for_memory(16 * BODY);
     for name in ["a", "b"] {
-        assert_eq!(budget.reserve(&Some(organisation(name)), 2 * BODY), Ok(()));
+        assert_eq!(budget.reserve(&Some(owner(name)), 2 * BODY), Ok(()));
     }
-    assert_eq!(
-        budget.reserve(&Some(organisation("c")), 1),
-        Err(BudgetRefusal::Full)
-    );
-    budget.release(&Some(organisation("a")), 2 * BODY);
-    assert_eq!(budget.reserve(&Some(organisation("c")), 1), Ok(()));
+    assert_eq!(budget.reserve(&Some(owner("c")), 1), Err(BudgetRefusal::Full));
+    budget.release(&Some(owner("a")), 2 * BODY);
+    assert_eq!(budget.reserve(&Some(owner("c")), 1), Ok(()));
     assert_eq!((budget.used(), budget.peak()), (2 * BODY + 1, 4 * BODY));
 }
 
 /// Guards against one organisation that takes the whole budget, also through callers without a key.
 #[test]
 fn one_owner_gets_half_of_the_budget() {
-    for greedy in [Some(organisation("a")), None] {
+    for greedy in [Some(owner("a")), None] {
         let mut budget = BodyBudget::for_memory(16 * BODY);
         assert_eq!(budget.reserve(&greedy, BODY), Ok(()));
         assert_eq!(budget.reserve(&greedy, BODY), Ok(()));
         assert_eq!(budget.reserve(&greedy, 1), Err(BudgetRefusal::OwnerShare));
-        assert_eq!(budget.reserve(&Some(organisation("b")), BODY), Ok(()));
+        assert_eq!(budget.reserve(&Some(owner("b")), BODY), Ok(()));
     }
 }
 
@@ -47,11 +44,8 @@
 #[test]
 fn single_body_always_fits() {
     let mut budget = BodyBudget::for_memory(BODY);
-    assert_eq!(budget.reserve(&Some(organisation("a")), BODY), Ok(()));
-    assert_eq!(
-        budget.reserve(&Some(organisation("b")), 1),
-        Err(BudgetRefusal::Full)
-    );
+    assert_eq!(budget.reserve(&Some(owner("a")), BODY), Ok(()));
+    assert_eq!(budget.reserve(&Some(owner("b")), 1), Err(BudgetRefusal::Full));
 }
 
 /// Guards against bodies that stay open when their callers send nothing or next to nothing, and against the
--- a/tests/pool_decisions/load_digest.rs
+++ b/tests/pool_decisions/load_digest.rs
@@ -144,6 +144,7 @@
             pool: pool.clone(),
             state: InstanceState::Up,
             worker: Some(worker_id(number)),
+            zone: None,
         };
         (instance_id(number), entry)
     };
