Replay shortages, and keep the share of size classes

Cause: a size class was protected from shedding only while it was below its share with the job that would be withdrawn, so that the last heavy job was always withdrawn when light jobs filled the pool.

Change: the share is compared without that job. Replays of the four loads of the design page compare value served with the order without the setting and first come, first served, and assert that no size class and no organisation is starved.

--- a/src/cli/daemon_args.rs
+++ b/src/cli/daemon_args.rs
@@ -10,6 +10,10 @@
 /// The figloft daemon: one entry instance, able to take every role of the fleet.
 #[derive(Debug, Clone, Parser)]
 #[command(name = "figloftd", version, about, max_term_width = 100)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other"
+)]
 #[command(group(ArgGroup::new("mode").args(["check", "print_defaults", "trial", "serve_store", "platform"])))]
 pub struct DaemonArgs {
     /// Settings file; without it, the default settings apply.
--- a/src/dispatch/delay_cost.rs
+++ b/src/dispatch/delay_cost.rs
@@ -53,7 +53,7 @@
 
 /// Weight of a queue's priority; 1 for priority 0, the highest.
 pub fn priority_weight(priority: u32) -> f64 {
-    PRIORITY_RATIO.powi(-(priority.min(LOWEST_WEIGHTED_PRIORITY) as i32))
+    PRIORITY_RATIO.powi(-priority.min(LOWEST_WEIGHTED_PRIORITY).cast_signed())
 }
 
 /// What the delay of one job costs its caller.
--- a/src/dispatch/shed_order.rs
+++ b/src/dispatch/shed_order.rs
@@ -262,16 +262,18 @@
         latest: &Candidate,
     ) -> Option<(&'c Candidate, bool)> {
         let sum: f64 = by_size.iter().sum();
-        let is_protected = |size: usize| by_size[size] < CLASS_SHARES[size] * sum;
+        // A class keeps its share without the withdrawn job, not only with it.
+        let is_protected = |size: usize, work: f64| by_size[size] - work < CLASS_SHARES[size] * (sum - work);
         let mut best: Option<((bool, bool, u64), usize, usize)> = None;
         for (number, share) in self.shares.iter().enumerate() {
             let entitled = share.share * (latest.startable + self.running);
             let is_over_share = share.running + share.admitted > entitled;
             for (size, heap) in share.heaps.iter().enumerate() {
-                let Some(Reverse((value, _))) = heap.peek() else {
+                let Some(Reverse((value, victim))) = heap.peek() else {
                     continue;
                 };
-                let rank = (!is_over_share, is_protected(size), *value);
+                let is_protected = is_protected(size, candidates[*victim].work);
+                let rank = (!is_over_share, is_protected, *value);
                 if best.is_none_or(|(least, ..)| rank < least) {
                     best = Some((rank, number, size));
                 }
--- a/tests/pool_decisions/shortage.rs
+++ b/tests/pool_decisions/shortage.rs
@@ -122,6 +122,12 @@
     vec![first, last]
 }
 
+fn scale_estimates(steps: &mut [StepSpec], factor: f64) {
+    for step in steps {
+        step.estimate = step.estimate.mul_f64(factor);
+    }
+}
+
 fn random_job(
     rng: &mut StdRng,
     load: &Load,
@@ -132,9 +138,7 @@
     let mut steps = random_steps(rng);
     let is_other_queue = rng.random_bool(0.3);
     if is_other_queue {
-        steps
-            .iter_mut()
-            .for_each(|step| step.estimate = step.estimate.mul_f64(0.4));
+        scale_estimates(&mut steps, 0.4);
     }
     let lengths = steps.iter().map(|step| {
         let mean = step.estimate.as_millis() as f64;
@@ -150,9 +154,7 @@
     });
     let lengths = lengths.collect();
     let error = load.estimate_error.powf(rng.random_range(-1.0..1.0));
-    steps
-        .iter_mut()
-        .for_each(|step| step.estimate = step.estimate.mul_f64(error));
+    scale_estimates(&mut steps, error);
     let mut record = record(number, steps);
     record.organisation = Some(organisation_id(organisation));
     record.queue = QueueId::new(if is_other_queue { "r-2" } else { "r-1" }).expect("queue");
@@ -480,5 +482,22 @@
         by_cost.print(load.name, "by cost");
         present.print(load.name, "without the setting");
         first_come.print(load.name, "first come");
+        let value = by_cost.all.get();
+        assert!(value >= present.all.get(), "{}: less than without", load.name);
+        assert!(
+            value >= first_come.all.get(),
+            "{}: less than first come",
+            load.name
+        );
+        for (size, share) in by_cost.sizes.iter().enumerate() {
+            assert!(share.get() >= value / 2.0, "{}: size class {size}", load.name);
+        }
+        for (number, share) in by_cost.organisations.iter().enumerate() {
+            assert!(
+                share.get() >= value * 0.75,
+                "{}: organisation {number}",
+                load.name
+            );
+        }
     }
 }
