--- a/src/dispatch/pool_scheduler/cost_order.rs
+++ b/src/dispatch/pool_scheduler/cost_order.rs
@@ -90,7 +90,7 @@
     fn usable_cores(&self) -> f64 {
         let usable = self.workers.iter().filter(|(id, worker)| {
             let is_answering = worker.is_listed && worker.has_reported && worker.poll.failures == 0;
-            is_answering && !worker.entry.is_draining && !self.plan.evacuating.contains(id)
+            is_answering && !worker.entry.is_draining && !self.evacuating.contains(id)
         });
         let milli_cores: u64 = usable.map(|(_, worker)| worker.entry.capacity.cores.get()).sum();
         milli_cores as f64 / 1_000.0
