Keep a connection marked as busy while its answer is sent

Cause: a connection counted as idle as soon as its handler had answered, so that a crowd could displace it before a streamed answer was sent.

Change: it counts as a transfer until the answer's body is sent or dropped; transfers are closed last.

--- a/src/request/connection_guard.rs
+++ b/src/request/connection_guard.rs
@@ -271,6 +271,7 @@
             ConnectionPhase::Accepted
         };
         state.head_bytes = 0;
+        state.has_answered = false;
         !std::mem::take(&mut state.is_read_since_request)
     }
 
@@ -282,11 +283,12 @@
         }
     }
 
-    /// Records that the handler has answered.
-    pub fn end_request(&self) {
+    /// Records that the handler has answered. The answer is sent until the returned value is dropped.
+    pub fn begin_answer(self: &Arc<Self>) -> AnswerInTransfer {
         let mut state = self.state();
-        state.phase = ConnectionPhase::Idle;
-        state.head_bytes = 0;
+        state.phase = ConnectionPhase::Transfer;
+        state.has_answered = true;
+        AnswerInTransfer(Arc::clone(self))
     }
 
     /// Records received bytes. Returns whether the head is too large.
@@ -306,6 +308,20 @@
     }
 }
 
+/// An answer that is being sent.
+#[derive(Debug)]
+pub struct AnswerInTransfer(Arc<GuardedConnection>);
+
+impl Drop for AnswerInTransfer {
+    fn drop(&mut self) {
+        let mut state = self.0.state();
+        if state.has_answered {
+            state.phase = ConnectionPhase::Idle;
+            state.head_bytes = 0;
+        }
+    }
+}
+
 /// Socket of a connection.
 pub struct GuardedStream {
     stream: TcpStream,
--- a/src/request/http_server.rs
+++ b/src/request/http_server.rs
@@ -183,9 +183,7 @@
         }
         Err(error) => response::error_response(&error),
     };
-    if let Some(connection) = &connection {
-        connection.end_request();
-    }
+    let answer = connection.as_ref().map(GuardedConnection::begin_answer);
     let (mut parts, stream) = response.into_parts();
     let has_no_body = parts.status == StatusCode::NO_CONTENT || parts.status == StatusCode::NOT_MODIFIED;
     let body = if has_no_body {
@@ -197,7 +195,7 @@
     } else {
         let declared = parts.headers.get(header::CONTENT_LENGTH);
         let declared = declared.and_then(|value| value.to_str().ok()?.parse().ok());
-        ResponseBody::boxed(stream.with_declared_length(declared))
+        ResponseBody::boxed(stream.with_declared_length(declared).with_connection(answer))
     };
     Response::from_parts(parts, body)
 }
--- a/src/request/response_stream.rs
+++ b/src/request/response_stream.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 use xitca_web::body::{Body, Frame, SizeHint};
 
+use crate::request::connection_guard::AnswerInTransfer;
 use crate::request::in_flight::InFlightGuard;
 use crate::request::ticket_run::ResponseRecorder;
 
@@ -37,6 +38,7 @@
     /// Bytes of the declared length that have not been sent yet; `None` if no length was declared.
     remaining: Option<u64>,
     in_flight_guard: Option<InFlightGuard>,
+    connection: Option<AnswerInTransfer>,
     recorder: Option<ResponseRecorder>,
 }
 
@@ -55,6 +57,7 @@
             length: Some(length),
             remaining: Some(length),
             in_flight_guard: None,
+            connection: None,
             recorder: None,
         }
     }
@@ -67,6 +70,7 @@
             length,
             remaining: length,
             in_flight_guard: None,
+            connection: None,
             recorder: None,
         }
     }
@@ -91,6 +95,13 @@
         self
     }
 
+    /// Keeps the connection marked as sending an answer until the body has been sent or dropped.
+    #[must_use]
+    pub fn with_connection(mut self, connection: Option<AnswerInTransfer>) -> Self {
+        self.connection = connection;
+        self
+    }
+
     /// Keeps the request counted as in flight until the body has been sent or dropped.
     #[must_use]
     pub fn with_in_flight_guard(mut self, in_flight_guard: InFlightGuard) -> Self {
