Refuse payloads and labels over the platform's limits

Cause: the platform states that a payload has at most 4,000 bytes, but a body of 262,144 bytes was accepted with a payload of that size.

Change: decode_job refuses payloads over 4,000 bytes and labels over 256 bytes with bad_request.

--- a/src/platform/caller_protocol.rs
+++ b/src/platform/caller_protocol.rs
@@ -27,6 +27,12 @@
 /// Number of hexadecimal digits of a job id.
 const JOB_ID_DIGITS: usize = 16;
 
+/// Maximum size of the payload of a job, as the platform states it.
+const MAX_PAYLOAD_BYTES: usize = 4_000;
+
+/// Maximum size of the name of a label, rack or image. Workers publish names of some ten bytes.
+const MAX_LABEL_BYTES: usize = 256;
+
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct WireJob {
@@ -115,6 +121,7 @@
         interval: Duration::from_millis(wire.interval_ms),
         count: wire.repeat_count,
     });
+    check_texts(&wire)?;
     let spec = JobSpec {
         payload: wire.spec,
         steps: wire.steps.into_iter().map(decode_step).collect(),
@@ -124,6 +131,26 @@
     Ok(spec)
 }
 
+/// Refuses texts over the platform's limits. Leaders keep the jobs of their pools in memory, so that bodies of the
+/// largest size filled with text would exhaust it.
+fn check_texts(wire: &WireJob) -> Result<()> {
+    let check = |name: &str, text: &str, limit: usize| {
+        if text.len() <= limit {
+            return Ok(());
+        }
+        let message = format!("job: {name} has {} bytes, the limit is {limit}", text.len());
+        Err(Error::new(ErrorKind::BadRequest, message))
+    };
+    check("spec", &wire.spec, MAX_PAYLOAD_BYTES)?;
+    for step in &wire.steps {
+        let labels = [&step.constraints, &step.affinity, &step.image];
+        for label in labels.into_iter().flatten() {
+            check("a label of a step", label, MAX_LABEL_BYTES)?;
+        }
+    }
+    Ok(())
+}
+
 fn decode_step(wire: WireStep) -> StepSpec {
     let non_empty = |text: Option<Arc<str>>| text.filter(|text| !text.is_empty());
     StepSpec {
--- a/tests/pool_decisions/malformed.rs
+++ b/tests/pool_decisions/malformed.rs
@@ -3,10 +3,12 @@
 use std::time::{Duration, Instant};
 
 use figloft::dispatch::job_record::QueueRule;
+use figloft::error::ErrorKind;
 use figloft::model::unix_time::UnixMillis;
 use figloft::platform::{caller_protocol, config, maintenance_wave};
 use proptest::prelude::*;
 use proptest::sample;
+use serde_json::json;
 
 use crate::setup::{WALL, record, scheduler};
 
@@ -77,3 +79,20 @@
         }
     }
 }
+
+/// Guards against leaders that run out of memory: they keep the payloads and labels of all jobs that are not over, and
+/// bodies of 256 KB were accepted with payloads of that size.
+#[test]
+fn texts_over_the_limits_are_refused() {
+    let job = |payload: usize, label: usize| {
+        let (payload, label) = ("a".repeat(payload), "b".repeat(label));
+        let steps = [json!({"count": 1, "cpu": 100, "estimate-ms": 100, "affinity": label})];
+        json!({"spec": payload, "steps": steps}).to_string()
+    };
+    let decode = |payload, label| caller_protocol::decode_job(job(payload, label).as_bytes());
+    decode(4_000, 256).expect("texts at their limits");
+    for (payload, label) in [(4_001, 1), (260_000, 1), (1, 257), (1, 260_000)] {
+        let refused = decode(payload, label).expect_err("a text over its limit");
+        assert_eq!(refused.kind(), ErrorKind::BadRequest);
+    }
+}
