Use one definition of the last useful end of a job

Cause: the start classes, admission by forecast and the cost of delay each had their own factor of three on the objective.

Change: start_priority and admission_forecast call delay_cost::last_useful_end. The value is the same; it saturates now where the start classes multiplied.

--- a/src/dispatch/admission_forecast.rs
+++ b/src/dispatch/admission_forecast.rs
@@ -11,6 +11,7 @@
 
 use rand::Rng;
 
+use crate::dispatch::delay_cost;
 use crate::dispatch::job_record::JobRecord;
 use crate::dispatch::load_digest::{self, GrowthDigest, LoadDigest, PriorityBacklog};
 use crate::dispatch::start_priority;
@@ -26,10 +27,6 @@
 /// Without it, a digest would tell nothing about jobs whose slack is shorter than its age.
 const STEADY_TIME: Duration = Duration::from_millis(500);
 
-/// Multiple of its objective after which the end of a job has no value for its caller; up to it, 7% of the full value.
-/// The same as in `start_priority`, to be joined with the value curve of the delay cost.
-const USELESS_FACTOR: u32 = 3;
-
 /// Part of a pool's processor capacity that has to be in use before anything is refused. A pool with more free
 /// capacity is held back by something that the forecast does not know, such as labels or memory.
 const MIN_UTILISATION: f64 = 0.75;
@@ -325,7 +322,7 @@
         if queue.excess <= 1.0 {
             return AdmissionDecision::admit(AdmissionOutcome::InTime, figures);
         }
-        let is_useful = queue.wait() + job.critical_path <= job.objective.saturating_mul(USELESS_FACTOR);
+        let is_useful = queue.wait() + job.critical_path <= delay_cost::last_useful_end(job.objective);
         if is_useful || random.random::<f64>() * queue.excess < ADMITTED_EXCESS {
             return AdmissionDecision::admit(AdmissionOutcome::Late, figures);
         }
--- a/src/dispatch/start_priority.rs
+++ b/src/dispatch/start_priority.rs
@@ -7,6 +7,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::dispatch::delay_cost;
 use crate::dispatch::task_id::StepId;
 
 /// Class of a ready step; classes that are declared first start first.
@@ -55,9 +56,6 @@
     pub critical_path: Duration,
 }
 
-/// Multiple of the objective beyond which a late job is of no use to its caller.
-const TOO_LATE_FACTOR: u32 = 3;
-
 /// Factor on the critical path, because estimates are rough, and time added for commands and reports in
 /// transit. A job that would only just meet its objective mostly misses it, and takes capacity from one that
 /// would meet it.
@@ -88,7 +86,7 @@
             Self::BestEffort
         } else if inputs.is_long_running {
             Self::LongRunning
-        } else if end > inputs.objective * TOO_LATE_FACTOR {
+        } else if end > delay_cost::last_useful_end(inputs.objective) {
             Self::TooLate
         } else if end > inputs.objective {
             Self::Late
