--- a/review/stand_ins_2/src/cases.rs
+++ b/review/stand_ins_2/src/cases.rs
@@ -20,6 +20,7 @@
         "shared-limit" => shared_limit(record, has_trouble).await,
         "whole-limit" => whole_limit(record, has_trouble).await,
         "advised-step" => advised_step(record, has_trouble).await,
+        "wide-gang" => wide_gang(record, has_trouble).await,
         "no-estimate" => no_estimate(record, has_trouble).await,
         "many-occurrences" => many_occurrences(record, has_trouble).await,
         _ => Verdict::NotRun(format!("no case {name}")),
@@ -170,7 +171,7 @@
 
 /// Callers hand in large jobs of legal size at once; another job is cancelled.
 async fn large_watch(record: &Record, has_trouble: bool) -> Verdict {
-    const JOBS: usize = 48;
+    const JOBS: usize = 96;
     let mut fleet = Fleet::start(record, &fleet::config(1, 0), &["zone-a", "zone-b", "zone-c"]).await;
     for number in 1..=2 {
         let (id, machine) = (format!("i-{number}"), format!("m-{number}"));
@@ -685,3 +686,41 @@
     fleet.pause_ms(40_000).await;
     idle_jobs(&fleet, &jobs, 2).await
 }
+
+/// A runner leaves a pool of eight before a gang is handed in for which the others have room.
+async fn wide_gang(record: &Record, has_trouble: bool) -> Verdict {
+    const RUNNERS: usize = 8;
+    const MEMBERS: usize = 44;
+    let mut fleet = Fleet::start(record, &fleet::config(1, 0), &["zone-a", "zone-b"]).await;
+    for number in 1..=RUNNERS {
+        let (id, machine) = (format!("i-{number}"), format!("m-{number}"));
+        fleet.add_runner(&id, &machine, "zone-a", 32_000, false).await;
+    }
+    for number in 0..2 {
+        if !fleet.start_node(number).await {
+            return not_run("a node does not serve");
+        }
+    }
+    fleet.pause_ms(2_000).await;
+    if has_trouble {
+        let key = format!("servers/i-{RUNNERS}");
+        let mut entry = fleet.runners[RUNNERS - 1].entry(&format!("m-{RUNNERS}"), "zone-a");
+        entry["state"] = json!("draining");
+        entry["remaining-ms"] = json!(2_000);
+        record.line(format_args!("runner i-{RUNNERS} drains"));
+        fleet.store.write(&key, &entry);
+        fleet.pause_ms(2_500).await;
+        record.line(format_args!("runner i-{RUNNERS} has left"));
+        fleet.store.delete(&key);
+        fleet.pause_ms(1_000).await;
+    }
+    let body = json!({"spec": "cpu=1000 ms=2000", "steps": [{"count": MEMBERS, "cpu": 1_000, "mem-mb": 64,
+        "estimate-ms": 2_000, "gang": true}]});
+    let jobs = [("q", "0000000000000e01")];
+    if fleet.noted_queue_call("POST", 0, "q", jobs[0].1, &body).await.0 != 200 {
+        return not_run("the job is not accepted");
+    }
+    // finish_s is 14 s.
+    fleet.pause_ms(40_000).await;
+    idle_jobs(&fleet, &jobs, MEMBERS).await
+}
--- a/review/stand_ins_2/src/store.rs
+++ b/review/stand_ins_2/src/store.rs
@@ -226,6 +226,14 @@
         });
     }
 
+    /// Deletes a key as a runner that leaves does.
+    pub fn delete(&self, key: &str) {
+        self.with_state(|state| {
+            state.revision += 1;
+            state.remove(key);
+        });
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> Answer {
         let path = request.uri().path().to_owned();
         let query: BTreeMap<String, String> = request
