--- a/review/stand_ins_2/src/cases.rs
+++ b/review/stand_ins_2/src/cases.rs
@@ -156,8 +156,10 @@
     });
     let calls: Vec<_> = calls.collect();
     let mut answers = std::collections::BTreeMap::new();
-    for call in calls {
-        *answers.entry(call.await.unwrap_or(0)).or_insert(0) += 1;
+    for (name, call) in names.iter().zip(calls) {
+        let status = call.await.unwrap_or(0);
+        record.note(format_args!("client: POST /q/{name}, answer {status}"));
+        *answers.entry(status).or_insert(0) += 1;
     }
     record.line(format_args!("answers to them, by status: {answers:?}"));
     let (status, _) = fleet.noted_call("DELETE", 0, cancelled, &Value::Null).await;
@@ -305,6 +307,7 @@
         for number in 0..BODIES {
             let path = format!("/q/00000000000e{number:04x}");
             let (status, _) = http_io::call(&client, "POST", address, &path, Some(fleet::KEY), &large).await;
+            storm_record.note(format_args!("client: POST {path}, answer {status}"));
             *answers.entry(status).or_insert(0) += 1;
         }
         storm_record.line(format_args!("answers to these, by status: {answers:?}"));
--- a/review/stand_ins_2/src/fleet.rs
+++ b/review/stand_ins_2/src/fleet.rs
@@ -206,6 +206,12 @@
         for node in &mut self.nodes {
             node.kill();
         }
+        for run in self.runs() {
+            self.record.note(format_args!(
+                "run of {} on {}, cpu {}: from {} ms, end {:?}, end taken note of at {:?}",
+                run.task, run.runner, run.cpu, run.started_ms, run.ended, run.noted_ms
+            ));
+        }
         self.keep_logs();
         let _ = std::fs::remove_dir_all(&self.directory);
     }
--- a/review/stand_ins_2/src/main.rs
+++ b/review/stand_ins_2/src/main.rs
@@ -1,4 +1,4 @@
-//! Runs one case of the review: `review-case NAME DIRECTORY`. Exits with 1 if the rule was broken, 0 if it held, 2 if
+//! Runs one case of the review: `review-case NAME RECORD`. Exits with 1 if the rule was broken, 0 if it held, 2 if
 //! the case could not run. With `TROUBLE=0` in the environment the disruption is left out.
 
 mod cases;
@@ -36,9 +36,9 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let (name, directory) = (arguments[1].clone(), PathBuf::from(&arguments[2]));
+    let (name, path) = (arguments[1].clone(), PathBuf::from(&arguments[2]));
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let record = Record::create(&directory.join("record.txt"));
+    let record = Record::create(&path);
     record.line(format_args!(
         "case {name}, disruption: {}",
         if has_trouble { "yes" } else { "no" }
--- a/review/stand_ins_2/src/record.rs
+++ b/review/stand_ins_2/src/record.rs
@@ -26,9 +26,14 @@
     }
 
     pub fn line(&self, text: impl Display) {
+        print!("{}", self.note(text));
+    }
+
+    /// Writes a line to `record.txt` only. Returns the line.
+    pub fn note(&self, text: impl Display) -> String {
         let line = format!("{:>7} ms  {text}\n", self.now_ms());
         let mut file = self.file.lock().expect("record");
         file.write_all(line.as_bytes()).expect("record");
-        print!("{line}");
+        line
     }
 }
