Log what an organisation's tasks need at its limit

Tasks that an organisation's limit holds back left no line in the log, so that an allowance too small for a single task, an allowance that another pool still holds, and a plan that never arrives could not be told apart.

The 'task held' line now names the demand, the usage, the allowance and the version of the plan; for finite tasks one such line is written in each review.

--- a/src/dispatch/pool_scheduler/held_tasks.rs
+++ b/src/dispatch/pool_scheduler/held_tasks.rs
@@ -5,9 +5,12 @@
 use std::time::{Duration, Instant};
 
 use crate::dispatch::hold_reason::HoldReason;
+use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::placement;
 use crate::dispatch::pool_scheduler::PoolScheduler;
 use crate::dispatch::task_id::StepId;
+use crate::model::id::OrganisationId;
+use crate::model::resource::ResourceSet;
 
 /// Time between two reviews of the waiting tasks; each looks at all jobs.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
@@ -98,6 +101,7 @@
             .collect();
         held.sort_unstable();
         let mut counts = BTreeMap::new();
+        let mut has_logged_limit = false;
         for (examined, (is_finite, since, step)) in held.into_iter().enumerate() {
             let waiting = self.job_step(&step).map_or(0, |state| {
                 state.tasks.iter().filter(|task| task.is_waiting(now)).count()
@@ -109,8 +113,11 @@
             };
             *counts.entry(reason).or_insert(0) += waiting as u64;
             let is_usual = is_finite || reason == HoldReason::NotExamined;
-            let is_logged = !is_usual || reason > HoldReason::Unreachable;
+            // Hundreds of jobs may wait at a limit; one of them tells what it has come to.
+            let is_first_at_limit = reason == HoldReason::OrganisationLimit && !has_logged_limit;
+            let is_logged = !is_usual || reason > HoldReason::Unreachable || is_first_at_limit;
             if is_logged && self.held.start_log(now, &step) {
+                has_logged_limit |= is_first_at_limit;
                 let held_ms = now.saturating_duration_since(since).as_millis();
                 let kind = if is_finite { "finite" } else { "long-running" };
                 let inputs = format!(
@@ -123,7 +130,21 @@
         self.held.counts = Some(counts);
     }
 
-    /// What holds back the first waiting task of a step, and the workers behind the reason as text.
+    /// What a task of the step needs and what the pool may use of the organisation's limit, as text.
+    fn describe_limit(&self, organisation: Option<&OrganisationId>, spec: &StepSpec) -> String {
+        let find = |amounts: &BTreeMap<OrganisationId, ResourceSet>| {
+            organisation.and_then(|organisation| amounts.get(organisation).copied())
+        };
+        format!(
+            "; a task needs {}, used {}, allowance {}, plan {}",
+            spec.demand,
+            find(&self.usage).unwrap_or_default(),
+            find(&self.plan.allowances).unwrap_or_default(),
+            self.plan.version
+        )
+    }
+
+    /// What holds back the first waiting task of a step, and the facts behind the reason as text.
     fn find_hold_reason(&mut self, now: Instant, step: &StepId) -> (HoldReason, String) {
         let has_link_budget = self.start_budget.has_room(now);
         let reason = |reason| (reason, String::new());
@@ -141,7 +162,10 @@
             return reason(HoldReason::UnknownZones);
         }
         if !self.is_within_limit(job.record.organisation.as_ref(), &spec.demand) {
-            return reason(HoldReason::OrganisationLimit);
+            return (
+                HoldReason::OrganisationLimit,
+                self.describe_limit(job.record.organisation.as_ref(), spec),
+            );
         }
         if !has_link_budget {
             return reason(HoldReason::LinkBudget);
--- a/src/model/resource.rs
+++ b/src/model/resource.rs
@@ -1,12 +1,14 @@
 //! Amounts of resources that a task requires or an instance provides.
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::model::amount::{AcceleratorCount, MemoryMib, MilliCores};
 
 /// Amounts of processor capacity, memory and accelerators. An absent number of accelerators is read as 0.
 #[expect(missing_docs, reason = "the types of the fields name the units")]
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+#[display("{cores} millicores, {memory} MiB, {accelerators} accelerators")]
 pub struct ResourceSet {
     pub cores: MilliCores,
     pub memory: MemoryMib,
