Never round off what a pool needs of a limit

Cause: the split of a limit into allowances rounded each allowance down to a multiple of 1/64 of the limit, 4,000 to 3,968, also where the pool's tasks need more than the rounded amount.

The rounding only keeps small changes from causing new plans, so that what is needed may be exempt from it.

--- a/src/dispatch/allowance_split.rs
+++ b/src/dispatch/allowance_split.rs
@@ -7,8 +7,8 @@
 
 use crate::model::id::PoolId;
 
-/// Target allowances are rounded down to multiples of 1/64 of the limit, so that small changes of demand do
-/// not cause a new plan.
+/// Target allowances above the demand are rounded down to multiples of 1/64 of the limit, so that small changes of
+/// demand do not cause a new plan.
 const LIMIT_PARTS: u64 = 64;
 
 /// Demand of one pool for one resource of a limit.
@@ -74,7 +74,9 @@
     let targets = demands.iter().map(|(pool, demand)| {
         let share = shares.get(pool).copied().unwrap_or_default();
         let whole = (demand.used + share + rest).min(limit);
-        (pool.clone(), whole / part * part)
+        // What the pool's tasks need is never rounded off: a task that needs the whole limit would not start.
+        let needed = demand.used.saturating_add(demand.wanted).min(whole);
+        (pool.clone(), (whole / part * part).max(needed))
     });
     targets.collect()
 }
--- /dev/null
+++ b/tests/pool_decisions/limit_fleet.rs
@@ -0,0 +1,488 @@
+//! Pools that share the limit of one organisation: the scheduler of each pool and the fleet planner on a virtual
+//! clock. Reports and plans take time, may be held up, and leaders may be lost.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use figloft::dispatch::command::{PoolCommand, StartCommand, StartOutcome};
+use figloft::dispatch::fleet_planner::{FleetCommand, FleetPlanner};
+use figloft::dispatch::job_record::JobRecord;
+use figloft::dispatch::job_spec::StepSpec;
+use figloft::dispatch::pool_plan::{PoolPlan, PoolReport};
+use figloft::dispatch::pool_scheduler::PoolScheduler;
+use figloft::dispatch::scheduler_timing::SchedulerTiming;
+use figloft::dispatch::site_config::{OrganisationConfig, PoolConfig, SiteConfig};
+use figloft::dispatch::takeover::TakeoverState;
+use figloft::dispatch::worker_entry::WorkerEntry;
+use figloft::dispatch::worker_report::{EndedRun, RunOutcome, WorkerReport};
+use figloft::model::amount::{MemoryMib, MilliCores};
+use figloft::model::id::{InstanceId, JobId, LeaderTerm, OrganisationId, PoolId, WorkerId};
+use figloft::model::listed_rows::ListedRows;
+use figloft::model::resource::ResourceSet;
+use figloft::model::unix_time::UnixMillis;
+
+use crate::setup::{WALL, entry, job_id, record, running_row, store_changes};
+
+/// Time between two decisions of each leader.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time between two reports of a pool; the same as that of a leader without urgent changes.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time that a report or a plan takes.
+const DELAY: Duration = Duration::from_millis(100);
+
+/// Cores of each worker.
+pub const WORKER_CORES: u64 = 32;
+
+pub fn organisation() -> OrganisationId {
+    OrganisationId::new("org").expect("organisation")
+}
+
+pub fn pool_id(number: usize) -> PoolId {
+    PoolId::new(format!("pool-{number}")).expect("pool")
+}
+
+/// Amounts of processor capacity and memory; 0 stands for no limit.
+pub fn amounts(millicores: u64, memory: u64) -> ResourceSet {
+    ResourceSet::new(MilliCores::new(millicores), MemoryMib::new(memory))
+}
+
+struct ActiveTask {
+    start: StartCommand,
+    demand: ResourceSet,
+    end_at: Instant,
+}
+
+struct FakeRunner {
+    entry: WorkerEntry,
+    active: Vec<ActiveTask>,
+    ended: Vec<EndedRun>,
+    sequence: u64,
+}
+
+struct FakePool {
+    scheduler: PoolScheduler,
+    term: u64,
+    runners: Vec<FakeRunner>,
+    /// Plans on their way, with the time at which they arrive.
+    plans: VecDeque<(Instant, PoolPlan)>,
+    /// The newest plan in the store.
+    stored_plan: PoolPlan,
+    plan_in_force: PoolPlan,
+    /// Jobs that wait for a leader that takes them in.
+    inbox: Vec<JobRecord>,
+    known_jobs: BTreeSet<JobId>,
+    /// Reports on their way, with the time at which they arrive.
+    reports: VecDeque<(Instant, PoolReport)>,
+    last_report: Option<(Instant, PoolReport)>,
+    /// Time until which reports and plans are held up.
+    held_up_until: Instant,
+    /// Time until which the pool has no leader.
+    no_leader_until: Option<Instant>,
+}
+
+/// Pools that share the limit of one organisation.
+pub struct LimitFleet {
+    pub now: Instant,
+    begin: Instant,
+    planner: FleetPlanner,
+    config: SiteConfig,
+    pools: Vec<FakePool>,
+    jobs: BTreeMap<usize, (usize, JobRecord)>,
+    run_times: BTreeMap<usize, Duration>,
+    /// Time at which each job had its first start.
+    pub started_at: BTreeMap<usize, Instant>,
+    /// The highest limit of which a part may still be in use.
+    bound: ResourceSet,
+    /// The first violation of the limit.
+    pub violation: Option<String>,
+    has_fleet_leader: bool,
+}
+
+impl LimitFleet {
+    /// Creates pools with `workers` workers each, whose organisation may use `limit`.
+    pub fn new(pools: usize, workers: usize, limit: ResourceSet) -> Self {
+        let now = Instant::now();
+        let mut fleet = Self {
+            now,
+            begin: now,
+            planner: FleetPlanner::new(),
+            config: SiteConfig::default(),
+            pools: Vec::new(),
+            jobs: BTreeMap::new(),
+            run_times: BTreeMap::new(),
+            started_at: BTreeMap::new(),
+            bound: limit,
+            violation: None,
+            has_fleet_leader: true,
+        };
+        for number in 0..pools {
+            let config = PoolConfig {
+                enforces_capacity: true,
+                ..PoolConfig::default()
+            };
+            fleet.config.pools.insert(pool_id(number), config);
+            let runners = (0..workers).map(|index| fake_runner(number, index)).collect();
+            fleet.pools.push(FakePool {
+                scheduler: scheduler(number, 1, TakeoverState::default()),
+                term: 1,
+                runners,
+                plans: VecDeque::new(),
+                stored_plan: PoolPlan::default(),
+                plan_in_force: PoolPlan::default(),
+                inbox: Vec::new(),
+                known_jobs: BTreeSet::new(),
+                reports: VecDeque::new(),
+                last_report: None,
+                held_up_until: now,
+                no_leader_until: None,
+            });
+        }
+        fleet.set_limit(limit);
+        for pool in &mut fleet.pools {
+            for runner in &pool.runners {
+                pool.scheduler.set_worker(now, runner.entry.clone());
+            }
+        }
+        fleet.run_for(Duration::from_secs(3));
+        fleet
+    }
+
+    /// Changes the limit of the organisation.
+    pub fn set_limit(&mut self, limit: ResourceSet) {
+        let config = OrganisationConfig {
+            limit,
+            ..OrganisationConfig::default()
+        };
+        self.config.organisations.insert(organisation(), config);
+        self.bound = self.bound.component_max(&limit);
+        self.planner.set_config(&self.config);
+        for pool in &mut self.pools {
+            pool.scheduler.set_config(&self.config);
+        }
+    }
+
+    /// Submits a job to a pool, whose tasks each run for `run_time`.
+    pub fn submit(&mut self, pool: usize, number: usize, steps: Vec<StepSpec>, run_time: Duration) {
+        let mut record = record(number, steps);
+        record.pool = pool_id(pool);
+        record.organisation = Some(organisation());
+        let elapsed = self.now.saturating_duration_since(self.begin).as_millis() as u64;
+        record.accepted_at = UnixMillis::new(WALL.get() + elapsed);
+        self.jobs.insert(number, (pool, record.clone()));
+        self.run_times.insert(number, run_time);
+        let pool = &mut self.pools[pool];
+        if pool.no_leader_until.is_none() {
+            pool.known_jobs.insert(record.id.clone());
+            pool.scheduler.submit(self.now, self.now, record, None);
+        } else {
+            pool.inbox.push(record);
+        }
+    }
+
+    pub fn cancel(&mut self, number: usize) {
+        if let Some((pool, _)) = self.jobs.get(&number) {
+            let pool = &mut self.pools[*pool];
+            pool.inbox.retain(|record| record.id != job_id(number));
+            pool.scheduler.cancel(&job_id(number));
+        }
+    }
+
+    /// Holds up the reports of a pool and the plans for it.
+    pub fn hold_up(&mut self, pool: usize, time: Duration) {
+        self.pools[pool].held_up_until = self.now + time;
+    }
+
+    /// Replaces the leader of the fleet by one that knows the stored plans only.
+    pub fn lose_fleet_leader(&mut self) {
+        self.planner = FleetPlanner::new();
+        self.planner.set_config(&self.config);
+        for (number, pool) in self.pools.iter().enumerate() {
+            self.planner.set_plan(pool_id(number), pool.stored_plan.clone());
+            if let Some((_, report)) = &pool.last_report {
+                self.planner.set_report(pool_id(number), report.clone());
+            }
+        }
+    }
+
+    /// Stops the leader of the fleet for good.
+    pub fn stop_fleet_leader(&mut self) {
+        self.has_fleet_leader = false;
+    }
+
+    /// Ends the leader of a pool; the next one takes over after `time`.
+    pub fn lose_pool_leader(&mut self, pool: usize, time: Duration) {
+        self.pools[pool].no_leader_until = Some(self.now + time);
+    }
+
+    /// Removes all workers of a pool that run nothing, without replacement.
+    pub fn remove_idle_workers(&mut self, pool: usize) {
+        let pool = &mut self.pools[pool];
+        for runner in pool.runners.iter().filter(|runner| runner.active.is_empty()) {
+            pool.scheduler.remove_worker(&runner.entry.id);
+        }
+        pool.runners.retain(|runner| !runner.active.is_empty());
+    }
+
+    pub fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.tick();
+        }
+    }
+
+    pub fn has_started(&self, number: usize) -> bool {
+        self.started_at.contains_key(&number)
+    }
+
+    /// Jobs that are neither done nor cancelled.
+    pub fn open_jobs(&self) -> Vec<usize> {
+        let is_open = |(number, (pool, _)): &(&usize, &(usize, JobRecord))| {
+            let (pool, id) = (&self.pools[*pool], job_id(**number));
+            let job = pool.scheduler.job(&id);
+            job.is_some_and(|job| !job.state.is_final()) || pool.inbox.iter().any(|record| record.id == id)
+        };
+        let open = self.jobs.iter().filter(is_open);
+        open.map(|(number, _)| *number).collect()
+    }
+
+    /// What the organisation's tasks use on the workers of a pool.
+    pub fn used(&self, pool: usize) -> ResourceSet {
+        let runners = &self.pools[pool].runners;
+        let active = runners.iter().flat_map(|runner| &runner.active);
+        active.fold(ResourceSet::default(), |sum, task| sum.plus(&task.demand))
+    }
+
+    fn tick(&mut self) {
+        self.now += TICK;
+        let now = self.now;
+        for (number, pool) in self.pools.iter_mut().enumerate() {
+            pool.end_tasks(now);
+            if pool.no_leader_until.is_some_and(|until| now >= until) {
+                pool.no_leader_until = None;
+                pool.take_over(now, number, &self.config);
+            }
+        }
+        self.deliver(now);
+        if self.has_fleet_leader {
+            for command in self.planner.decide(now) {
+                if let FleetCommand::PublishPlan(id, plan) = command {
+                    let number = (0..self.pools.len()).find(|number| pool_id(*number) == id);
+                    let pool = &mut self.pools[number.expect("pool")];
+                    pool.stored_plan = plan.clone();
+                    pool.plans.push_back((now + DELAY, plan));
+                }
+            }
+        }
+        for number in 0..self.pools.len() {
+            self.decide(number);
+        }
+        self.check_limit();
+    }
+
+    fn deliver(&mut self, now: Instant) {
+        for (number, pool) in self.pools.iter_mut().enumerate() {
+            if now < pool.held_up_until {
+                continue;
+            }
+            while pool.reports.front().is_some_and(|(at, _)| now >= *at) {
+                if let Some((_, report)) = pool.reports.pop_front() {
+                    self.planner.set_report(pool_id(number), report);
+                }
+            }
+            if pool.no_leader_until.is_some() {
+                continue;
+            }
+            while pool.plans.front().is_some_and(|(at, _)| now >= *at) {
+                if let Some((_, plan)) = pool.plans.pop_front() {
+                    pool.plan_in_force = plan.clone();
+                    pool.scheduler.set_plan(plan);
+                }
+            }
+        }
+    }
+
+    fn decide(&mut self, number: usize) {
+        let now = self.now;
+        let pool = &mut self.pools[number];
+        if pool.no_leader_until.is_some() {
+            return;
+        }
+        for command in pool.scheduler.decide(now, WALL, true) {
+            match command {
+                PoolCommand::Start(start) => {
+                    let job = self
+                        .jobs
+                        .iter()
+                        .find(|(id, _)| job_id(**id) == start.run.task.step.job);
+                    let (id, (_, record)) = job.expect("job");
+                    self.started_at.entry(*id).or_insert(now);
+                    let step = &record.spec.steps[start.run.task.step.step as usize];
+                    let runner = pool.runners.iter_mut();
+                    let runner = runner
+                        .filter(|runner| runner.entry.id == start.target.worker)
+                        .next_back();
+                    let Some(runner) = runner else {
+                        continue;
+                    };
+                    let (worker, run) = (start.target.worker.clone(), start.run.clone());
+                    let run_time = if step.is_long_running {
+                        Duration::from_hours(1)
+                    } else {
+                        self.run_times[id]
+                    };
+                    runner.active.push(ActiveTask {
+                        start,
+                        demand: step.demand,
+                        end_at: now + run_time,
+                    });
+                    pool.scheduler
+                        .handle_start_outcome(now, &worker, &run, StartOutcome::Started);
+                }
+                PoolCommand::Stop(target, run) => {
+                    for runner in &mut pool.runners {
+                        if runner.entry.id == target.worker {
+                            runner.end(RunOutcome::Stopped, |task| task.start.run == run);
+                        }
+                    }
+                }
+                PoolCommand::Poll(poll) => {
+                    let runner = pool.runners.iter_mut();
+                    let found = runner
+                        .filter(|runner| runner.entry.id == poll.target.worker)
+                        .next_back();
+                    if let Some(runner) = found {
+                        runner.ended.retain(|end| end.sequence > poll.acknowledged);
+                        let report = runner.report();
+                        pool.scheduler
+                            .handle_poll_report(now, &poll.target.worker, now, report);
+                    }
+                }
+                PoolCommand::SetSpeed(..) | PoolCommand::RequestAdvice(..) => {}
+            }
+        }
+        store_changes(&mut pool.scheduler);
+        let report = pool.scheduler.report(now);
+        let is_due = pool.last_report.as_ref().is_none_or(|(at, old)| {
+            let age = now.saturating_duration_since(*at);
+            report.is_significant_change(old) || (age >= REPORT_INTERVAL && report != *old)
+        });
+        if is_due {
+            pool.last_report = Some((now, report.clone()));
+            pool.reports.push_back((now + DELAY, report));
+        }
+    }
+
+    /// Checks what all pools use or may use by the plans in force against the limit. A limit that was lowered counts
+    /// once no pool can use more.
+    fn check_limit(&mut self) {
+        let mut sum = ResourceSet::default();
+        for (number, pool) in self.pools.iter().enumerate() {
+            let allowances = &pool.plan_in_force.allowances;
+            let allowed = allowances.get(&organisation()).copied().unwrap_or_default();
+            sum = sum.plus(&self.used(number).component_max(&allowed));
+        }
+        let limit = self.config.organisations[&organisation()].limit;
+        let exceeds = |limit: &ResourceSet| {
+            let cores = limit.cores.get() > 0 && sum.cores > limit.cores;
+            cores || (limit.memory.get() > 0 && sum.memory > limit.memory)
+        };
+        if !exceeds(&limit) {
+            self.bound = limit;
+        }
+        if exceeds(&self.bound) && self.violation.is_none() {
+            self.violation = Some(format!("{sum} of {}", self.bound));
+        }
+    }
+}
+
+impl FakePool {
+    fn end_tasks(&mut self, now: Instant) {
+        for runner in &mut self.runners {
+            runner.end(RunOutcome::Done, |task| task.end_at <= now);
+        }
+    }
+
+    fn take_over(&mut self, now: Instant, number: usize, config: &SiteConfig) {
+        self.term += 1;
+        let former = self
+            .runners
+            .iter()
+            .map(|runner| runner.entry.id.clone())
+            .collect();
+        let takeover = TakeoverState::from_former_leader(now, former, SchedulerTiming::default().lease);
+        let mut next = scheduler(number, self.term, takeover);
+        next.set_config(config);
+        next.set_plan(self.stored_plan.clone());
+        self.plan_in_force = self.stored_plan.clone();
+        self.plans.clear();
+        for runner in &self.runners {
+            next.set_worker(now, runner.entry.clone());
+        }
+        for id in std::mem::take(&mut self.known_jobs) {
+            let open = self.scheduler.job(&id).filter(|job| !job.state.is_final());
+            if let Some(job) = open {
+                next.submit(now, now, job.record.clone(), Some(&job.progress()));
+                self.known_jobs.insert(id);
+            }
+        }
+        for record in std::mem::take(&mut self.inbox) {
+            self.known_jobs.insert(record.id.clone());
+            next.submit(now, now, record, None);
+        }
+        self.scheduler = next;
+    }
+}
+
+impl FakeRunner {
+    fn end(&mut self, outcome: RunOutcome, has_ended: impl Fn(&ActiveTask) -> bool) {
+        let (ended, active) = std::mem::take(&mut self.active)
+            .into_iter()
+            .partition(|task| has_ended(task));
+        self.active = active;
+        let ended: Vec<ActiveTask> = ended;
+        for task in ended {
+            self.sequence += 1;
+            self.ended.push(EndedRun {
+                sequence: self.sequence,
+                task: task.start.run.task.clone(),
+                run: task.start.run.number,
+                outcome,
+                checkpoint: Arc::default(),
+            });
+        }
+    }
+
+    fn report(&self) -> WorkerReport {
+        WorkerReport {
+            clock_ms: 5_000,
+            incarnation: Some(UnixMillis::new(1)),
+            running: self.active.iter().map(|task| running_row(&task.start)).collect(),
+            ended: ListedRows::Whole(self.ended.clone()),
+        }
+    }
+}
+
+fn fake_runner(pool: usize, index: usize) -> FakeRunner {
+    let mut entry = entry(index, WORKER_CORES);
+    entry.id = WorkerId::new(format!("i-{pool}-{index}")).expect("worker");
+    entry.instance = Some(InstanceId::new(format!("m-{pool}-{index}")).expect("instance"));
+    entry.pool = pool_id(pool);
+    FakeRunner {
+        entry,
+        active: Vec::new(),
+        ended: Vec::new(),
+        sequence: 0,
+    }
+}
+
+fn scheduler(pool: usize, term: u64, takeover: TakeoverState) -> PoolScheduler {
+    PoolScheduler::new(
+        pool_id(pool),
+        LeaderTerm::new(term),
+        SchedulerTiming::default(),
+        takeover,
+    )
+}
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -13,6 +13,8 @@
 mod held_tasks;
 mod isolation;
 mod late_starts;
+mod limit_fleet;
+mod limits;
 mod load;
 mod load_digest;
 mod malformed;
