Divide a limit by need, whatever runs already

Callers saw: beside a backlog in one pool, tasks of the same organisation in another pool waited until the backlog had ended.

Cause: the split of a limit covered what runs before it divided the rest among what waits. A pool with a backlog uses its whole allowance and replaces each run that ends, so that nothing was ever left.

Change: the lowest amounts are raised equally up to what each pool uses and wants. A pool above its part starts nothing until enough of its runs have ended; other pools get that part only once it has confirmed the lower allowance, as before.

Evidence: backlog_of_another_pool_gives_up_a_part_of_the_limit failed before the change (nothing of the second pool started in 5 s) and passes with it.

--- a/src/dispatch/allowance_split.rs
+++ b/src/dispatch/allowance_split.rs
@@ -46,37 +46,43 @@
     allowances
 }
 
-/// The split that follows demand and ignores the upper bounds of other pools: it covers usage first, then
-/// waiting work, and divides the rest equally. What is left for waiting work is filled up equally, so that a single
-/// task is granted beside a backlog that exceeds the limit many times.
+/// The split that follows demand and ignores the upper bounds of other pools: it raises the lowest amounts equally up
+/// to what the pools use and want, and divides the rest equally. What runs has no precedence: a pool that replaces each
+/// run that ends would never give up a part of its allowance.
 fn unconstrained_split(limit: u64, demands: &BTreeMap<PoolId, PoolDemandShare>) -> BTreeMap<PoolId, u64> {
     let part = (limit / LIMIT_PARTS).max(1);
-    let used: u64 = demands.values().map(|demand| demand.used).sum();
-    let mut left = limit.saturating_sub(used);
-    // Whole parts, since rounding down would leave too little for the last task.
-    let missing = |demand: &PoolDemandShare| {
-        let needed = demand.used.saturating_add(demand.wanted).div_ceil(part);
-        needed.saturating_mul(part).saturating_sub(demand.used)
-    };
-    let mut waiting: Vec<(u64, &PoolId)> = demands
-        .iter()
-        .filter(|(_, demand)| demand.wanted > 0)
-        .map(|(pool, demand)| (missing(demand), pool))
-        .collect();
-    waiting.sort();
-    let mut shares: BTreeMap<&PoolId, u64> = BTreeMap::new();
-    for (number, (missing, pool)) in waiting.iter().enumerate() {
-        let share = (*missing).min(left / (waiting.len() - number) as u64);
-        left -= share;
-        shares.insert(*pool, share);
-    }
-    let rest = left / demands.len().max(1) as u64;
+    let whole = |demand: &PoolDemandShare| demand.used.saturating_add(demand.wanted);
+    let wanted = |demand: &PoolDemandShare| whole(demand).div_ceil(part).saturating_mul(part);
+    let level = fill_level(limit, demands.values().map(wanted));
+    let sum = demands
+        .values()
+        .map(|demand| wanted(demand).min(level))
+        .sum::<u64>();
+    let rest = limit.saturating_sub(sum) / demands.len().max(1) as u64;
     let targets = demands.iter().map(|(pool, demand)| {
-        let share = shares.get(pool).copied().unwrap_or_default();
-        let whole = (demand.used + share + rest).min(limit);
+        let share = (wanted(demand).min(level) + rest).min(limit);
         // What the pool's tasks need is never rounded off: a task that needs the whole limit would not start.
-        let needed = demand.used.saturating_add(demand.wanted).min(whole);
-        (pool.clone(), (whole / part * part).max(needed))
+        let needed = whole(demand).min(share);
+        (pool.clone(), (share / part * part).max(needed))
     });
     targets.collect()
 }
+
+/// The highest level to which all amounts can be raised, each up to its upper bound, so that their sum stays within
+/// `limit`.
+fn fill_level(limit: u64, bounds: impl Iterator<Item = u64> + Clone) -> u64 {
+    let is_within = |level: u64| {
+        let amounts = bounds.clone().map(|bound| level.min(bound));
+        amounts.fold(0, u64::saturating_add) <= limit
+    };
+    let (mut low, mut high) = (0, limit);
+    while low < high {
+        let middle = low + (high - low).div_ceil(2);
+        if is_within(middle) {
+            low = middle;
+        } else {
+            high = middle - 1;
+        }
+    }
+    low
+}
--- a/tests/pool_decisions/limits.rs
+++ b/tests/pool_decisions/limits.rs
@@ -30,3 +30,16 @@
         assert!(fleet.has_started(0), "limit {limit}");
     }
 }
+
+/// Guards against a waiting task that gets nothing of the limit while another pool has a backlog: what runs was covered
+/// before what waits, so that a pool which replaced each run that ended kept the whole limit.
+#[test]
+fn backlog_of_another_pool_gives_up_a_part_of_the_limit() {
+    let mut fleet = LimitFleet::new(2, 4, amounts(4_000, 0));
+    fleet.submit(0, 0, vec![tasks(400, amounts(500, 64))], SECOND);
+    fleet.run_for(5 * SECOND);
+    fleet.submit(1, 1, vec![tasks(2, amounts(500, 64))], SECOND);
+    fleet.run_for(5 * SECOND);
+    assert!(fleet.has_started(1));
+    assert_eq!(fleet.violation, None);
+}
