Grant a limit in whole starts, to one pool after the other

Cause: what was left of a limit was divided equally among the pools, each resource by itself, whatever one start needs. Each pool got 1,984 of 4,000 for a task of 2,500; neither could use it, and nothing changed any more. Gangs that need more than their pool's part as a whole, and tasks of which one pool got the processor cores and another one the memory, waited in the same way.

Change: a pool reports what its next start needs as a whole, a task or all members of a gang, and what its long-running tasks keep. The fleet leader grants pools whole starts, all resources together, and divides only the rest by demand. A pool for whose next start too little is left keeps no more than it uses. Where the limit holds one of several starts, the pool comes first that used the limit least recently. What is kept for a start that does not come is released for as long as it was kept; the time doubles. Demand above the whole limit, above what long-running tasks leave, or that fits no worker takes nothing from others. Allowances still rise only by what other pools have confirmed to give up.

Two properties are checked over random series of submissions, ends, cancellations, changes of the limit, late reports and plans, and lost leaders: what all pools use or may use stays within the limit, and all work that fits it ends; and each pool with a backlog starts something again and again.

--- a/src/dispatch/fleet_planner.rs
+++ b/src/dispatch/fleet_planner.rs
@@ -4,14 +4,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use crate::dispatch::allowance_split::{self, PoolDemandShare};
+use crate::dispatch::allowance_split::{LimitSplit, PoolDemand};
+use crate::dispatch::limit_turns::LimitTurns;
 use crate::dispatch::pool_plan::{PoolPlan, PoolReport, WorkerUsage};
 use crate::dispatch::pool_size::{PoolNeed, PoolSizer, SizingInput};
 use crate::dispatch::site_config::SiteConfig;
 use crate::dispatch::wave_plan::{
     InstanceEntry, InstanceOutcome, InstanceState, WavePlan, WaveProgress, WaveRequest,
 };
-use crate::model::amount::{AcceleratorCount, MemoryMib, MilliCores};
 use crate::model::id::{InstanceId, OrganisationId, PlanVersion, PoolId, WorkerId, ZoneId};
 use crate::model::resource::ResourceSet;
 
@@ -46,6 +46,7 @@
     /// Allowances of the plans that this leader published and that a pool may still follow: the plan that its
     /// report names and later ones.
     followed: BTreeMap<PoolId, BTreeMap<PlanVersion, BTreeMap<OrganisationId, ResourceSet>>>,
+    limit_turns: LimitTurns,
     waves: BTreeMap<WaveNumber, WavePlan>,
     unsaved_waves: BTreeSet<WaveNumber>,
     sizer: PoolSizer,
@@ -237,7 +238,7 @@
             self.advance_waves(now, &usages, &mut commands);
             self.resize_pools(now, &usages, &mut commands);
         }
-        self.publish_plans(&mut commands);
+        self.publish_plans(now, &mut commands);
         commands
     }
 
@@ -306,9 +307,9 @@
         usages.map(|(id, usage)| (id.clone(), usage.clone())).collect()
     }
 
-    fn publish_plans(&mut self, commands: &mut Vec<FleetCommand>) {
+    fn publish_plans(&mut self, now: Instant, commands: &mut Vec<FleetCommand>) {
         let pools: Vec<PoolId> = self.config.active_pools().cloned().collect();
-        let allowances = self.allowances(&pools);
+        let allowances = self.allowances(now, &pools);
         for pool in &pools {
             let evacuating = self.evacuating_workers(pool);
             let granted = allowances.get(pool).cloned().unwrap_or_default();
@@ -405,49 +406,50 @@
         bound.component_max(&used)
     }
 
-    fn allowances(&self, pools: &[PoolId]) -> BTreeMap<PoolId, BTreeMap<OrganisationId, ResourceSet>> {
+    fn allowances(
+        &mut self,
+        now: Instant,
+        pools: &[PoolId],
+    ) -> BTreeMap<PoolId, BTreeMap<OrganisationId, ResourceSet>> {
+        let mut turns = std::mem::take(&mut self.limit_turns);
+        let limits = self.config.organisations.iter();
+        let limits = limits
+            .map(|(organisation, config)| (organisation, config.limit))
+            .filter(|(_, limit)| *limit != ResourceSet::default());
         let mut allowances: BTreeMap<PoolId, BTreeMap<OrganisationId, ResourceSet>> = BTreeMap::new();
-        for (organisation, config) in &self.config.organisations {
-            if config.limit == ResourceSet::default() {
-                continue;
-            }
-            let demand = |amount: fn(&ResourceSet) -> u64| -> BTreeMap<PoolId, PoolDemandShare> {
-                let shares = pools
-                    .iter()
-                    .map(|pool| (pool.clone(), self.demand_share(pool, organisation, amount)));
-                shares.collect()
-            };
-            let cores = allowance_split::split(config.limit.cores.get(), &demand(|set| set.cores.get()));
-            let memory = allowance_split::split(config.limit.memory.get(), &demand(|set| set.memory.get()));
-            let accelerators = allowance_split::split(
-                u64::from(config.limit.accelerators.get()),
-                &demand(|set| u64::from(set.accelerators.get())),
-            );
-            for pool in pools {
-                let count = u32::try_from(accelerators[pool]).unwrap_or(u32::MAX);
-                let granted = ResourceSet::new(MilliCores::new(cores[pool]), MemoryMib::new(memory[pool]))
-                    .with_accelerators(AcceleratorCount::new(count));
-                allowances
-                    .entry(pool.clone())
-                    .or_default()
-                    .insert(organisation.clone(), granted);
+        for (organisation, limit) in limits {
+            let demands = pools
+                .iter()
+                .map(|pool| (pool.clone(), self.pool_demand(pool, organisation)));
+            let LimitSplit {
+                allowances: granted, ..
+            } = turns.split(now, organisation, &limit, &demands.collect());
+            for (pool, granted) in granted {
+                let of_pool = allowances.entry(pool).or_default();
+                of_pool.insert(organisation.clone(), granted);
             }
         }
+        self.limit_turns = turns;
         allowances
     }
 
-    fn demand_share(
-        &self,
-        pool: &PoolId,
-        organisation: &OrganisationId,
-        amount: fn(&ResourceSet) -> u64,
-    ) -> PoolDemandShare {
-        let report = self.reports.get(pool);
-        let find = |sets: &BTreeMap<OrganisationId, ResourceSet>| sets.get(organisation).map_or(0, amount);
-        PoolDemandShare {
-            ceiling: amount(&self.possible_usage(pool, organisation)),
-            used: report.map_or(0, |report| find(&report.usage)),
-            wanted: report.map_or(0, |report| find(&report.wanted)),
+    fn pool_demand(&self, pool: &PoolId, organisation: &OrganisationId) -> PoolDemand {
+        let ceiling = self.possible_usage(pool, organisation);
+        let Some(report) = self.reports.get(pool) else {
+            return PoolDemand {
+                ceiling,
+                ..PoolDemand::default()
+            };
+        };
+        let find = |amounts: &BTreeMap<OrganisationId, ResourceSet>| {
+            amounts.get(organisation).copied().unwrap_or_default()
+        };
+        PoolDemand {
+            ceiling,
+            used: find(&report.usage),
+            pinned: find(&report.pinned),
+            wanted: find(&report.wanted),
+            next_start: report.next_starts.get(organisation).copied(),
         }
     }
 }
--- a/src/dispatch/pool_plan.rs
+++ b/src/dispatch/pool_plan.rs
@@ -7,6 +7,7 @@
 use crate::model::default_value;
 use crate::model::id::{OrganisationId, PlanVersion, WorkerId, ZoneId};
 use crate::model::resource::ResourceSet;
+use crate::model::unix_time::UnixMillis;
 
 /// A change of the ready work by more than this part (1/4) of a worker's CPU capacity is reported at once.
 const SIGNIFICANT_PART: u64 = 4;
@@ -69,6 +70,16 @@
     }
 }
 
+/// The first start of an organisation's tasks that waits in a pool.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct NextStart {
+    /// Resources that it needs as a whole: those of a task, or of all members of a gang.
+    pub demand: ResourceSet,
+    /// Time at which its job was accepted.
+    pub accepted_at: UnixMillis,
+}
+
 /// Report of a pool leader to the fleet leader, also read by the next leader of the pool.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -79,8 +90,15 @@
     pub workers: BTreeMap<WorkerId, WorkerUsage>,
     /// Resources of the active runs of each organisation.
     pub usage: BTreeMap<OrganisationId, ResourceSet>,
-    /// Resources of the tasks of each organisation that are ready to start.
+    /// The part of `usage` that long-running tasks keep. Absent in reports of earlier versions.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub pinned: BTreeMap<OrganisationId, ResourceSet>,
+    /// Resources of the tasks of each organisation that are ready to start, and fit the organisation's limit and a
+    /// worker.
     pub wanted: BTreeMap<OrganisationId, ResourceSet>,
+    /// The first start of each organisation with a limit that waits. Absent in reports of earlier versions.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub next_starts: BTreeMap<OrganisationId, NextStart>,
     /// Resources of all active runs.
     pub used: ResourceSet,
     /// Total resources of the workers that accept work.
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -7,7 +7,8 @@
 //! reports demand and capacity to the fleet leader, with the tasks that `unplaced_tasks` finds no worker for, and
 //! `progress_flush` collects the changes that have to be stored. `load_report` digests the load for the admission of
 //! submissions. `held_tasks` finds out what holds back tasks that wait. `zone_evacuation` closes the workers of zones
-//! under evacuation, and `cost_order` orders the starts by the cost of delay, if that is set.
+//! under evacuation, and `cost_order` orders the starts by the cost of delay, if that is set. `limit_use` keeps the starts
+//! within the limits of the organisations.
 
 mod command_outcomes;
 mod cost_order;
@@ -15,6 +16,7 @@
 mod evacuation;
 mod held_tasks;
 mod isolation;
+mod limit_use;
 mod load_report;
 mod progress_flush;
 mod task_starts;
@@ -45,6 +47,7 @@
 use crate::dispatch::pool_scheduler::cost_order::CostOrder;
 use crate::dispatch::pool_scheduler::held_tasks::HeldTasks;
 use crate::dispatch::pool_scheduler::isolation::{IsolatedJob, PlannedStart};
+use crate::dispatch::pool_scheduler::limit_use::LimitUse;
 use crate::dispatch::pool_scheduler::unplaced_tasks::UnplacedSteps;
 use crate::dispatch::scheduler_timing::SchedulerTiming;
 use crate::dispatch::site_config::{OrganisationConfig, SiteConfig};
@@ -58,7 +61,6 @@
 
 use crate::model::amount::MilliCores;
 use crate::model::id::{JobId, LeaderTerm, OrganisationId, PoolId, WorkerId, ZoneId};
-use crate::model::resource::ResourceSet;
 use crate::model::unix_time::UnixMillis;
 
 pub use progress_flush::{FlushBatch, JobKey, JobWrite};
@@ -127,8 +129,7 @@
     organisations: BTreeMap<OrganisationId, OrganisationConfig>,
     /// Whether the workers of the pool start what exceeds their capacity instead of refusing it.
     is_unguarded: bool,
-    /// Demand of the runs of each organisation, which counts against its limit.
-    usage: BTreeMap<OrganisationId, ResourceSet>,
+    limit_use: LimitUse,
     takeover: TakeoverState,
     rate_limiter: RateLimiter,
     /// Present if the order of starts depends on the cost of delay.
@@ -183,7 +184,7 @@
             emptied_zones: BTreeSet::new(),
             organisations: BTreeMap::new(),
             is_unguarded: true,
-            usage: BTreeMap::new(),
+            limit_use: LimitUse::default(),
             takeover,
             rate_limiter: RateLimiter::default(),
             cost_order: None,
@@ -459,7 +460,7 @@
         let worker = self.workers.get_mut(worker_id)?;
         let placed = worker.remove_run(&run.task, run.number)?;
         self.free_index.update(worker);
-        self.release_usage(&placed);
+        self.limit_use.remove_run(&placed);
         if !is_expired {
             self.forget_loss(worker_id, run);
         }
@@ -479,14 +480,6 @@
         Some(placed)
     }
 
-    fn release_usage(&mut self, placed: &PlacedRun) {
-        if let Some(organisation) = &placed.organisation
-            && let Some(usage) = self.usage.get_mut(organisation)
-        {
-            *usage = usage.saturating_sub(&placed.demand);
-        }
-    }
-
     fn job_step(&self, step: &StepId) -> Option<&StepState> {
         self.jobs.get(&step.job)?.step(step)
     }
--- a/src/dispatch/pool_scheduler/demand_report.rs
+++ b/src/dispatch/pool_scheduler/demand_report.rs
@@ -1,15 +1,15 @@
 //! Reports of a pool: demand and capacity for the fleet leader, and the counts of waiting jobs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
 use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::job_state::{JobOccurrence, JobRun};
 use crate::dispatch::pool_plan::{PoolReport, WorkerUsage};
-use crate::dispatch::pool_scheduler::{PoolScheduler, task_starts};
+use crate::dispatch::pool_scheduler::{PoolScheduler, limit_use, task_starts};
 use crate::dispatch::start_priority::StartClass;
 use crate::dispatch::work_forecast;
-use crate::model::id::QueueId;
+use crate::model::id::{OrganisationId, QueueId};
 use crate::model::resource::ResourceSet;
 
 impl PoolScheduler {
@@ -26,13 +26,17 @@
     pub fn report(&self, now: Instant) -> PoolReport {
         let mut report = PoolReport {
             plan: self.plan.version,
-            usage: self.usage.clone(),
+            usage: self.limit_use.used().clone(),
+            pinned: self.limit_use.pinned().clone(),
+            next_starts: self.limit_use.next_starts(),
             inflow: self.inflow.expected_usage(now),
             unplaced: self.unplaced_workers(now),
             zone_runs: self.zone_runs(),
             ..PoolReport::default()
         };
-        report.usage.retain(|_, usage| *usage != ResourceSet::default());
+        for usage in [&mut report.usage, &mut report.pinned] {
+            usage.retain(|_, usage| *usage != ResourceSet::default());
+        }
         for (id, worker) in &self.workers {
             if !worker.is_listed && worker.runs.is_empty() && !worker.outcomes.has_unlisted() {
                 continue;
@@ -68,6 +72,11 @@
     }
 
     fn add_demand(&self, now: Instant, report: &mut PoolReport) {
+        let mut lacking = BTreeSet::new();
+        let mut may_start = |organisation: &OrganisationId, spec: &StepSpec| {
+            self.fits_whole_limit(organisation, spec)
+                && limit_use::may_fit_worker(&self.workers, spec, &mut lacking)
+        };
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
             for occurrence in job.occurrences.values() {
                 let mut is_late = false;
@@ -76,7 +85,7 @@
                         let max_per_worker = spec.max_per_worker.unwrap_or(u32::MAX).max(1);
                         report.spread = report.spread.max(spec.tasks.div_ceil(max_per_worker));
                     }
-                    is_late |= add_waiting(now, report, job, occurrence, number);
+                    is_late |= add_waiting(now, report, job, occurrence, number, &mut may_start);
                 }
                 let remaining = work_forecast::usage_after_lead_time(now, job, occurrence, is_late);
                 report.remaining = report.remaining.plus(&remaining);
@@ -86,13 +95,15 @@
 }
 
 /// Adds the demand of the waiting tasks of a step. Returns whether there are such tasks and their job will be
-/// late; they are then not counted as ready, so that they call for no capacity.
+/// late; they are then not counted as ready, so that they call for no capacity. Of the limit of their organisation
+/// nothing is asked for tasks that `may_start` refuses.
 fn add_waiting(
     now: Instant,
     report: &mut PoolReport,
     job: &JobRun,
     occurrence: &JobOccurrence,
     number: usize,
+    may_start: &mut impl FnMut(&OrganisationId, &StepSpec) -> bool,
 ) -> bool {
     let spec: &StepSpec = &job.record.spec.steps[number];
     let step = &occurrence.steps[number];
@@ -113,7 +124,9 @@
     if spec.is_long_running {
         report.long_running = report.long_running.plus(&reserved);
     }
-    if let Some(organisation) = &job.record.organisation {
+    if let Some(organisation) = &job.record.organisation
+        && may_start(organisation, spec)
+    {
         let wanted = report.wanted.entry(organisation.clone()).or_default();
         *wanted = wanted.plus(&spec.demand.saturating_mul(waiting));
     }
--- a/src/dispatch/pool_scheduler/held_tasks.rs
+++ b/src/dispatch/pool_scheduler/held_tasks.rs
@@ -5,12 +5,9 @@
 use std::time::{Duration, Instant};
 
 use crate::dispatch::hold_reason::HoldReason;
-use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::placement;
 use crate::dispatch::pool_scheduler::PoolScheduler;
 use crate::dispatch::task_id::StepId;
-use crate::model::id::OrganisationId;
-use crate::model::resource::ResourceSet;
 
 /// Time between two reviews of the waiting tasks; each looks at all jobs.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
@@ -130,20 +127,6 @@
         self.held.counts = Some(counts);
     }
 
-    /// What a task of the step needs and what the pool may use of the organisation's limit, as text.
-    fn describe_limit(&self, organisation: Option<&OrganisationId>, spec: &StepSpec) -> String {
-        let find = |amounts: &BTreeMap<OrganisationId, ResourceSet>| {
-            organisation.and_then(|organisation| amounts.get(organisation).copied())
-        };
-        format!(
-            "; a task needs {}, used {}, allowance {}, plan {}",
-            spec.demand,
-            find(&self.usage).unwrap_or_default(),
-            find(&self.plan.allowances).unwrap_or_default(),
-            self.plan.version
-        )
-    }
-
     /// What holds back the first waiting task of a step, and the facts behind the reason as text.
     fn find_hold_reason(&mut self, now: Instant, step: &StepId) -> (HoldReason, String) {
         let has_link_budget = self.start_budget.has_room(now);
--- a/src/dispatch/pool_scheduler/isolation.rs
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -87,6 +87,9 @@
             .filter(|(_, task)| task.is_suspect() && task.is_waiting(now))
             .map(|(index, _)| step.task(index))
             .collect();
+        if !waiting.is_empty() {
+            self.note_waiting_start(step);
+        }
         for task in waiting {
             let is_allowed = self.is_within_limit(organisation.as_ref(), &spec.demand);
             if !is_allowed || !self.start_budget.has_room(now) {
@@ -109,6 +112,7 @@
                 self.place_task(now, &worker, &task, run, &spec, organisation.as_ref(), commands);
             }
         }
+        self.forget_started(now, step);
         spec.is_long_running
     }
 
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -81,6 +81,7 @@
         });
         self.free_index = FreeIndex::new(usable);
         let first = commands.len();
+        self.limit_use.begin_pass();
         // Before the steps that share workers, which would take the room that suspects need for themselves.
         ready.retain(|key| self.start_suspects(now, key.step(), commands));
         let mut unplaceable = UnplaceableDemands::default();
@@ -88,7 +89,9 @@
             if commands.len() - first >= MAX_STARTS || !self.start_budget.has_room(now) {
                 break;
             }
+            self.note_waiting_start(key.step());
             self.start_step(now, key.step(), &mut unplaceable, commands);
+            self.forget_started(now, key.step());
         }
         if commands.len() - first < MAX_STARTS && self.start_budget.has_room(now) {
             self.start_speculative_copies(now, commands);
@@ -201,15 +204,17 @@
         let Some(run) = run else {
             return;
         };
+        let demand = spec.demand.saturating_mul(members.len() as u64);
+        if !self.is_within_limit(organisation, &demand) {
+            return;
+        }
         let has_advice = self.advice.contains_key(step);
         let mut gang = Vec::new();
         let mut placed: Vec<(WorkerId, RunId)> = Vec::new();
         for index in members {
             let task = step.task(*index);
             let is_suspect = self.task(&task).is_some_and(TaskState::is_suspect);
-            let worker = if !self.is_within_limit(organisation, &spec.demand) {
-                None
-            } else if is_suspect {
+            let worker = if is_suspect {
                 self.choose_worker_for_suspect(now, &task, spec)
             } else {
                 self.choose_worker(now, &task, spec, has_advice)
@@ -241,31 +246,6 @@
         last.max(RunNumber::new(base)).next()
     }
 
-    /// Whether another `demand` fits within the organisation's limit on this pool.
-    pub(super) fn is_within_limit(
-        &self,
-        organisation: Option<&OrganisationId>,
-        demand: &ResourceSet,
-    ) -> bool {
-        let Some(organisation) = organisation else {
-            return true;
-        };
-        let Some(config) = self.organisations.get(organisation) else {
-            return true;
-        };
-        if config.limit == ResourceSet::default() {
-            return true;
-        }
-        let used = self.usage.get(organisation).copied().unwrap_or_default();
-        let allowance = self
-            .plan
-            .allowances
-            .get(organisation)
-            .copied()
-            .unwrap_or_default();
-        allowance.covers(&used.plus(demand))
-    }
-
     pub(super) fn choose_worker(
         &self,
         now: Instant,
@@ -399,12 +379,9 @@
             deadline_ms,
             ..PlacedRun::new(now, run, RunPhase::Starting, spec, organisation.cloned())
         };
+        self.limit_use.add_run(&placed);
         worker.add_run(task.clone(), placed);
         self.free_index.update(worker);
-        if let Some(organisation) = organisation {
-            let usage = self.usage.entry(organisation.clone()).or_default();
-            *usage = usage.plus(&spec.demand);
-        }
         commands.push(PoolCommand::Start(StartCommand {
             target,
             zone,
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -181,7 +181,7 @@
                 worker.health.record_success(elapsed, estimate);
             }
             let placed = placed.clone();
-            self.release_usage(&placed);
+            self.limit_use.remove_run(&placed);
         }
         let change = self.apply_outcome(now, worker_id, row);
         if let Some(worker) = self.workers.get_mut(worker_id) {
@@ -374,12 +374,9 @@
             is_unsized,
             must_stop: !is_wanted,
             stop_sent_at: duplicate.flatten(),
-            ..PlacedRun::new(now, row.run, phase, &spec, organisation.clone())
+            ..PlacedRun::new(now, row.run, phase, &spec, organisation)
         };
-        if let Some(organisation) = organisation {
-            let usage = self.usage.entry(organisation).or_default();
-            *usage = usage.plus(&placed.demand);
-        }
+        self.limit_use.add_run(&placed);
         if let Some(worker) = self.workers.get_mut(worker_id) {
             worker.add_run(row.task.clone(), placed);
         }
--- a/src/model/resource.rs
+++ b/src/model/resource.rs
@@ -33,11 +33,35 @@
         self
     }
 
+    /// The amounts in a fixed order, for decisions that are the same for each resource.
+    pub fn to_array(self) -> [u64; 3] {
+        [
+            self.cores.get(),
+            self.memory.get(),
+            u64::from(self.accelerators.get()),
+        ]
+    }
+
+    /// The reverse of [`Self::to_array`]; a number of accelerators that exceeds its type becomes the type's maximum.
+    pub fn from_array([cores, memory, accelerators]: [u64; 3]) -> Self {
+        let accelerators = u32::try_from(accelerators).unwrap_or(u32::MAX);
+        Self::new(MilliCores::new(cores), MemoryMib::new(memory))
+            .with_accelerators(AcceleratorCount::new(accelerators))
+    }
+
     /// Whether `other` fits into this set in every dimension.
     pub fn covers(&self, other: &Self) -> bool {
         self.cores >= other.cores && self.memory >= other.memory && self.accelerators >= other.accelerators
     }
 
+    /// Whether the amounts fit into `bound` in each dimension that `limit` limits; a limit of 0 stands for none.
+    pub fn fits_within(&self, bound: &Self, limit: &Self) -> bool {
+        let amounts = self.to_array().into_iter().zip(bound.to_array());
+        amounts
+            .zip(limit.to_array())
+            .all(|((amount, bound), limit)| limit == 0 || amount <= bound)
+    }
+
     /// The sum in each dimension.
     #[must_use]
     pub fn plus(&self, other: &Self) -> Self {
--- a/tests/pool_decisions/fleet.rs
+++ b/tests/pool_decisions/fleet.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use figloft::dispatch::allowance_split::{self, PoolDemandShare};
+use figloft::dispatch::allowance_split::{self, PoolDemand};
 use figloft::dispatch::fleet_planner::{FleetCommand, FleetPlanner};
-use figloft::dispatch::pool_plan::{PoolPlan, PoolReport, WorkerUsage};
+use figloft::dispatch::pool_plan::{NextStart, PoolPlan, PoolReport, WorkerUsage};
 use figloft::dispatch::pool_size::{PoolSizer, SizingInput};
 use figloft::dispatch::site_config::{OrganisationConfig, PoolConfig, SiteConfig};
 use figloft::dispatch::wave_plan::{
@@ -54,6 +54,11 @@
     (instance_id(number), entry)
 }
 
+/// Processor capacity in thousandths of a core, without memory.
+fn cores(millicores: u64) -> ResourceSet {
+    ResourceSet::new(MilliCores::new(millicores), MemoryMib::default())
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(256))]
 
@@ -65,19 +70,30 @@
         parts in proptest::collection::vec((0_u64..1_000, any::<u32>(), any::<u32>()), 1..9),
     ) {
         let whole: u64 = parts.iter().map(|(part, ..)| part).sum();
-        let demands: BTreeMap<PoolId, PoolDemandShare> = parts
+        let demands: BTreeMap<PoolId, PoolDemand> = parts
             .iter()
             .enumerate()
             .map(|(number, (part, used, wanted))| {
                 let ceiling = limit * part / whole.max(1);
                 let used = u64::from(*used) % (ceiling + 1);
-                let demand = PoolDemandShare { ceiling, used, wanted: u64::from(*wanted) };
+                let next = NextStart { demand: cores(u64::from(*wanted) / 3 + 1), ..NextStart::default() };
+                let demand = PoolDemand {
+                    ceiling: cores(ceiling),
+                    used: cores(used),
+                    wanted: cores(u64::from(*wanted)),
+                    next_start: (*wanted > 0).then_some(next),
+                    ..PoolDemand::default()
+                };
                 (pool_id(&format!("pool-{number}")), demand)
             })
             .collect();
-        let split = allowance_split::split(limit, &demands);
-        let most: u64 = demands.iter().map(|(pool, demand)| demand.ceiling.max(split[pool])).sum();
-        prop_assert!(most <= limit, "{most} of {limit}");
+        let order: Vec<&PoolId> = demands.keys().collect();
+        for order in [order.as_slice(), &[]] {
+            let split = allowance_split::split(&cores(limit), &demands, order).allowances;
+            let ceilings = demands.iter().map(|(pool, demand)| demand.ceiling.cores.max(split[pool].cores));
+            let most: u64 = ceilings.map(MilliCores::get).sum();
+            prop_assert!(most <= limit, "{most} of {limit}");
+        }
     }
 }
 
@@ -390,18 +406,19 @@
 fn small_demand_is_granted_beside_a_large_backlog() {
     let limit = 307_200;
     for (wanted, backlog) in [(25_600, 10_000_000), (1, 300_000), (40_000, 247_200)] {
-        let share = |used, wanted| PoolDemandShare {
-            ceiling: used,
-            used,
-            wanted,
+        let share = |used, wanted| PoolDemand {
+            ceiling: cores(used),
+            used: cores(used),
+            wanted: cores(wanted),
+            ..PoolDemand::default()
         };
         let demands = BTreeMap::from([
             (pool_id("pool-a"), share(0, wanted)),
             (pool_id("pool-b"), share(60_000, backlog)),
             (pool_id("pool-c"), share(0, 0)),
         ]);
-        let split = allowance_split::split(limit, &demands);
-        let granted = split[&pool_id("pool-a")];
+        let split = allowance_split::split(&cores(limit), &demands, &[]).allowances;
+        let granted = split[&pool_id("pool-a")].cores.get();
         assert!(granted >= wanted, "{granted} of {wanted} beside {backlog}");
     }
 }
--- a/tests/pool_decisions/limit_fleet.rs
+++ b/tests/pool_decisions/limit_fleet.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use figloft::dispatch::command::{PoolCommand, StartCommand, StartOutcome};
+use figloft::dispatch::command::{PollCommand, PoolCommand, StartCommand, StartOutcome};
 use figloft::dispatch::fleet_planner::{FleetCommand, FleetPlanner};
 use figloft::dispatch::job_record::JobRecord;
 use figloft::dispatch::job_spec::StepSpec;
@@ -33,8 +33,11 @@
 /// Time that a report or a plan takes.
 const DELAY: Duration = Duration::from_millis(100);
 
+/// Run time of long-running tasks.
+const LONG_TIME: Duration = Duration::from_hours(1);
+
 /// Cores of each worker.
-pub const WORKER_CORES: u64 = 32;
+const WORKER_CORES: u64 = 32;
 
 pub fn organisation() -> OrganisationId {
     OrganisationId::new("org").expect("organisation")
@@ -83,22 +86,46 @@
     no_leader_until: Option<Instant>,
 }
 
+struct FakeJob {
+    pool: usize,
+    record: JobRecord,
+    /// Run time of each task.
+    run_time: Duration,
+}
+
+/// Jobs by number.
+#[derive(Default)]
+struct FakeJobs(BTreeMap<usize, FakeJob>);
+
+impl FakeJobs {
+    /// Number of the job that a start belongs to, and what its run uses until when.
+    fn start(&self, now: Instant, start: &StartCommand) -> (usize, ResourceSet, Instant) {
+        let step = &start.run.task.step;
+        let mut jobs = self.0.iter();
+        let (number, job) = jobs.find(|(_, job)| job.record.id == step.job).expect("job");
+        let spec = &job.record.spec.steps[step.step as usize];
+        let run_time = if spec.is_long_running {
+            LONG_TIME
+        } else {
+            job.run_time
+        };
+        (*number, spec.demand, now + run_time)
+    }
+}
+
 /// Pools that share the limit of one organisation.
 pub struct LimitFleet {
-    pub now: Instant,
+    now: Instant,
     begin: Instant,
     planner: FleetPlanner,
     config: SiteConfig,
     pools: Vec<FakePool>,
-    jobs: BTreeMap<usize, (usize, JobRecord)>,
-    run_times: BTreeMap<usize, Duration>,
-    /// Time at which each job had its first start.
-    pub started_at: BTreeMap<usize, Instant>,
+    jobs: FakeJobs,
+    start_counts: BTreeMap<usize, usize>,
     /// The highest limit of which a part may still be in use.
     bound: ResourceSet,
     /// The first violation of the limit.
     pub violation: Option<String>,
-    has_fleet_leader: bool,
 }
 
 impl LimitFleet {
@@ -111,12 +138,10 @@
             planner: FleetPlanner::new(),
             config: SiteConfig::default(),
             pools: Vec::new(),
-            jobs: BTreeMap::new(),
-            run_times: BTreeMap::new(),
-            started_at: BTreeMap::new(),
+            jobs: FakeJobs::default(),
+            start_counts: BTreeMap::new(),
             bound: limit,
             violation: None,
-            has_fleet_leader: true,
         };
         for number in 0..pools {
             let config = PoolConfig {
@@ -171,8 +196,14 @@
         record.organisation = Some(organisation());
         let elapsed = self.now.saturating_duration_since(self.begin).as_millis() as u64;
         record.accepted_at = UnixMillis::new(WALL.get() + elapsed);
-        self.jobs.insert(number, (pool, record.clone()));
-        self.run_times.insert(number, run_time);
+        self.jobs.0.insert(
+            number,
+            FakeJob {
+                pool,
+                record: record.clone(),
+                run_time,
+            },
+        );
         let pool = &mut self.pools[pool];
         if pool.no_leader_until.is_none() {
             pool.known_jobs.insert(record.id.clone());
@@ -183,8 +214,8 @@
     }
 
     pub fn cancel(&mut self, number: usize) {
-        if let Some((pool, _)) = self.jobs.get(&number) {
-            let pool = &mut self.pools[*pool];
+        if let Some(job) = self.jobs.0.get(&number) {
+            let pool = &mut self.pools[job.pool];
             pool.inbox.retain(|record| record.id != job_id(number));
             pool.scheduler.cancel(&job_id(number));
         }
@@ -207,11 +238,6 @@
         }
     }
 
-    /// Stops the leader of the fleet for good.
-    pub fn stop_fleet_leader(&mut self) {
-        self.has_fleet_leader = false;
-    }
-
     /// Ends the leader of a pool; the next one takes over after `time`.
     pub fn lose_pool_leader(&mut self, pool: usize, time: Duration) {
         self.pools[pool].no_leader_until = Some(self.now + time);
@@ -234,17 +260,28 @@
     }
 
     pub fn has_started(&self, number: usize) -> bool {
-        self.started_at.contains_key(&number)
+        self.start_count(number) > 0
+    }
+
+    /// Number of starts of the tasks of a job.
+    pub fn start_count(&self, number: usize) -> usize {
+        self.start_counts.get(&number).copied().unwrap_or_default()
+    }
+
+    /// Number of starts of the tasks of all jobs of a pool.
+    pub fn pool_starts(&self, pool: usize) -> usize {
+        let jobs = self.jobs.0.iter().filter(|(_, job)| job.pool == pool);
+        jobs.map(|(number, _)| self.start_count(*number)).sum()
     }
 
     /// Jobs that are neither done nor cancelled.
     pub fn open_jobs(&self) -> Vec<usize> {
-        let is_open = |(number, (pool, _)): &(&usize, &(usize, JobRecord))| {
-            let (pool, id) = (&self.pools[*pool], job_id(**number));
+        let is_open = |(number, job): &(&usize, &FakeJob)| {
+            let (pool, id) = (&self.pools[job.pool], job_id(**number));
             let job = pool.scheduler.job(&id);
             job.is_some_and(|job| !job.state.is_final()) || pool.inbox.iter().any(|record| record.id == id)
         };
-        let open = self.jobs.iter().filter(is_open);
+        let open = self.jobs.0.iter().filter(is_open);
         open.map(|(number, _)| *number).collect()
     }
 
@@ -266,14 +303,12 @@
             }
         }
         self.deliver(now);
-        if self.has_fleet_leader {
-            for command in self.planner.decide(now) {
-                if let FleetCommand::PublishPlan(id, plan) = command {
-                    let number = (0..self.pools.len()).find(|number| pool_id(*number) == id);
-                    let pool = &mut self.pools[number.expect("pool")];
-                    pool.stored_plan = plan.clone();
-                    pool.plans.push_back((now + DELAY, plan));
-                }
+        for command in self.planner.decide(now) {
+            if let FleetCommand::PublishPlan(id, plan) = command {
+                let number = (0..self.pools.len()).find(|number| pool_id(*number) == id);
+                let pool = &mut self.pools[number.expect("pool")];
+                pool.stored_plan = plan.clone();
+                pool.plans.push_back((now + DELAY, plan));
             }
         }
         for number in 0..self.pools.len() {
@@ -313,53 +348,16 @@
         for command in pool.scheduler.decide(now, WALL, true) {
             match command {
                 PoolCommand::Start(start) => {
-                    let job = self
-                        .jobs
-                        .iter()
-                        .find(|(id, _)| job_id(**id) == start.run.task.step.job);
-                    let (id, (_, record)) = job.expect("job");
-                    self.started_at.entry(*id).or_insert(now);
-                    let step = &record.spec.steps[start.run.task.step.step as usize];
-                    let runner = pool.runners.iter_mut();
-                    let runner = runner
-                        .filter(|runner| runner.entry.id == start.target.worker)
-                        .next_back();
-                    let Some(runner) = runner else {
-                        continue;
-                    };
-                    let (worker, run) = (start.target.worker.clone(), start.run.clone());
-                    let run_time = if step.is_long_running {
-                        Duration::from_hours(1)
-                    } else {
-                        self.run_times[id]
-                    };
-                    runner.active.push(ActiveTask {
-                        start,
-                        demand: step.demand,
-                        end_at: now + run_time,
-                    });
-                    pool.scheduler
-                        .handle_start_outcome(now, &worker, &run, StartOutcome::Started);
+                    let (job, demand, end_at) = self.jobs.start(now, &start);
+                    *self.start_counts.entry(job).or_default() += 1;
+                    pool.start(now, start, demand, end_at);
                 }
                 PoolCommand::Stop(target, run) => {
-                    for runner in &mut pool.runners {
-                        if runner.entry.id == target.worker {
-                            runner.end(RunOutcome::Stopped, |task| task.start.run == run);
-                        }
-                    }
-                }
-                PoolCommand::Poll(poll) => {
-                    let runner = pool.runners.iter_mut();
-                    let found = runner
-                        .filter(|runner| runner.entry.id == poll.target.worker)
-                        .next_back();
-                    if let Some(runner) = found {
-                        runner.ended.retain(|end| end.sequence > poll.acknowledged);
-                        let report = runner.report();
-                        pool.scheduler
-                            .handle_poll_report(now, &poll.target.worker, now, report);
+                    if let Some(runner) = pool.runner(&target.worker) {
+                        runner.end(RunOutcome::Stopped, |task| task.start.run == run);
                     }
                 }
+                PoolCommand::Poll(command) => pool.answer_poll(now, &command),
                 PoolCommand::SetSpeed(..) | PoolCommand::RequestAdvice(..) => {}
             }
         }
@@ -376,29 +374,57 @@
     }
 
     /// Checks what all pools use or may use by the plans in force against the limit. A limit that was lowered counts
-    /// once no pool can use more.
+    /// once no plan, in force or on its way, allows more.
     fn check_limit(&mut self) {
-        let mut sum = ResourceSet::default();
+        let (mut sum, mut highest) = (ResourceSet::default(), ResourceSet::default());
         for (number, pool) in self.pools.iter().enumerate() {
-            let allowances = &pool.plan_in_force.allowances;
-            let allowed = allowances.get(&organisation()).copied().unwrap_or_default();
-            sum = sum.plus(&self.used(number).component_max(&allowed));
+            let used = self.used(number).component_max(&allowance(&pool.plan_in_force));
+            sum = sum.plus(&used);
+            let plans = pool.plans.iter().map(|(_, plan)| plan).chain([&pool.stored_plan]);
+            highest = highest.plus(&plans.fold(used, |most, plan| most.component_max(&allowance(plan))));
         }
         let limit = self.config.organisations[&organisation()].limit;
-        let exceeds = |limit: &ResourceSet| {
-            let cores = limit.cores.get() > 0 && sum.cores > limit.cores;
-            cores || (limit.memory.get() > 0 && sum.memory > limit.memory)
-        };
-        if !exceeds(&limit) {
+        if highest.fits_within(&limit, &limit) {
             self.bound = limit;
         }
-        if exceeds(&self.bound) && self.violation.is_none() {
+        if !sum.fits_within(&self.bound, &self.bound) && self.violation.is_none() {
             self.violation = Some(format!("{sum} of {}", self.bound));
         }
     }
 }
 
+/// What a plan allows the organisation.
+fn allowance(plan: &PoolPlan) -> ResourceSet {
+    plan.allowances.get(&organisation()).copied().unwrap_or_default()
+}
+
 impl FakePool {
+    fn runner(&mut self, worker: &WorkerId) -> Option<&mut FakeRunner> {
+        self.runners.iter_mut().find(|runner| runner.entry.id == *worker)
+    }
+
+    fn start(&mut self, now: Instant, start: StartCommand, demand: ResourceSet, end_at: Instant) {
+        let (worker, run) = (start.target.worker.clone(), start.run.clone());
+        if let Some(runner) = self.runner(&worker) {
+            runner.active.push(ActiveTask {
+                start,
+                demand,
+                end_at,
+            });
+            let outcome = StartOutcome::Started;
+            self.scheduler.handle_start_outcome(now, &worker, &run, outcome);
+        }
+    }
+
+    fn answer_poll(&mut self, now: Instant, poll: &PollCommand) {
+        let worker = &poll.target.worker;
+        if let Some(runner) = self.runner(worker) {
+            runner.ended.retain(|end| end.sequence > poll.acknowledged);
+            let report = runner.report();
+            self.scheduler.handle_poll_report(now, worker, now, report);
+        }
+    }
+
     fn end_tasks(&mut self, now: Instant) {
         for runner in &mut self.runners {
             runner.end(RunOutcome::Done, |task| task.end_at <= now);
