Let small tasks pass a large one at the limit for a time only

Callers saw: a large task waited as long as its organisation had smaller ones in the same pool, also where it came first in the pool's order: they took each part of the limit that became free.

Cause: a start that did not fit the allowance was passed over, and later ones were tried, without end.

Change: after a second, the first start that waits holds up later ones of its organisation that would take what it lacks, if the allowance will hold it once runs have ended and nothing but the limit holds it up. It does so for 10 s, pauses for as long, and goes on for twice that time, so that a run of any length does not leave the rest of the allowance unused for good.

Evidence: large_task_starts_beside_small_ones_of_its_pool failed before the change and passes with it.

--- a/src/dispatch/pool_scheduler/isolation.rs
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -91,7 +91,7 @@
             self.note_waiting_start(step);
         }
         for task in waiting {
-            let is_allowed = self.is_within_limit(organisation.as_ref(), &spec.demand);
+            let is_allowed = self.may_use_limit(now, step, organisation.as_ref(), &spec.demand);
             if !is_allowed || !self.start_budget.has_room(now) {
                 break;
             }
--- a/src/dispatch/pool_scheduler/limit_use.rs
+++ b/src/dispatch/pool_scheduler/limit_use.rs
@@ -1,8 +1,12 @@
 //! Keeps the starts of each organisation within its limit.
+//!
+//! A start that needs much of the limit must not wait for ever while later ones take each part of the limit that becomes
+//! free. Therefore the first start that waits holds up the later ones of its organisation after some time, for as long
+//! as nothing but the limit holds it up, and for growing times only (see [`turn_phase`]).
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::job_state::StepState;
@@ -10,10 +14,17 @@
 use crate::dispatch::pool_plan::NextStart;
 use crate::dispatch::pool_scheduler::PoolScheduler;
 use crate::dispatch::task_id::StepId;
+use crate::dispatch::turn_phase;
 use crate::dispatch::worker_state::{PlacedRun, WorkerState};
 use crate::model::id::{OrganisationId, WorkerId};
 use crate::model::resource::ResourceSet;
 
+/// Time for which later starts may pass the first one that waits.
+const PASSING_TIME: Duration = Duration::from_secs(1);
+
+/// Time for which the first start that waits holds up later ones at first.
+const KEEP_TIME: Duration = Duration::from_secs(10);
+
 /// The first start of an organisation that waited in the latest pass.
 #[derive(Debug, Clone)]
 struct WaitingStart {
@@ -137,6 +148,50 @@
         })
     }
 
+    /// Whether a start of `step` that needs `demand` fits within the organisation's limit on this pool and need not
+    /// wait for another one.
+    pub(super) fn may_use_limit(
+        &self,
+        now: Instant,
+        step: &StepId,
+        organisation: Option<&OrganisationId>,
+        demand: &ResourceSet,
+    ) -> bool {
+        let first = organisation.and_then(|organisation| self.limit_use.waiting.get(organisation));
+        let is_held_up = first
+            .filter(|first| first.step != *step)
+            .zip(organisation)
+            .is_some_and(|(first, organisation)| self.holds_up(now, first, organisation, demand));
+        !is_held_up && self.is_within_limit(organisation, demand)
+    }
+
+    /// Whether the first start that waits holds up a later one that needs `demand`: the pool's allowance will hold the
+    /// first one once runs have ended, and the later one would take what it lacks.
+    fn holds_up(
+        &self,
+        now: Instant,
+        first: &WaitingStart,
+        organisation: &OrganisationId,
+        demand: &ResourceSet,
+    ) -> bool {
+        let allowance = Self::amount(&self.plan.allowances, organisation);
+        let pinned = Self::amount(&self.limit_use.pinned, organisation);
+        if !allowance.covers(&pinned.plus(&first.next.demand)) {
+            return false;
+        }
+        let used = Self::amount(&self.limit_use.used, organisation);
+        let needed = used.plus(&first.next.demand).to_array();
+        let mut resources = needed
+            .into_iter()
+            .zip(allowance.to_array())
+            .zip(demand.to_array());
+        let takes_lacking = resources.any(|((needed, allowed), taken)| needed > allowed && taken > 0);
+        let since = self.held.waiting_since(&first.step);
+        let waited = since.map(|since| now.saturating_duration_since(since));
+        let waited = waited.and_then(|waited| waited.checked_sub(PASSING_TIME));
+        takes_lacking && waited.is_some_and(|waited| turn_phase::is_kept(waited, KEEP_TIME))
+    }
+
     /// Notes the next start of a step, unless one of the same organisation comes before it in this pass. Demand that
     /// exceeds the limit or fits no worker is left out, so that it takes nothing from others.
     pub(super) fn note_waiting_start(&mut self, step: &StepId) {
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -169,7 +169,7 @@
         }
         for index in waiting {
             let task = step.task(index);
-            let is_allowed = self.is_within_limit(organisation.as_ref(), &spec.demand);
+            let is_allowed = self.may_use_limit(now, step, organisation.as_ref(), &spec.demand);
             if !is_allowed || !self.start_budget.has_room(now) {
                 return;
             }
@@ -205,7 +205,7 @@
             return;
         };
         let demand = spec.demand.saturating_mul(members.len() as u64);
-        if !self.is_within_limit(organisation, &demand) {
+        if !self.may_use_limit(now, step, organisation, &demand) {
             return;
         }
         let has_advice = self.advice.contains_key(step);
@@ -479,7 +479,7 @@
                 .filter(|task| !task.is_suspect() && !task.losses.has_early_loss())
                 .map_or(0, |task| task.copies.len());
             let may_copy = spec.is_speculative && copies == 1 && job.record.rule.advice.is_none();
-            if !may_copy || !self.is_within_limit(organisation.as_ref(), &spec.demand) {
+            if !may_copy || !self.may_use_limit(now, &task.step, organisation.as_ref(), &spec.demand) {
                 continue;
             }
             let Some(worker) = self.choose_worker(now, &task, &spec, false) else {
--- a/tests/pool_decisions/limits.rs
+++ b/tests/pool_decisions/limits.rs
@@ -212,6 +212,29 @@
     assert_eq!(fleet.violation, None);
 }
 
+/// Guards against a large task that waits for ever beside small ones of its own pool, which take each part of the limit
+/// that becomes free.
+#[test]
+fn large_task_starts_beside_small_ones_of_its_pool() {
+    let mut fleet = LimitFleet::new(2, 4, amounts(4_000, 0));
+    let on_time = |spec: StepSpec| StepSpec {
+        estimate: 60 * SECOND,
+        ..spec
+    };
+    for number in 1..40 {
+        fleet.submit(0, number, vec![on_time(tasks(20, amounts(500, 64)))], SECOND);
+    }
+    fleet.run_for(3 * SECOND);
+    // It comes first in the pool's order until it can no longer be on time, after 9 s.
+    let large = StepSpec {
+        estimate: 20 * SECOND,
+        ..tasks(1, amounts(3_000, 64))
+    };
+    fleet.submit(0, 0, vec![large], SECOND);
+    fleet.run_for(8 * SECOND);
+    assert!(fleet.has_started(0));
+}
+
 /// An event of a random series.
 #[derive(Debug, Clone)]
 enum Event {
