Refuse jobs that exceed the whole limit of their organisation

Callers saw: a job with a task, or a gang as a whole, that needs more than its organisation may use in all was answered 200 and stayed pending for good.

Cause: submissions were not compared with the limit.

Change: such a job is refused with limit_reached (429) and a text that names the step, what it needs and the limit. As with refusals by forecast, a job that may be stored already is not refused, for example one that was accepted before the limit was lowered; those wait under the reason exceeds_limit, which the log and figloft_held_tasks show. The admission gate therefore exists with and without forecasts.

--- a/src/dispatch/hold_reason.rs
+++ b/src/dispatch/hold_reason.rs
@@ -12,6 +12,8 @@
     Takeover,
     /// The store has not confirmed for some time which zones are under evacuation.
     UnknownZones,
+    /// The task, or its gang as a whole, needs more than the whole limit of the organisation.
+    ExceedsLimit,
     /// The organisation is at its limit on this pool.
     OrganisationLimit,
     /// Start commands use up their part of the instance's link.
@@ -48,10 +50,11 @@
 
 impl HoldReason {
     /// All reasons.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::NotExamined,
         Self::Takeover,
         Self::UnknownZones,
+        Self::ExceedsLimit,
         Self::OrganisationLimit,
         Self::LinkBudget,
         Self::Suspicion,
@@ -76,6 +79,7 @@
             Self::NotExamined => "not_examined",
             Self::Takeover => "takeover",
             Self::UnknownZones => "unknown_zones",
+            Self::ExceedsLimit => "exceeds_limit",
             Self::OrganisationLimit => "organisation_limit",
             Self::LinkBudget => "link_budget",
             Self::Suspicion => "suspicion",
--- a/src/dispatch/job_spec.rs
+++ b/src/dispatch/job_spec.rs
@@ -146,6 +146,12 @@
         reserved
     }
 
+    /// Resources that the smallest useful start of the step needs: those of a task, or of all members of a gang.
+    pub fn start_demand(&self) -> ResourceSet {
+        let tasks = if self.is_gang { u64::from(self.tasks) } else { 1 };
+        self.demand.saturating_mul(tasks)
+    }
+
     /// Validates the step with this number.
     fn check(&self, number: usize) -> Result<()> {
         let refuse = |message: String| Err(Error::new(ErrorKind::BadRequest, message));
--- a/src/dispatch/pool_scheduler/held_tasks.rs
+++ b/src/dispatch/pool_scheduler/held_tasks.rs
@@ -111,7 +111,8 @@
             *counts.entry(reason).or_insert(0) += waiting as u64;
             let is_usual = is_finite || reason == HoldReason::NotExamined;
             // Hundreds of jobs may wait at a limit; one of them tells what it has come to.
-            let is_first_at_limit = reason == HoldReason::OrganisationLimit && !has_logged_limit;
+            let is_at_limit = matches!(reason, HoldReason::OrganisationLimit | HoldReason::ExceedsLimit);
+            let is_first_at_limit = is_at_limit && !has_logged_limit;
             let is_logged = !is_usual || reason > HoldReason::Unreachable || is_first_at_limit;
             if is_logged && self.held.start_log(now, &step) {
                 has_logged_limit |= is_first_at_limit;
@@ -144,10 +145,16 @@
         if !self.zones.is_confirmed(now) {
             return reason(HoldReason::UnknownZones);
         }
-        if !self.is_within_limit(job.record.organisation.as_ref(), &spec.demand) {
+        let organisation = job.record.organisation.as_ref();
+        let exceeds_limit =
+            organisation.is_some_and(|organisation| !self.fits_whole_limit(organisation, spec));
+        if exceeds_limit {
+            return (HoldReason::ExceedsLimit, self.describe_limit(organisation, spec));
+        }
+        if !self.is_within_limit(organisation, &spec.start_demand()) {
             return (
                 HoldReason::OrganisationLimit,
-                self.describe_limit(job.record.organisation.as_ref(), spec),
+                self.describe_limit(organisation, spec),
             );
         }
         if !has_link_budget {
--- a/src/dispatch/pool_scheduler/limit_use.rs
+++ b/src/dispatch/pool_scheduler/limit_use.rs
@@ -90,12 +90,6 @@
     }
 }
 
-/// Resources that the next start of a step needs as a whole.
-pub(super) fn start_demand(spec: &StepSpec) -> ResourceSet {
-    let tasks = if spec.is_gang { u64::from(spec.tasks) } else { 1 };
-    spec.demand.saturating_mul(tasks)
-}
-
 /// Whether a worker, present or gone, has the label and the capacity for the tasks of a step. Without workers it is not
 /// known.
 pub(super) fn may_fit_worker(
@@ -127,7 +121,7 @@
     /// Whether the organisation's limit would hold what a step needs for a start if nothing else ran.
     pub(super) fn fits_whole_limit(&self, organisation: &OrganisationId, spec: &StepSpec) -> bool {
         let limit = self.limit(organisation);
-        limit.is_none_or(|limit| start_demand(spec).fits_within(limit, limit))
+        limit.is_none_or(|limit| spec.start_demand().fits_within(limit, limit))
     }
 
     fn amount(amounts: &BTreeMap<OrganisationId, ResourceSet>, organisation: &OrganisationId) -> ResourceSet {
@@ -212,7 +206,7 @@
         let start = WaitingStart {
             step: step.clone(),
             next: NextStart {
-                demand: start_demand(spec),
+                demand: spec.start_demand(),
                 accepted_at: job.record.accepted_at,
             },
         };
@@ -244,7 +238,7 @@
         };
         format!(
             "; a start needs {}, used {}, allowance {}, plan {}",
-            start_demand(spec),
+            spec.start_demand(),
             find(&self.limit_use.used),
             find(&self.plan.allowances),
             self.plan.version
--- a/src/request/admission_gate.rs
+++ b/src/request/admission_gate.rs
@@ -1,7 +1,8 @@
-//! Admission of submissions by forecast, in front of the task that stores them.
+//! Admission of submissions in front of the task that stores them: by the limit of the organisation, and by forecast if
+//! that is set.
 //!
 //! A refusal says that the job will never run, also to a caller that repeats a submission without an answer. Therefore
-//! a job that the forecast refuses is admitted all the same if it may have been stored: if this node handed it to the
+//! a job that would be refused is admitted all the same if it may have been stored: if this node handed it to the
 //! store recently, if the store was failing just now, or if the store knows it.
 
 use std::collections::{BTreeMap, VecDeque};
@@ -14,9 +15,11 @@
     self, AdmissionDecision, AdmissionOutcome, JobDemand, StoreOutage,
 };
 use crate::dispatch::job_record::JobRecord;
+use crate::dispatch::job_spec::StepSpec;
 use crate::error::{Error, ErrorKind, Result};
 use crate::model::amount::MilliCores;
 use crate::model::id::{JobId, PoolId};
+use crate::model::resource::ResourceSet;
 use crate::node::digest_reader::DigestReader;
 use crate::node::node_context::NodeContext;
 use crate::node::store_keys;
@@ -29,6 +32,9 @@
 /// Time limit of the read that precedes a refusal.
 const SUMMARY_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// `retry-after` of jobs that the whole limit of their organisation cannot hold; only the operators change that.
+const LIMIT_RETRY_AFTER: Duration = Duration::from_secs(30);
+
 /// Minimum time between two log lines about refusals for one pool.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -78,33 +84,39 @@
 #[derive(Debug)]
 pub struct AdmissionGate {
     context: NodeContext,
-    reader: DigestReader,
+    /// Present if submissions are admitted by forecast.
+    reader: Option<DigestReader>,
     state: Mutex<GateState>,
 }
 
 impl AdmissionGate {
-    /// Creates a gate with a [`DigestReader`], which starts on the current runtime.
+    /// Creates a gate. If submissions are admitted by forecast, a [`DigestReader`] starts on the current runtime.
     pub fn start(context: &NodeContext) -> Self {
+        let forecasts = context.options.forecasts_admission;
         Self {
             context: context.clone(),
-            reader: DigestReader::start(context),
+            reader: forecasts.then(|| DigestReader::start(context)),
             state: Mutex::new(GateState::default()),
         }
     }
 
-    /// Stores a job through `batcher` unless the forecast refuses it. `limit` is the processor capacity that the job's
-    /// organisation may use, 0 if it has no limit.
+    /// Stores a job through `batcher` unless the limit of its organisation cannot hold it or the forecast refuses it.
+    /// An amount of 0 in `limit` stands for no limit.
     ///
     /// # Errors
-    /// `overloaded` if the forecast refuses the job, and the errors of [`SubmissionBatcher::submit`].
+    /// `limit_reached` if the limit cannot hold the job, `overloaded` if the forecast refuses it, and the errors of
+    /// [`SubmissionBatcher::submit`].
     pub async fn submit(
         &self,
         batcher: &SubmissionBatcher,
         record: JobRecord,
-        limit: MilliCores,
+        limit: &ResourceSet,
         deadline: Instant,
     ) -> Result<SubmissionOutcome> {
-        self.check(&record, limit).await?;
+        self.check_limit(&record, limit).await?;
+        if let Some(reader) = &self.reader {
+            self.check_forecast(reader, &record, limit.cores).await?;
+        }
         let job = record.id.clone();
         self.lock().unsettled.insert(self.context.clock.now(), &job);
         let result = batcher.submit(record, deadline).await;
@@ -115,14 +127,39 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn check(&self, record: &JobRecord, limit: MilliCores) -> Result<()> {
+    /// Refuses a job with a step of which not even one start fits the whole limit of its organisation: it would never
+    /// run.
+    async fn check_limit(&self, record: &JobRecord, limit: &ResourceSet) -> Result<()> {
+        let steps = record.spec.steps.iter().map(StepSpec::start_demand);
+        let mut exceeding = steps
+            .enumerate()
+            .filter(|(_, demand)| !demand.fits_within(limit, limit));
+        let Some((number, demand)) = exceeding.next() else {
+            return Ok(());
+        };
+        if self.may_be_stored(&record.id).await {
+            return Ok(());
+        }
+        let message = format!(
+            "the job was not accepted and will not run: a start of step {number} needs {demand}, and the organisation \
+             may use {limit} in all (0 is no limit)"
+        );
+        Err(Error::new(ErrorKind::LimitReached, message).with_retry_after(LIMIT_RETRY_AFTER))
+    }
+
+    async fn check_forecast(
+        &self,
+        reader: &DigestReader,
+        record: &JobRecord,
+        limit: MilliCores,
+    ) -> Result<()> {
         let pool = record.pool.as_str();
         let metrics = &self.context.metrics;
         let Some(demand) = JobDemand::new(record, limit) else {
             metrics.record_admission(pool, &AdmissionOutcome::InTime.to_string());
             return Ok(());
         };
-        let mut decision = self.reader.decide(&record.pool, &demand);
+        let mut decision = reader.decide(&record.pool, &demand);
         if decision.outcome == AdmissionOutcome::Refused && self.may_be_stored(&record.id).await {
             decision.outcome = AdmissionOutcome::Late;
         }
@@ -162,7 +199,8 @@
         true
     }
 
-    /// Notes what the outcome tells about the store, and sets the time to come back of a refusal by the store.
+    /// Notes what the outcome tells about the store. If submissions are admitted by forecast, it also sets the time to
+    /// come back of a refusal by the store.
     fn settle(&self, job: &JobId, result: Result<SubmissionOutcome>) -> Result<SubmissionOutcome> {
         let now = self.context.clock.now();
         let mut state = self.lock();
@@ -175,9 +213,14 @@
             }
             Err(error) => error,
         };
+        if error.kind() != ErrorKind::Overloaded {
+            state.store_failed_at = Some(now);
+        }
+        if self.reader.is_none() {
+            return Err(error);
+        }
         match error.kind() {
             ErrorKind::StoreUnavailable => {
-                state.store_failed_at = Some(now);
                 let time = state.outage.observe(now, &mut rand::rng());
                 Err(error.with_retry_after(time))
             }
@@ -185,10 +228,7 @@
                 let time = admission_forecast::backlog_retry_time(Duration::ZERO, &mut rand::rng());
                 Err(error.with_retry_after(time))
             }
-            _ => {
-                state.store_failed_at = Some(now);
-                Err(error)
-            }
+            _ => Err(error),
         }
     }
 
--- a/src/request/queue_api.rs
+++ b/src/request/queue_api.rs
@@ -14,8 +14,8 @@
 use crate::dispatch::job_record::{JobRecord, JobSummary};
 use crate::dispatch::site_config::{QueueConfig, SiteConfig};
 use crate::error::{Error, ErrorKind, Result};
-use crate::model::amount::MilliCores;
 use crate::model::id::{JobId, OrganisationId, QueueId, StoreRevision};
+use crate::model::resource::ResourceSet;
 use crate::node::node_context::{NodeContext, STORE_TIMEOUT};
 use crate::node::store_keys;
 use crate::node::waiting_counts;
@@ -52,8 +52,7 @@
 pub struct QueueApi {
     context: NodeContext,
     batcher: SubmissionBatcher,
-    /// Present if submissions are admitted by forecast.
-    gate: Option<AdmissionGate>,
+    gate: AdmissionGate,
 }
 
 /// What [`QueueApi::find_queue`] finds out about a request. `organisation` is `None` for requests
@@ -68,22 +67,15 @@
 }
 
 impl QueueApi {
-    /// Creates the API. Accepted jobs are stored through `batcher`.
-    pub fn new(context: NodeContext, batcher: SubmissionBatcher) -> Self {
+    /// Creates the API. Jobs that `gate` admits are stored through `batcher`.
+    pub fn new(context: NodeContext, batcher: SubmissionBatcher, gate: AdmissionGate) -> Self {
         Self {
             context,
             batcher,
-            gate: None,
+            gate,
         }
     }
 
-    /// Admits submissions by forecast.
-    #[must_use]
-    pub fn with_admission_gate(mut self, gate: Option<AdmissionGate>) -> Self {
-        self.gate = gate;
-        self
-    }
-
     /// Request handler for [`start_server`](crate::request::http_server::start_server).
     pub fn handler(self: Arc<Self>) -> EntryHandler {
         Arc::new(move |request| {
@@ -197,13 +189,10 @@
             spec,
         };
         let pool = record.pool.clone();
-        let outcome = match &self.gate {
-            None => self.batcher.submit(record, queue_request.deadline).await?,
-            Some(gate) => {
-                gate.submit(&self.batcher, record, limit, queue_request.deadline)
-                    .await?
-            }
-        };
+        let outcome = self
+            .gate
+            .submit(&self.batcher, record, &limit, queue_request.deadline)
+            .await?;
         let elapsed = self.context.clock.now().saturating_duration_since(started);
         info!(self.context.log, "job taken in"; "job" => %id, "outcome" => %outcome,
             "queue" => %queue_request.queue.id, "pool" => %pool,
@@ -297,11 +286,11 @@
     }
 }
 
-/// Processor capacity that the organisation of a request may use in the whole fleet; 0 if it has no limit.
-fn organisation_limit(request: &QueueRequest) -> MilliCores {
+/// Resources that the organisation of a request may use in the whole fleet; an amount of 0 stands for no limit.
+fn organisation_limit(request: &QueueRequest) -> ResourceSet {
     let organisation = request.organisation.as_ref();
     let config = organisation.and_then(|organisation| request.config.organisations.get(organisation));
-    config.map(|config| config.limit.cores).unwrap_or_default()
+    config.map(|config| config.limit).unwrap_or_default()
 }
 
 fn operation_name(method: &Method) -> &'static str {
--- a/tests/platform_soak/admission.rs
+++ b/tests/platform_soak/admission.rs
@@ -1,4 +1,4 @@
-//! Refusals by forecast, which promise that a job never runs.
+//! Refusals by forecast and by the limit of an organisation, which promise that a job never runs.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -95,9 +95,10 @@
 }
 
 impl AdmissionSetup {
-    async fn start() -> Self {
+    async fn start(forecasts: bool) -> Self {
         let (fake, address) = FakeStore::start().await;
-        let context = context(store_client(address));
+        let mut context = context(store_client(address));
+        context.options.forecasts_admission = forecasts;
         Self {
             fake,
             gate: AdmissionGate::start(&context),
@@ -110,10 +111,16 @@
     async fn submit(&self, id: u64) -> Result<SubmissionOutcome> {
         let deadline = Instant::now() + Duration::from_millis(1_200);
         self.gate
-            .submit(&self.batcher, record(id), MilliCores::default(), deadline)
+            .submit(&self.batcher, record(id), &ResourceSet::default(), deadline)
             .await
     }
 
+    /// Submits a job of an organisation that may use `limit`.
+    async fn submit_limited(&self, record: JobRecord, limit: &ResourceSet) -> Result<SubmissionOutcome> {
+        let deadline = Instant::now() + Duration::from_millis(1_200);
+        self.gate.submit(&self.batcher, record, limit, deadline).await
+    }
+
     /// Stores a digest of a pool with work for hours.
     fn write_digest(&self) {
         let at = self.context.wall_time();
@@ -165,7 +172,7 @@
 /// Guards against a refusal of a job that an earlier submission has stored, and against storing one that was refused.
 #[tokio::test]
 async fn known_job_is_not_refused() {
-    let mut gate = AdmissionSetup::start().await;
+    let mut gate = AdmissionSetup::start(true).await;
     assert_eq!(
         gate.submit(1).await,
         Ok(SubmissionOutcome::Accepted),
@@ -179,7 +186,7 @@
 /// Guards against a refusal after a lost answer: the submission may have been stored, or may be stored later.
 #[tokio::test]
 async fn job_without_an_answer_is_not_refused() {
-    let mut gate = AdmissionSetup::start().await;
+    let mut gate = AdmissionSetup::start(true).await;
     gate.refuse_one().await;
     gate.fake.lost_commit_percent.store(100, Ordering::Relaxed);
     let mut lost = None;
@@ -201,3 +208,42 @@
         assert!(outcome.is_ok(), "{outcome:?}");
     }
 }
+
+/// Guards against a job that is accepted and never runs because one of its tasks, or one of its gangs as a whole, needs
+/// more than the whole limit of its organisation. Nothing of the job is stored.
+#[tokio::test]
+async fn job_that_exceeds_the_limit_is_refused() {
+    for forecasts in [false, true] {
+        let gate = AdmissionSetup::start(forecasts).await;
+        let limit = |millicores| ResourceSet::new(MilliCores::new(millicores), MemoryMib::default());
+        let mut gang = record(2);
+        gang.spec.steps[0].tasks = 3;
+        gang.spec.steps[0].is_gang = true;
+        for (id, refused, millicores) in [(1, record(1), 999), (2, gang.clone(), 2_999)] {
+            let error = gate
+                .submit_limited(refused, &limit(millicores))
+                .await
+                .expect_err("refusal");
+            assert_eq!(error.kind(), ErrorKind::LimitReached);
+            assert!(error.retry_after().is_some());
+            assert!(!gate.is_stored(id).await);
+        }
+        let mut tasks = gang.clone();
+        tasks.id = record(3).id;
+        tasks.spec.steps[0].is_gang = false;
+        for (accepted, millicores) in [(record(1), 1_000), (gang, 3_000), (tasks, 1_000), (record(4), 0)] {
+            let outcome = gate.submit_limited(accepted, &limit(millicores)).await;
+            assert_eq!(outcome, Ok(SubmissionOutcome::Accepted));
+        }
+    }
+}
+
+/// Guards against a refusal of a repeated submission after the limit was lowered: the job was accepted before.
+#[tokio::test]
+async fn accepted_job_is_not_refused_for_a_lowered_limit() {
+    let gate = AdmissionSetup::start(false).await;
+    assert_eq!(gate.submit(1).await, Ok(SubmissionOutcome::Accepted));
+    let lowered = ResourceSet::new(MilliCores::new(500), MemoryMib::default());
+    let outcome = gate.submit_limited(record(1), &lowered).await;
+    assert_eq!(outcome, Ok(SubmissionOutcome::Duplicate));
+}
