Log how contended limits are divided

The fleet leader decides which pool may use a limit, but its log showed neither the demand nor the allowances behind that. It now writes a line for each limit for which pools compete, at most four a second: usage, waiting work and next start of each pool, whether the limit is kept for it, and its allowance.

--- a/src/dispatch/fleet_planner.rs
+++ b/src/dispatch/fleet_planner.rs
@@ -4,8 +4,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use crate::dispatch::allowance_split::{LimitSplit, PoolDemand};
-use crate::dispatch::limit_turns::LimitTurns;
+use crate::dispatch::allowance_split::PoolDemand;
+use crate::dispatch::limit_turns::{DividedLimit, LimitTurns};
 use crate::dispatch::pool_plan::{PoolPlan, PoolReport, WorkerUsage};
 use crate::dispatch::pool_size::{PoolNeed, PoolSizer, SizingInput};
 use crate::dispatch::site_config::SiteConfig;
@@ -189,6 +189,11 @@
         self.sizer.needs()
     }
 
+    /// Limits of organisations for which pools competed at the last decision.
+    pub fn divided_limits(&self) -> &BTreeMap<OrganisationId, DividedLimit> {
+        self.limit_turns.divided()
+    }
+
     /// Whether a pool had fewer workers than it needs at the last decision.
     pub fn has_shortage(&self) -> bool {
         self.sizer.has_shortage()
@@ -421,14 +426,12 @@
             let demands = pools
                 .iter()
                 .map(|pool| (pool.clone(), self.pool_demand(pool, organisation)));
-            let LimitSplit {
-                allowances: granted, ..
-            } = turns.split(now, organisation, &limit, &demands.collect());
-            for (pool, granted) in granted {
+            for (pool, granted) in turns.split(now, organisation, limit, demands.collect()) {
                 let of_pool = allowances.entry(pool).or_default();
                 of_pool.insert(organisation.clone(), granted);
             }
         }
+        turns.retain(|organisation| self.config.organisations.contains_key(organisation));
         self.limit_turns = turns;
         allowances
     }
--- a/src/dispatch/limit_turns.rs
+++ b/src/dispatch/limit_turns.rs
@@ -40,26 +40,90 @@
     }
 }
 
+/// Limit for which pools compete, as it was last divided.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[expect(missing_docs, reason = "the types of the fields say what they hold")]
+pub struct DividedLimit {
+    pub limit: ResourceSet,
+    pub demands: BTreeMap<PoolId, PoolDemand>,
+    pub split: LimitSplit,
+}
+
+impl DividedLimit {
+    /// What the pools use, want and may use, as text; at most `count` pools, those with waiting tasks first.
+    pub fn describe_pools(&self, count: usize) -> String {
+        let mut pools: Vec<(bool, &PoolId, &PoolDemand)> = self
+            .demands
+            .iter()
+            .map(|(pool, demand)| (demand.next_start.is_none(), pool, demand))
+            .collect();
+        pools.sort_unstable_by_key(|(is_idle, pool, _)| (*is_idle, *pool));
+        let texts = pools.into_iter().take(count).map(|(_, pool, demand)| {
+            let allowance = self.split.allowances.get(pool).copied().unwrap_or_default();
+            let next = demand.next_start.unwrap_or_default().demand;
+            let is_kept = self.split.reserved.contains_key(pool);
+            format!(
+                "{pool}: used {}, wanted {}, next start {next}{}, allowance {allowance}",
+                demand.used,
+                demand.wanted,
+                if is_kept { " (kept)" } else { "" }
+            )
+        });
+        texts.collect::<Vec<_>>().join("; ")
+    }
+}
+
 /// Order of the pools in the use of each limit for which they compete.
 #[derive(Debug, Clone, Default)]
 pub struct LimitTurns {
     turns: BTreeMap<OrganisationId, BTreeMap<PoolId, PoolTurn>>,
+    divided: BTreeMap<OrganisationId, DividedLimit>,
 }
 
 impl LimitTurns {
-    /// Splits the limit of an organisation between pools.
+    /// Limits for which pools compete.
+    pub fn divided(&self) -> &BTreeMap<OrganisationId, DividedLimit> {
+        &self.divided
+    }
+
+    /// Forgets organisations that are no longer configured.
+    pub fn retain(&mut self, is_configured: impl Fn(&OrganisationId) -> bool) {
+        self.turns.retain(|organisation, _| is_configured(organisation));
+        self.divided.retain(|organisation, _| is_configured(organisation));
+    }
+
+    /// Splits the limit of an organisation between pools and returns their allowances.
     pub fn split(
         &mut self,
         now: Instant,
         organisation: &OrganisationId,
-        limit: &ResourceSet,
-        demands: &BTreeMap<PoolId, PoolDemand>,
-    ) -> LimitSplit {
-        if !allowance_split::is_contended(limit, demands) {
+        limit: ResourceSet,
+        demands: BTreeMap<PoolId, PoolDemand>,
+    ) -> BTreeMap<PoolId, ResourceSet> {
+        if !allowance_split::is_contended(&limit, &demands) {
             self.turns.remove(organisation);
+            self.divided.remove(organisation);
             let order: Vec<&PoolId> = demands.keys().collect();
-            return allowance_split::split(limit, demands, &order);
+            return allowance_split::split(&limit, &demands, &order).allowances;
         }
+        let split = self.split_contended(now, organisation, &limit, &demands);
+        let allowances = split.allowances.clone();
+        let divided = DividedLimit {
+            limit,
+            demands,
+            split,
+        };
+        self.divided.insert(organisation.clone(), divided);
+        allowances
+    }
+
+    fn split_contended(
+        &mut self,
+        now: Instant,
+        organisation: &OrganisationId,
+        limit: &ResourceSet,
+        demands: &BTreeMap<PoolId, PoolDemand>,
+    ) -> LimitSplit {
         let turns = self.turns.entry(organisation.clone()).or_default();
         turns.retain(|pool, _| {
             demands
--- a/src/node/fleet_leader.rs
+++ b/src/node/fleet_leader.rs
@@ -2,6 +2,7 @@
 //! moves of instances.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Bound::{Excluded, Unbounded};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -16,7 +17,7 @@
 use crate::dispatch::pool_size::PoolNeed;
 use crate::dispatch::wave_plan::{InstanceEntry, InstanceOutcome, WaveProgress};
 use crate::error::Result;
-use crate::model::id::{InstanceId, LeaderTerm, PoolId, ZoneId};
+use crate::model::id::{InstanceId, LeaderTerm, OrganisationId, PoolId, ZoneId};
 use crate::node::fenced_writer::{RoleClaim, WriterEvent};
 use crate::node::node_context::{self, NodeContext, STORE_TIMEOUT};
 use crate::node::node_lease::LeaseGuard;
@@ -38,8 +39,14 @@
 /// Maximum time between two decisions when no event arrives.
 const PLAN_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Minimum time between two checks for changed pool sizes to log.
-const SIZE_LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Minimum time between two checks for changed pool sizes and divided limits to log.
+const STATE_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Limits that are logged in one check.
+const MAX_LOGGED_LIMITS: usize = 4;
+
+/// Pools named in a log line about a limit, those with waiting tasks first.
+const MAX_LOGGED_POOLS: usize = 6;
 
 /// Minimum time between two writes of the workers that pools could have, which is stored only while a pool lacks
 /// workers. Readers ignore one that is 3 s old.
@@ -74,7 +81,9 @@
     /// Progress of waves as read from the store at the start of the leadership.
     wave_progress: BTreeMap<WaveNumber, WaveProgress>,
     logged_needs: BTreeMap<PoolId, PoolNeed>,
-    next_size_log: Instant,
+    next_state_log: Instant,
+    /// Organisation whose limit was logged last; the next check goes on after it.
+    last_logged_limit: Option<OrganisationId>,
     zones: ZoneReceiver,
     /// Requests to evacuate a zone that have been checked against the list of instances.
     checked_zones: BTreeSet<ZoneId>,
@@ -117,7 +126,8 @@
     let mut leader = FleetLeader {
         next_list: context.clock.now(),
         logged_needs: BTreeMap::new(),
-        next_size_log: context.clock.now(),
+        next_state_log: context.clock.now(),
+        last_logged_limit: None,
         next_growth: context.clock.now(),
         term: claim.term,
         context,
@@ -292,7 +302,11 @@
                 FleetCommand::MoveInstance(instance, pool) => self.start_move(instance, pool, guard.clone()),
             }
         }
-        self.log_pool_sizes(now);
+        if now >= self.next_state_log {
+            self.next_state_log = now + STATE_LOG_INTERVAL;
+            self.log_pool_sizes();
+            self.log_divided_limits();
+        }
         self.flush(now)
     }
 
@@ -327,11 +341,7 @@
     }
 
     /// Logs the pool sizes that have changed, with the demand from which they were computed.
-    fn log_pool_sizes(&mut self, now: Instant) {
-        if now < self.next_size_log {
-            return;
-        }
-        self.next_size_log = now + SIZE_LOG_INTERVAL;
+    fn log_pool_sizes(&mut self) {
         for (pool, need) in self.planner.needs() {
             if self.logged_needs.get(pool) == Some(need) {
                 continue;
@@ -347,6 +357,19 @@
         self.logged_needs.clone_from(self.planner.needs());
     }
 
+    /// Logs how limits were divided for which pools compete, some of them in each check.
+    fn log_divided_limits(&mut self) {
+        let limits = self.planner.divided_limits();
+        let later = self.last_logged_limit.as_ref().map_or(Unbounded, Excluded);
+        let mut last = None;
+        for (organisation, divided) in limits.range((later, Unbounded)).take(MAX_LOGGED_LIMITS) {
+            info!(self.log, "limit divided"; "organisation" => %organisation, "limit" => %divided.limit,
+                "pools" => divided.describe_pools(MAX_LOGGED_POOLS));
+            last = Some(organisation.clone());
+        }
+        self.last_logged_limit = last;
+    }
+
     fn request_instance_list(&mut self, now: Instant) {
         let Some(client) = self.client.clone() else {
             return;
