Count unknown runs of a former leader against limits

Cause: a new leader counts the runs that workers have listed. Jobs accepted before its term wait until all workers have answered or their leases have ended, but new jobs started at once, although runs on a worker out of its reach used the whole limit.

Change: until then the capacity of each worker that has not answered counts as used by every organisation with a limit. A worker without an entry, whose capacity is not known, holds up new starts of such organisations for the same time.

Evidence: runs_out_of_reach_of_a_new_leader_count_against_the_limit failed with the sum taken out of the comparison and passes with it.

--- a/src/dispatch/pool_scheduler/limit_use.rs
+++ b/src/dispatch/pool_scheduler/limit_use.rs
@@ -40,6 +40,8 @@
 pub(super) struct LimitUse {
     used: BTreeMap<OrganisationId, ResourceSet>,
     pinned: BTreeMap<OrganisationId, ResourceSet>,
+    /// Upper bound of what unknown runs of the former leader use.
+    unknown: ResourceSet,
     waiting: BTreeMap<OrganisationId, WaitingStart>,
     /// What was found to fit no worker in the latest pass.
     lacking: BTreeSet<LackingKey>,
@@ -128,7 +130,8 @@
         amounts.get(organisation).copied().unwrap_or_default()
     }
 
-    /// Whether another `demand` fits within the organisation's limit on this pool.
+    /// Whether another `demand` fits within the organisation's limit on this pool, whatever runs of the former
+    /// leader go on where no worker has answered.
     pub(super) fn is_within_limit(
         &self,
         organisation: Option<&OrganisationId>,
@@ -138,10 +141,22 @@
         limited.is_none_or(|organisation| {
             let allowance = Self::amount(&self.plan.allowances, organisation);
             let used = Self::amount(&self.limit_use.used, organisation);
-            allowance.covers(&used.plus(demand))
+            let most = used.plus(&self.limit_use.unknown).plus(demand);
+            allowance.covers(&most)
         })
     }
 
+    /// Updates what unknown runs of the former leader may use: the capacity of the workers that have not answered. That
+    /// of a worker without an entry is not known.
+    pub(super) fn update_unknown_use(&mut self, now: Instant) {
+        let unanswered = self.takeover.unanswered(now);
+        let capacities = unanswered.map(|id| match self.workers.get(id) {
+            Some(worker) => worker.entry.capacity,
+            None => ResourceSet::from_array([u64::MAX; 3]),
+        });
+        self.limit_use.unknown = capacities.fold(ResourceSet::default(), |sum, capacity| sum.plus(&capacity));
+    }
+
     /// Whether a start of `step` that needs `demand` fits within the organisation's limit on this pool and need not
     /// wait for another one.
     pub(super) fn may_use_limit(
--- a/src/dispatch/takeover.rs
+++ b/src/dispatch/takeover.rs
@@ -85,9 +85,13 @@
 
     /// Workers that have not listed all their runs yet, some of which may be unknown to the leader.
     pub fn unreported(&self, now: Instant) -> impl Iterator<Item = &WorkerId> {
+        self.unanswered(now).chain(&self.listing)
+    }
+
+    /// Workers that have not answered, of whose runs nothing is known.
+    pub fn unanswered(&self, now: Instant) -> impl Iterator<Item = &WorkerId> {
         let is_awaiting = self.is_awaiting_answers(now);
-        let unreported = self.unreported.iter().filter(move |_| is_awaiting);
-        unreported.chain(&self.listing)
+        self.unreported.iter().filter(move |_| is_awaiting)
     }
 
     /// Number of workers that have not listed all their runs yet.
--- a/tests/pool_decisions/limits.rs
+++ b/tests/pool_decisions/limits.rs
@@ -1,17 +1,24 @@
 //! Tests of the limit of an organisation that several pools share: a task that fits the limit starts some time, and
 //! nobody uses more than the limit.
 
-use std::time::Duration;
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
 
 use figloft::dispatch::job_spec::StepSpec;
+use figloft::dispatch::pool_plan::PoolPlan;
+use figloft::dispatch::scheduler_timing::SchedulerTiming;
+use figloft::dispatch::site_config::{OrganisationConfig, SiteConfig};
+use figloft::dispatch::takeover::TakeoverState;
+use figloft::dispatch::worker_lease::WorkerLease;
+use figloft::model::id::PlanVersion;
 use figloft::model::resource::ResourceSet;
 use proptest::collection::vec;
 use proptest::prelude::{
     Just, ProptestConfig, Strategy, any, prop_assert, prop_assert_eq, prop_oneof, proptest,
 };
 
-use crate::limit_fleet::{LimitFleet, amounts};
-use crate::setup::step;
+use crate::limit_fleet::{LimitFleet, amounts, organisation};
+use crate::setup::{WALL, empty_scheduler, entry, record, report, start_all, step, worker_id};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -235,6 +242,50 @@
     assert!(fleet.has_started(0));
 }
 
+/// Guards against a new leader that exceeds the limit: it started new jobs of an organisation while runs on a worker out
+/// of its reach used the whole limit.
+#[test]
+fn runs_out_of_reach_of_a_new_leader_count_against_the_limit() {
+    let now = Instant::now();
+    let lease = SchedulerTiming::default().lease;
+    for (allowed, is_free) in [(8, false), (12, false), (13, true)] {
+        let former = BTreeSet::from([worker_id(0), worker_id(1)]);
+        let takeover = TakeoverState::from_former_leader(now, former, lease);
+        let mut scheduler = empty_scheduler(2, takeover);
+        let allowance = amounts(allowed * 1_000, 1_000_000);
+        let config = OrganisationConfig {
+            limit: allowance,
+            ..OrganisationConfig::default()
+        };
+        scheduler.set_config(&SiteConfig {
+            organisations: [(organisation(), config)].into(),
+            ..SiteConfig::default()
+        });
+        scheduler.set_plan(PoolPlan {
+            version: PlanVersion::default().next(),
+            allowances: [(organisation(), allowance)].into(),
+            ..PoolPlan::default()
+        });
+        for number in 0..2 {
+            scheduler.set_worker(now, entry(number, 8));
+        }
+        scheduler.decide(now, WALL, true);
+        report(&mut scheduler, now, 1, &[], &[]);
+        let mut job = record(0, vec![step(1, 5, 1_000)]);
+        job.organisation = Some(organisation());
+        scheduler.submit(now, now, job, None);
+        assert_eq!(
+            !start_all(&mut scheduler, now).is_empty(),
+            is_free,
+            "{allowed} cores"
+        );
+        // By then the leases of all runs of the former leader have ended.
+        let later = now + WorkerLease::max_duration(lease) + SECOND;
+        let started = start_all(&mut scheduler, later);
+        assert_eq!(started.is_empty(), is_free, "{allowed} cores");
+    }
+}
+
 /// An event of a random series.
 #[derive(Debug, Clone)]
 enum Event {
