--- a/benches/slopes/main.rs
+++ b/benches/slopes/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod jobs;
 mod journal;
+mod limits;
 mod measure;
 mod summaries;
 mod workers;
@@ -14,10 +15,11 @@
 
 type Group = (&'static str, fn() -> Vec<Series>);
 
-const GROUPS: [Group; 5] = [
+const GROUPS: [Group; 6] = [
     ("jobs", jobs::measure),
     ("journal", journal::measure),
     ("control", control::measure),
+    ("limits", limits::measure),
     ("workers", workers::measure),
     ("summaries", summaries::measure),
 ];
