Start gangs at the pace of their workers

Cause: the bound on starts in flight to a worker was the test for room, too. All members of a gang are placed in one pass, whose starts all count as in flight, so that a large gang never found places for all members and was taken back. It called for no further worker either.

Evidence: a gang of 44 on seven empty, usable workers of 32 cores does not start in a test without I/O, which rules out scattered room.

Change: room for all members is checked and taken before the first start is sent. Starts beyond the pace of a worker wait until it has answered earlier ones. A gang that cannot be completed is given up: starts that were not sent are dropped, other members are stopped, and it starts again as a whole. A gang without room calls for a worker like other tasks without a place.

--- a/src/dispatch/placement.rs
+++ b/src/dispatch/placement.rs
@@ -47,6 +47,8 @@
     pub preferred_rack: Option<&'a str>,
     /// Workers that the advice service admits, with their tickets; absent if the job uses no advice.
     pub allowed: Option<&'a BTreeMap<WorkerId, Arc<str>>>,
+    /// Starts in flight from which a worker is refused; [`MAX_PENDING_STARTS`] if the start is sent at once.
+    pub max_pending: u32,
 }
 
 /// Sort key of a candidate; the lowest is chosen.
@@ -92,7 +94,7 @@
         Some(HoldReason::Evacuating)
     } else if !is_allowed {
         Some(HoldReason::Advice)
-    } else if worker.starts_in_flight >= MAX_PENDING_STARTS {
+    } else if worker.starts_in_flight >= request.max_pending {
         Some(HoldReason::PendingStarts)
     } else if worker.isolated_for.as_ref().is_some_and(is_isolated) {
         Some(HoldReason::Isolated)
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -8,12 +8,13 @@
 //! `progress_flush` collects the changes that have to be stored. `load_report` digests the load for the admission of
 //! submissions. `held_tasks` finds out what holds back tasks that wait. `zone_evacuation` closes the workers of zones
 //! under evacuation, and `cost_order` orders the starts by the cost of delay, if that is set. `limit_use` keeps the starts
-//! within the limits of the organisations.
+//! within the limits of the organisations, and `gang_starts` starts gangs as a whole.
 
 mod command_outcomes;
 mod cost_order;
 mod demand_report;
 mod evacuation;
+mod gang_starts;
 mod held_tasks;
 mod isolation;
 mod limit_use;
@@ -45,6 +46,7 @@
 use crate::dispatch::poll_pace::{MIN_POLL_INTERVAL, PollPace};
 use crate::dispatch::pool_plan::PoolPlan;
 use crate::dispatch::pool_scheduler::cost_order::CostOrder;
+use crate::dispatch::pool_scheduler::gang_starts::GangStarts;
 use crate::dispatch::pool_scheduler::held_tasks::HeldTasks;
 use crate::dispatch::pool_scheduler::isolation::{IsolatedJob, PlannedStart};
 use crate::dispatch::pool_scheduler::limit_use::LimitUse;
@@ -130,6 +132,7 @@
     /// Whether the workers of the pool start what exceeds their capacity instead of refusing it.
     is_unguarded: bool,
     limit_use: LimitUse,
+    gang_starts: GangStarts,
     takeover: TakeoverState,
     rate_limiter: RateLimiter,
     /// Present if the order of starts depends on the cost of delay.
@@ -185,6 +188,7 @@
             organisations: BTreeMap::new(),
             is_unguarded: true,
             limit_use: LimitUse::default(),
+            gang_starts: GangStarts::default(),
             takeover,
             rate_limiter: RateLimiter::default(),
             cost_order: None,
@@ -353,6 +357,7 @@
         }
         let inputs = format!("{state}: {reason}");
         self.advice.retain(|step, _| step.job != *id);
+        self.gang_starts.forget_job(id);
         self.release_isolation(id);
         self.note("job ended", Some(id.clone()), None, inputs);
         self.mark_state_changed(id);
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -8,7 +8,7 @@
 use crate::dispatch::free_index::FreeIndex;
 use crate::dispatch::job_record::JobState;
 use crate::dispatch::job_spec::StepSpec;
-use crate::dispatch::job_state::{JobRun, TaskCopy, TaskState};
+use crate::dispatch::job_state::{JobRun, TaskCopy};
 use crate::dispatch::placement::{self, PlacementRequest};
 use crate::dispatch::pool_scheduler::{ADVICE_RETRY, PoolScheduler, StepAdvice, run_id};
 use crate::dispatch::start_priority::{PriorityInputs, StartKey};
@@ -80,6 +80,7 @@
             is_open && worker.is_usable(now)
         });
         self.free_index = FreeIndex::new(usable);
+        self.continue_gangs(now, commands);
         let first = commands.len();
         self.limit_use.begin_pass();
         // Before the steps that share workers, which would take the room that suspects need for themselves.
@@ -187,56 +188,6 @@
         }
     }
 
-    /// Starts all members of a gang with the same run number, or none of them.
-    fn start_gang(
-        &mut self,
-        now: Instant,
-        step: &StepId,
-        spec: &StepSpec,
-        organisation: Option<&OrganisationId>,
-        members: &[u32],
-        commands: &mut Vec<PoolCommand>,
-    ) {
-        let run = members
-            .iter()
-            .map(|index| self.next_run_number(&step.task(*index)))
-            .max();
-        let Some(run) = run else {
-            return;
-        };
-        let demand = spec.demand.saturating_mul(members.len() as u64);
-        if !self.may_use_limit(now, step, organisation, &demand) {
-            return;
-        }
-        let has_advice = self.advice.contains_key(step);
-        let mut gang = Vec::new();
-        let mut placed: Vec<(WorkerId, RunId)> = Vec::new();
-        for index in members {
-            let task = step.task(*index);
-            let is_suspect = self.task(&task).is_some_and(TaskState::is_suspect);
-            let worker = if is_suspect {
-                self.choose_worker_for_suspect(now, &task, spec)
-            } else {
-                self.choose_worker(now, &task, spec, has_advice)
-            };
-            let Some(worker) = worker else {
-                for (worker, run) in placed {
-                    if let Some(state) = self.workers.get_mut(&worker) {
-                        state.starts_in_flight = state.starts_in_flight.saturating_sub(1);
-                    }
-                    self.drop_run(now, &worker, &run, false);
-                }
-                return;
-            };
-            if is_suspect {
-                self.record_start(&task, &worker, run);
-            }
-            self.place_task(now, &worker, &task, run, spec, organisation, &mut gang);
-            placed.push((worker, RunId { task, number: run }));
-        }
-        commands.append(&mut gang);
-    }
-
     /// Returns a run number above all that were used for the task.
     pub(super) fn next_run_number(&self, task: &TaskId) -> RunNumber {
         let base = (self.term.get().saturating_sub(1)) * RUNS_PER_TERM;
@@ -252,6 +203,18 @@
         task: &TaskId,
         spec: &StepSpec,
         has_advice: bool,
+    ) -> Option<WorkerId> {
+        self.choose_paced_worker(now, task, spec, has_advice, placement::MAX_PENDING_STARTS)
+    }
+
+    /// Chooses a worker with less than `max_pending` starts in flight.
+    pub(super) fn choose_paced_worker(
+        &self,
+        now: Instant,
+        task: &TaskId,
+        spec: &StepSpec,
+        has_advice: bool,
+        max_pending: u32,
     ) -> Option<WorkerId> {
         let step = self.jobs.get(&task.step.job)?.step(&task.step)?;
         let rack = if spec.prefers_same_rack {
@@ -261,6 +224,7 @@
         };
         let request = PlacementRequest {
             preferred_rack: rack.as_deref(),
+            max_pending,
             ..self.placement_request(task, spec, has_advice)?
         };
         if spec.is_long_running {
@@ -302,6 +266,7 @@
             maintenance_due: &self.plan.maintenance_due,
             preferred_rack: None,
             allowed: advice.map(|advice| &advice.tickets),
+            max_pending: placement::MAX_PENDING_STARTS,
         })
     }
 
--- a/src/dispatch/pool_scheduler/unplaced_tasks.rs
+++ b/src/dispatch/pool_scheduler/unplaced_tasks.rs
@@ -146,11 +146,17 @@
             return false;
         };
         let task = step.task(index as u32);
-        let is_gang_or_filler = spec.is_gang || spec.is_best_effort;
-        !is_gang_or_filler
-            && self.is_within_limit(job.record.organisation.as_ref(), &spec.demand)
+        let lacks_place = || {
+            if spec.is_gang {
+                self.gang_starts.lacks_room(step)
+            } else {
+                !self.has_place(now, &task, spec)
+            }
+        };
+        !spec.is_best_effort
+            && self.is_within_limit(job.record.organisation.as_ref(), &spec.start_demand())
             && self.may_fit_another_instance(spec)
-            && !self.has_place(now, &task, spec)
+            && lacks_place()
     }
 
     /// Whether workers like those of this term, present or gone, could take the tasks of a step.
--- a/tests/pool_decisions/features.rs
+++ b/tests/pool_decisions/features.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use figloft::dispatch::command::{AdviceAnswer, PoolCommand, StartCommand, StartOutcome};
+use figloft::dispatch::command::{AdviceAnswer, PollError, PoolCommand, StartCommand, StartOutcome};
 use figloft::dispatch::job_record::{AdviceRule, JobRecord};
 use figloft::dispatch::job_spec::{JobSchedule, StepSpec};
 use figloft::dispatch::pool_scheduler::PoolScheduler;
@@ -89,6 +89,146 @@
     assert!(second[0].run.number > first[0].run.number && second[0].run.number == second[1].run.number);
 }
 
+/// Confirms starts in flight and takes further decisions until there are no more. Returns the starts of each decision.
+fn start_in_rounds(scheduler: &mut PoolScheduler, mut now: Instant) -> Vec<Vec<StartCommand>> {
+    let mut rounds = Vec::new();
+    loop {
+        let started = start_all(scheduler, now);
+        if started.is_empty() {
+            return rounds;
+        }
+        rounds.push(started);
+        now += MS * 10;
+    }
+}
+
+/// Guards against a gang that never starts because it has more members than starts may be in flight to the workers, and
+/// against more starts in flight to a worker than its pace allows (review/9).
+#[test]
+fn gang_larger_than_the_pace_of_its_workers_starts_as_a_whole() {
+    let now = Instant::now();
+    for (workers, cores, members) in [(7, 32, 44), (1, 64, 64), (3, 32, 96), (2, 8, 7)] {
+        let mut scheduler = scheduler(now, workers, cores);
+        scheduler.submit(now, now, record(1, vec![gang(members, 1)]), None);
+        let rounds = start_in_rounds(&mut scheduler, now);
+        let all: Vec<&StartCommand> = rounds.iter().flatten().collect();
+        assert_eq!(all.len(), members as usize, "{workers} workers");
+        assert!(all.iter().all(|start| start.run.number == all[0].run.number));
+        for round in &rounds {
+            for worker in 0..workers {
+                let of_worker = round
+                    .iter()
+                    .filter(|start| start.target.worker == worker_id(worker));
+                assert!(of_worker.count() <= 6);
+            }
+        }
+    }
+}
+
+/// Gang of 20 on two workers of which one start of the first 12 has no outcome yet; the others are confirmed.
+fn gang_in_the_middle_of_its_start(now: Instant) -> (PoolScheduler, Vec<StartCommand>) {
+    let mut scheduler = scheduler(now, 2, 20);
+    scheduler.submit(now, now, record(1, vec![gang(20, 1)]), None);
+    let first = starts(scheduler.decide(now, WALL, true));
+    assert_eq!(first.len(), 12);
+    for start in &first[..11] {
+        let outcome = StartOutcome::Started;
+        scheduler.handle_start_outcome(now, &start.target.worker, &start.run, outcome);
+    }
+    (scheduler, first)
+}
+
+/// Decides several times and returns how many runs were started and stopped.
+fn starts_and_stops(scheduler: &mut PoolScheduler, now: Instant) -> (usize, usize) {
+    let commands: Vec<PoolCommand> = (1..4)
+        .flat_map(|number| scheduler.decide(now + MS * number, WALL, true))
+        .collect();
+    let stops = commands
+        .iter()
+        .filter(|command| matches!(command, PoolCommand::Stop(..)))
+        .count();
+    (starts(commands).len(), stops)
+}
+
+/// Guards against a gang of which some members run alone and others keep room after a worker refused a start while
+/// further ones waited to be sent. Nothing of that run is started any more, and the whole gang starts again.
+#[test]
+fn gang_with_a_refused_start_is_given_up_and_starts_again() {
+    let now = Instant::now();
+    let (mut scheduler, first) = gang_in_the_middle_of_its_start(now);
+    let (worker, run) = (&first[11].target.worker, &first[11].run);
+    scheduler.handle_start_outcome(now, worker, run, StartOutcome::NoRoom);
+    assert_eq!(starts_and_stops(&mut scheduler, now), (0, 11));
+    let later = now + MS * 300;
+    for number in 0..2 {
+        let of_worker = first[..11]
+            .iter()
+            .filter(|start| start.target.worker == worker_id(number));
+        let ended = of_worker
+            .zip(1..)
+            .map(|(start, sequence)| end_row(sequence, start, RunOutcome::Stopped, ""));
+        let report = worker_report(vec![], ended.collect());
+        scheduler.handle_poll_report(later, &worker_id(number), later, report);
+    }
+    let again: Vec<StartCommand> = start_in_rounds(&mut scheduler, now + MS * 600)
+        .into_iter()
+        .flatten()
+        .collect();
+    assert_eq!(again.len(), 20);
+    assert!(again.iter().all(|start| start.run.number > first[0].run.number));
+}
+
+/// The same after a worker was lost: the members on the other one are stopped.
+#[test]
+fn gang_with_a_lost_worker_is_given_up() {
+    let now = Instant::now();
+    let (mut scheduler, first) = gang_in_the_middle_of_its_start(now);
+    let (worker, run) = (&first[11].target.worker, &first[11].run);
+    scheduler.handle_start_outcome(now, worker, run, StartOutcome::Started);
+    scheduler.handle_poll_error(now, worker, &PollError::NoAnswer("cut".into()));
+    let (started, stopped) = starts_and_stops(&mut scheduler, now);
+    assert_eq!(started, 0);
+    assert!(stopped >= 6, "{stopped}");
+}
+
+/// Guards against starts of a cancelled job that were waiting for earlier starts of its gang.
+#[test]
+fn waiting_starts_of_a_cancelled_gang_are_not_sent() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 1, 20);
+    scheduler.submit(now, now, record(1, vec![gang(20, 1)]), None);
+    assert_eq!(start_all(&mut scheduler, now).len(), 6);
+    scheduler.cancel(&job_id(1));
+    assert!(start_all(&mut scheduler, now + MS * 10).is_empty());
+    // The room of the starts that were not sent is free.
+    scheduler.submit(now, now, record(2, vec![step(14, 1, 1_000)]), None);
+    let rounds = start_in_rounds(&mut scheduler, now + MS * 20);
+    assert_eq!(rounds.iter().flatten().count(), 14);
+}
+
+/// Guards against a gang that waits for ever in a pool whose free room is scattered: it calls for another worker.
+#[test]
+fn gang_without_room_calls_for_a_worker() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 3, 8);
+    for number in 0..3 {
+        let small = StepSpec {
+            estimate: Duration::from_mins(1),
+            ..step(1, 3, 0)
+        };
+        scheduler.submit(now, now, record(number, vec![small]), None);
+        assert_eq!(start_all(&mut scheduler, now).len(), 1);
+    }
+    scheduler.submit(now, now, record(9, vec![gang(4, 3)]), None);
+    let mut unplaced = 0;
+    for tenth in 0..60 {
+        let later = now + MS * 100 * tenth;
+        scheduler.decide(later, WALL, true);
+        unplaced = unplaced.max(scheduler.report(later).unplaced);
+    }
+    assert_eq!(unplaced, 1);
+}
+
 /// Guards against spreading tasks over several racks, where they run slower.
 #[test]
 fn tasks_with_rack_affinity_share_a_rack() {
--- a/tests/pool_decisions/placement.rs
+++ b/tests/pool_decisions/placement.rs
@@ -83,6 +83,7 @@
                 maintenance_due: &BTreeSet::new(),
                 preferred_rack: rack.as_deref(),
                 allowed: None,
+                max_pending: placement::MAX_PENDING_STARTS,
             };
             let expected = placement::choose_worker(now, &workers, &request);
             let chosen = placement::choose_indexed_worker(now, &workers, &index, &request);
