Leave members of an ended gang time to end

Cause: the end of one member stands for the gang, and the end of the job asked for stops of all members that had not been listed yet.

Change: these stops count as just sent, so that only members that go on after the pause between two stops are stopped. Ends that are listed in time save the stop.

Evidence: members_of_an_ended_gang_are_not_stopped_at_once failed with the call taken out and passes with it.

--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -11,7 +11,7 @@
 use crate::dispatch::task_id::TaskId;
 use crate::dispatch::worker_report::{ActiveRun, EndedRun, RunOutcome, WorkerReport};
 use crate::dispatch::worker_state::{OutcomeLog, PlacedRun, RunPhase, StopRule};
-use crate::model::id::{JobId, WorkerId};
+use crate::model::id::{JobId, RunNumber, WorkerId};
 use crate::model::unix_time::UnixMillis;
 
 impl PoolScheduler {
@@ -226,7 +226,7 @@
         }
         match row.outcome {
             RunOutcome::Done => {
-                self.complete_task(&row.task, spec.is_gang);
+                self.complete_task(now, &run, spec.is_gang);
                 return self.mark_progress_changed(&id);
             }
             RunOutcome::Failed => {
@@ -266,7 +266,8 @@
         self.mark_progress_changed(&id)
     }
 
-    fn complete_task(&mut self, task_id: &TaskId, is_gang: bool) {
+    fn complete_task(&mut self, now: Instant, run: &RunId, is_gang: bool) {
+        let task_id = &run.task;
         let id = &task_id.step.job;
         let Some(step) = self.jobs.get_mut(id).and_then(|job| job.step_mut(&task_id.step)) else {
             return;
@@ -279,16 +280,34 @@
                 done.push((task_id.step.task(index as u32), task.copies.clone()));
             }
         }
-        for (task, copies) in done {
+        for (task, copies) in &done {
             // The members of a gang end together without being stopped.
             if !is_gang {
-                request_stops(&mut self.workers, &task, copies.iter().map(|copy| &copy.worker));
+                request_stops(&mut self.workers, task, copies.iter().map(|copy| &copy.worker));
             }
         }
         let is_done = self.jobs.get(id).is_some_and(JobRun::is_done);
         if is_done {
             self.end_job(id, JobState::Completed, "all tasks are done");
         }
+        if is_gang {
+            self.defer_stops(now, run.number, &done);
+        }
+    }
+
+    /// Treats the stops of members of a gang that has ended as if they had just been sent: only those that still run
+    /// when a stop would be repeated are stopped.
+    fn defer_stops(&mut self, now: Instant, run: RunNumber, members: &[(TaskId, Vec<TaskCopy>)]) {
+        for (task, copies) in members {
+            for copy in copies.iter().filter(|copy| copy.run == run) {
+                let worker = self.workers.get_mut(&copy.worker);
+                if let Some(placed) = worker.and_then(|worker| worker.runs.get_mut(task))
+                    && placed.run == run
+                {
+                    placed.stop_sent_at.get_or_insert(now);
+                }
+            }
+        }
     }
 
     fn handle_running(&mut self, now: Instant, worker_id: &WorkerId, row: &ActiveRun) {
--- a/tests/pool_decisions/features.rs
+++ b/tests/pool_decisions/features.rs
@@ -191,6 +191,38 @@
     assert!(stopped >= 6, "{stopped}");
 }
 
+/// Guards against stopping members of a gang that has ended `done`: the end of one stands for all, and the others are
+/// listed a moment later. One that goes on all the same is stopped.
+#[test]
+fn members_of_an_ended_gang_are_not_stopped_at_once() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 2, 4);
+    scheduler.submit(now, now, record(1, vec![gang(8, 1)]), None);
+    let started = start_all(&mut scheduler, now);
+    assert_eq!(started.len(), 8);
+    let of_worker = |number| {
+        started
+            .iter()
+            .filter(move |start| start.target.worker == worker_id(number))
+    };
+    let first = of_worker(0).next().expect("a member on the worker");
+    let ended = worker_report(vec![], vec![end_row(1, first, RunOutcome::Done, "")]);
+    let later = now + MS * 1_000;
+    scheduler.handle_poll_report(later, &worker_id(0), later, ended);
+    assert_eq!(starts_and_stops(&mut scheduler, later), (0, 0));
+    let running = of_worker(1).map(running_row).collect();
+    let much_later = now + MS * 2_500;
+    scheduler.handle_poll_report(
+        much_later,
+        &worker_id(1),
+        much_later,
+        worker_report(running, vec![]),
+    );
+    let (started, stopped) = starts_and_stops(&mut scheduler, much_later);
+    assert_eq!(started, 0);
+    assert!(stopped >= 4, "{stopped}");
+}
+
 /// Guards against starts of a cancelled job that were waiting for earlier starts of its gang.
 #[test]
 fn waiting_starts_of_a_cancelled_gang_are_not_sent() {
