--- a/src/dispatch/allowance_split.rs
+++ b/src/dispatch/allowance_split.rs
@@ -7,7 +7,7 @@
 //! therefore granted what their next start needs, one after the other and for all resources together, and only the rest
 //! is divided by demand. A pool for whose next start too little is left gets no more than it uses, until it comes first.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::dispatch::pool_plan::NextStart;
 use crate::model::id::PoolId;
@@ -67,81 +67,66 @@
 /// Splits a limit, of which a zero amount means unlimited. `order` names the pools that are granted what their next start
 /// needs, the first one first.
 pub fn split(limit: &ResourceSet, demands: &BTreeMap<PoolId, PoolDemand>, order: &[&PoolId]) -> LimitSplit {
-    let reserved = reserve_starts(limit, demands, order);
-    let mut allowances: BTreeMap<PoolId, [u64; RESOURCES]> = demands
-        .keys()
-        .map(|pool| (pool.clone(), [u64::MAX; RESOURCES]))
-        .collect();
-    for (resource, limit) in limit
-        .to_array()
-        .into_iter()
-        .enumerate()
-        .filter(|(_, limit)| *limit > 0)
-    {
-        let shares = demands.iter().map(|(pool, demand)| {
-            let amount = |amounts: &ResourceSet| amounts.to_array()[resource];
-            let reserved = reserved.get(pool);
-            // A pool that cannot start anything holds what it uses, and a pool of an earlier version what it asks for.
-            let is_served = reserved.is_some() || demand.next_start.is_none();
-            let wanted = if is_served { demand.whole() } else { demand.used };
-            let floor = amount(reserved.unwrap_or(&demand.pinned));
-            let share = ResourceShare {
-                ceiling: amount(&demand.ceiling).min(limit),
-                floor,
-                wanted: amount(&wanted).max(floor),
-                start: amount(&demand.used)
-                    .saturating_add(demand.next_start.map_or(0, |next| amount(&next.demand))),
-            };
-            (pool, share)
-        });
-        let shares: BTreeMap<&PoolId, ResourceShare> = shares.collect();
+    let pools: Vec<(&PoolId, &PoolDemand)> = demands.iter().collect();
+    let find = |pool: &&PoolId| pools.binary_search_by(|(id, _)| id.cmp(pool)).ok();
+    let order: Vec<usize> = order.iter().filter_map(find).collect();
+    let reserved = reserve_starts(limit, &pools, &order);
+    let mut is_first = vec![false; pools.len()];
+    for index in &order {
+        is_first[*index] = true;
+    }
+    let others = (0..pools.len()).filter(|index| !is_first[*index]);
+    let order: Vec<usize> = order.iter().copied().chain(others).collect();
+    let mut allowances = vec![[u64::MAX; RESOURCES]; pools.len()];
+    for (resource, limit) in limit.to_array().into_iter().enumerate() {
+        if limit == 0 {
+            continue;
+        }
+        let shares: Vec<ResourceShare> = pools
+            .iter()
+            .zip(&reserved)
+            .map(|((_, demand), reserved)| ResourceShare::new(resource, limit, demand, reserved.as_ref()))
+            .collect();
         let targets = targets(limit, &shares);
-        let ceilings: u64 = shares
-            .values()
-            .fold(0, |sum, share| sum.saturating_add(share.ceiling));
+        let ceilings = shares
+            .iter()
+            .fold(0_u64, |sum, share| sum.saturating_add(share.ceiling));
         let mut free = limit.saturating_sub(ceilings);
-        let first: BTreeSet<&PoolId> = order.iter().copied().collect();
-        let others = shares.keys().copied().filter(|pool| !first.contains(pool));
-        for pool in order.iter().copied().chain(others) {
-            let (Some(share), Some(target)) = (shares.get(pool), targets.get(pool)) else {
-                continue;
-            };
-            let gain = target.saturating_sub(share.ceiling).min(free);
+        for index in &order {
+            let (target, ceiling) = (targets[*index], shares[*index].ceiling);
+            let gain = target.saturating_sub(ceiling).min(free);
             free -= gain;
-            if let Some(allowance) = allowances.get_mut(pool) {
-                allowance[resource] = (*target).min(share.ceiling + gain);
-            }
+            allowances[*index][resource] = target.min(ceiling + gain);
         }
     }
-    let allowances = allowances.into_iter();
+    let ids = pools.into_iter().map(|(pool, _)| pool.clone());
+    let reserved = ids.clone().zip(reserved);
     LimitSplit {
-        allowances: allowances
-            .map(|(pool, amounts)| (pool, ResourceSet::from_array(amounts)))
+        allowances: ids
+            .zip(allowances.into_iter().map(ResourceSet::from_array))
             .collect(),
-        reserved,
+        reserved: reserved.filter_map(|(pool, need)| Some((pool, need?))).collect(),
     }
 }
 
-/// What the pools need for their next starts, for those that can be granted it beside the ones before them.
+/// What each pool needs for its next start, if it can be granted that beside the pools before it.
 fn reserve_starts(
     limit: &ResourceSet,
-    demands: &BTreeMap<PoolId, PoolDemand>,
-    order: &[&PoolId],
-) -> BTreeMap<PoolId, ResourceSet> {
-    let pinned = demands
-        .values()
-        .fold(ResourceSet::default(), |sum, demand| sum.plus(&demand.pinned));
+    pools: &[(&PoolId, &PoolDemand)],
+    order: &[usize],
+) -> Vec<Option<ResourceSet>> {
+    let pinned = pools.iter().fold(ResourceSet::default(), |sum, (_, demand)| {
+        sum.plus(&demand.pinned)
+    });
     let mut left = limit.saturating_sub(&pinned);
-    let mut reserved = BTreeMap::new();
-    for pool in order {
-        let Some(demand) = demands.get(*pool) else {
-            continue;
-        };
-        if let (Some(next), Some(need)) = (demand.next_start, demand.start_need())
+    let mut reserved = vec![None; pools.len()];
+    for index in order {
+        let (_, demand) = pools[*index];
+        if let Some(next) = demand.next_start
             && next.demand.fits_within(&left, limit)
         {
             left = left.saturating_sub(&next.demand);
-            reserved.insert((*pool).clone(), need);
+            reserved[*index] = demand.start_need();
         }
     }
     reserved
@@ -159,25 +144,39 @@
     start: u64,
 }
 
+impl ResourceShare {
+    fn new(resource: usize, limit: u64, demand: &PoolDemand, reserved: Option<&ResourceSet>) -> Self {
+        let amount = |amounts: &ResourceSet| amounts.to_array()[resource];
+        // A pool that cannot start anything holds what it uses, and a pool of an earlier version what it asks for.
+        let is_served = reserved.is_some() || demand.next_start.is_none();
+        let wanted = if is_served { demand.whole() } else { demand.used };
+        let floor = amount(reserved.unwrap_or(&demand.pinned));
+        let next = demand.next_start.map_or(0, |next| amount(&next.demand));
+        Self {
+            ceiling: amount(&demand.ceiling).min(limit),
+            floor,
+            wanted: amount(&wanted).max(floor),
+            start: amount(&demand.used).saturating_add(next),
+        }
+    }
+}
+
 /// The split that ignores the upper bounds of other pools: it covers the floors first, then raises the lowest amounts
 /// equally up to what is wanted, and divides the rest equally.
-fn targets<'a>(limit: u64, shares: &BTreeMap<&'a PoolId, ResourceShare>) -> BTreeMap<&'a PoolId, u64> {
+fn targets(limit: u64, shares: &[ResourceShare]) -> Vec<u64> {
     let part = (limit / LIMIT_PARTS).max(1);
     let wanted = |share: &ResourceShare| share.wanted.div_ceil(part).saturating_mul(part);
-    let bounds: Vec<(u64, u64)> = shares
-        .values()
-        .map(|share| (share.floor, wanted(share)))
-        .collect();
+    let bounds: Vec<(u64, u64)> = shares.iter().map(|share| (share.floor, wanted(share))).collect();
     let level = fill_level(limit, &bounds);
     let filled = |share: &ResourceShare| level.clamp(share.floor, wanted(share).max(share.floor));
-    let sum = shares.values().map(filled).fold(0, u64::saturating_add);
+    let sum = shares.iter().map(filled).fold(0, u64::saturating_add);
     let rest = limit.saturating_sub(sum) / shares.len().max(1) as u64;
-    let targets = shares.iter().map(|(pool, share)| {
+    let targets = shares.iter().map(|share| {
         let whole = filled(share).saturating_add(rest).min(limit);
         // What a start needs is never rounded off: a task that needs the whole limit would not start.
         let needs = [share.floor, share.start, share.wanted];
         let need = needs.into_iter().filter(|need| *need <= whole).max();
-        (*pool, (whole / part * part).max(need.unwrap_or_default()))
+        (whole / part * part).max(need.unwrap_or_default())
     });
     targets.collect()
 }
