Raise no allowance while the bounds of all pools exceed the limit

Callers saw nothing yet: all pools together could use more than the limit.

Cause: what a pool might use by its oldest possible plan counted as held by it. A new leader of the fleet knows only the stored plans until it has read the reports, and one that hears from a new pool leader does not know which plan is confirmed. It raised a pool's allowance up to that bound, although the pool had given the difference up and another pool had it.

Change: where the bounds of all pools exceed the limit, no allowance rises above the one in the pool's newest plan.

--- a/src/dispatch/allowance_split.rs
+++ b/src/dispatch/allowance_split.rs
@@ -25,6 +25,8 @@
 pub struct PoolDemand {
     /// Upper bound of what the pool may use until it confirms a lower allowance.
     pub ceiling: ResourceSet,
+    /// Allowance in the newest plan of the pool.
+    pub allowed: ResourceSet,
     /// Resources of the active runs.
     pub used: ResourceSet,
     /// The part of `used` that long-running tasks keep until their job is cancelled.
@@ -93,10 +95,17 @@
             .fold(0_u64, |sum, share| sum.saturating_add(share.ceiling));
         let mut free = limit.saturating_sub(ceilings);
         for index in &order {
-            let (target, ceiling) = (targets[*index], shares[*index].ceiling);
-            let gain = target.saturating_sub(ceiling).min(free);
+            let (target, share) = (targets[*index], &shares[*index]);
+            // If the upper bounds exceed the limit, the limit was lowered, or a new leader does not know yet which
+            // plans are confirmed. What one pool has given up may then be with another one.
+            let held = if ceilings > limit {
+                share.ceiling.min(share.allowed)
+            } else {
+                share.ceiling
+            };
+            let gain = target.saturating_sub(held).min(free);
             free -= gain;
-            allowances[*index][resource] = target.min(ceiling + gain);
+            allowances[*index][resource] = target.min(held + gain);
         }
     }
     let ids = pools.into_iter().map(|(pool, _)| pool.clone());
@@ -136,6 +145,7 @@
 #[derive(Debug, Clone, Copy)]
 struct ResourceShare {
     ceiling: u64,
+    allowed: u64,
     /// Amount that is granted first.
     floor: u64,
     /// Amount up to which the pool takes part in the division; at least the floor.
@@ -154,6 +164,7 @@
         let next = demand.next_start.map_or(0, |next| amount(&next.demand));
         Self {
             ceiling: amount(&demand.ceiling).min(limit),
+            allowed: amount(&demand.allowed),
             floor,
             wanted: amount(&wanted).max(floor),
             start: amount(&demand.used).saturating_add(next),
--- a/src/dispatch/fleet_planner.rs
+++ b/src/dispatch/fleet_planner.rs
@@ -438,9 +438,13 @@
 
     fn pool_demand(&self, pool: &PoolId, organisation: &OrganisationId) -> PoolDemand {
         let ceiling = self.possible_usage(pool, organisation);
+        let plan = self.plans.get(pool);
+        let allowed = plan.and_then(|plan| plan.allowances.get(organisation));
+        let allowed = allowed.copied().unwrap_or_default();
         let Some(report) = self.reports.get(pool) else {
             return PoolDemand {
                 ceiling,
+                allowed,
                 ..PoolDemand::default()
             };
         };
@@ -449,6 +453,7 @@
         };
         PoolDemand {
             ceiling,
+            allowed,
             used: find(&report.usage),
             pinned: find(&report.pinned),
             wanted: find(&report.wanted),
--- a/tests/pool_decisions/fleet.rs
+++ b/tests/pool_decisions/fleet.rs
@@ -79,6 +79,7 @@
                 let next = NextStart { demand: cores(u64::from(*wanted) / 3 + 1), ..NextStart::default() };
                 let demand = PoolDemand {
                     ceiling: cores(ceiling),
+                    allowed: cores(ceiling),
                     used: cores(used),
                     wanted: cores(u64::from(*wanted)),
                     next_start: (*wanted > 0).then_some(next),
--- a/tests/pool_decisions/limit_fleet.rs
+++ b/tests/pool_decisions/limit_fleet.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use figloft::dispatch::command::{PollCommand, PoolCommand, StartCommand, StartOutcome};
+use figloft::dispatch::command::{PollCommand, PollError, PoolCommand, StartCommand, StartOutcome};
 use figloft::dispatch::fleet_planner::{FleetCommand, FleetPlanner};
 use figloft::dispatch::job_record::JobRecord;
 use figloft::dispatch::job_spec::StepSpec;
@@ -84,6 +84,8 @@
     held_up_until: Instant,
     /// Time until which the pool has no leader.
     no_leader_until: Option<Instant>,
+    /// Time until which the workers do not answer.
+    silent_until: Instant,
 }
 
 struct FakeJob {
@@ -163,6 +165,7 @@
                 last_report: None,
                 held_up_until: now,
                 no_leader_until: None,
+                silent_until: now,
             });
         }
         fleet.set_limit(limit);
@@ -226,21 +229,24 @@
         self.pools[pool].held_up_until = self.now + time;
     }
 
-    /// Replaces the leader of the fleet by one that knows the stored plans only.
+    /// Replaces the leader of the fleet by one that knows the stored plans only, and reads the reports a moment later.
     pub fn lose_fleet_leader(&mut self) {
         self.planner = FleetPlanner::new();
         self.planner.set_config(&self.config);
-        for (number, pool) in self.pools.iter().enumerate() {
+        for (number, pool) in self.pools.iter_mut().enumerate() {
             self.planner.set_plan(pool_id(number), pool.stored_plan.clone());
+            pool.reports.clear();
             if let Some((_, report)) = &pool.last_report {
-                self.planner.set_report(pool_id(number), report.clone());
+                pool.reports.push_back((self.now + DELAY, report.clone()));
             }
         }
     }
 
-    /// Ends the leader of a pool; the next one takes over after `time`.
-    pub fn lose_pool_leader(&mut self, pool: usize, time: Duration) {
-        self.pools[pool].no_leader_until = Some(self.now + time);
+    /// Ends the leader of a pool; the next one takes over after `time`, and reaches the workers after `silent`.
+    pub fn lose_pool_leader(&mut self, pool: usize, time: Duration, silent: Duration) {
+        let end = self.now + time;
+        self.pools[pool].no_leader_until = Some(end);
+        self.pools[pool].silent_until = end + silent;
     }
 
     /// Removes all workers of a pool that run nothing, without replacement.
@@ -388,7 +394,17 @@
             self.bound = limit;
         }
         if !sum.fits_within(&self.bound, &self.bound) && self.violation.is_none() {
-            self.violation = Some(format!("{sum} of {}", self.bound));
+            let pools = self.pools.iter().enumerate().map(|(number, pool)| {
+                let plan = &pool.plan_in_force;
+                format!(
+                    "; pool {number}: used {}, plan {} allows {}",
+                    self.used(number),
+                    plan.version,
+                    allowance(plan)
+                )
+            });
+            let pools: String = pools.collect();
+            self.violation = Some(format!("{sum} of {}{pools}", self.bound));
         }
     }
 }
@@ -418,6 +434,11 @@
 
     fn answer_poll(&mut self, now: Instant, poll: &PollCommand) {
         let worker = &poll.target.worker;
+        if now < self.silent_until {
+            let error = PollError::NoAnswer("cut off".into());
+            self.scheduler.handle_poll_error(now, worker, &error);
+            return;
+        }
         if let Some(runner) = self.runner(worker) {
             runner.ended.retain(|end| end.sequence > poll.acknowledged);
             let report = runner.report();
--- a/tests/pool_decisions/limits.rs
+++ b/tests/pool_decisions/limits.rs
@@ -4,10 +4,12 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
+use figloft::dispatch::fleet_planner::{FleetCommand, FleetPlanner};
 use figloft::dispatch::job_spec::StepSpec;
-use figloft::dispatch::pool_plan::PoolPlan;
+use figloft::dispatch::pool_plan::{PoolPlan, PoolReport};
+use figloft::dispatch::pool_scheduler::PoolScheduler;
 use figloft::dispatch::scheduler_timing::SchedulerTiming;
-use figloft::dispatch::site_config::{OrganisationConfig, SiteConfig};
+use figloft::dispatch::site_config::{OrganisationConfig, PoolConfig, SiteConfig};
 use figloft::dispatch::takeover::TakeoverState;
 use figloft::dispatch::worker_lease::WorkerLease;
 use figloft::model::id::PlanVersion;
@@ -17,8 +19,8 @@
     Just, ProptestConfig, Strategy, any, prop_assert, prop_assert_eq, prop_oneof, proptest,
 };
 
-use crate::limit_fleet::{LimitFleet, amounts, organisation};
-use crate::setup::{WALL, empty_scheduler, entry, record, report, start_all, step, worker_id};
+use crate::limit_fleet::{LimitFleet, amounts, organisation, pool_id};
+use crate::setup::{WALL, empty_scheduler, entry, pool, record, report, start_all, step, worker_id};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -172,7 +174,7 @@
 #[test]
 fn limit_is_not_kept_for_a_pool_out_of_touch_for_ever() {
     let mut fleet = fleet_with_two_large_tasks(true);
-    fleet.lose_pool_leader(0, 6 * SECOND);
+    fleet.lose_pool_leader(0, 6 * SECOND, Duration::ZERO);
     fleet.lose_fleet_leader();
     fleet.run_for(14 * SECOND);
     assert_eq!(fleet.open_jobs(), Vec::<usize>::new());
@@ -286,6 +288,98 @@
     }
 }
 
+/// Guards against a part of the limit that is given away while it is in use: a pool above its new allowance lost its
+/// leader, and the next one confirmed the plan before it knew what runs.
+#[test]
+fn new_leader_confirms_no_plan_before_it_knows_what_runs() {
+    let now = Instant::now();
+    let former = BTreeSet::from([worker_id(0)]);
+    let takeover = TakeoverState::from_former_leader(now, former, SchedulerTiming::default().lease);
+    let mut scheduler = empty_scheduler(2, takeover);
+    let plan = PoolPlan {
+        version: PlanVersion::default().next(),
+        allowances: [(organisation(), amounts(1_000, 0))].into(),
+        ceilings: [(organisation(), amounts(4_000, 0))].into(),
+        ..PoolPlan::default()
+    };
+    scheduler.set_plan(plan.clone());
+    scheduler.set_worker(now, entry(0, 8));
+    scheduler.decide(now, WALL, true);
+    let mut planner = FleetPlanner::new();
+    let config = |limit| OrganisationConfig {
+        limit,
+        ..OrganisationConfig::default()
+    };
+    let pools = [pool(), pool_id(1)].map(|pool| (pool, PoolConfig::default()));
+    planner.set_config(&SiteConfig {
+        organisations: [(organisation(), config(amounts(4_000, 0)))].into(),
+        pools: pools.into(),
+        ..SiteConfig::default()
+    });
+    planner.set_plan(pool(), plan);
+    let other = PoolReport {
+        wanted: [(organisation(), amounts(4_000, 0))].into(),
+        ..PoolReport::default()
+    };
+    planner.set_report(pool_id(1), other);
+    planner.set_report(pool(), scheduler.report(now));
+    // What the second pool is granted, once the first has taken its plan.
+    let granted = |planner: &mut FleetPlanner, scheduler: &mut PoolScheduler| {
+        let mut cores = None;
+        for command in planner.decide(now) {
+            match command {
+                FleetCommand::PublishPlan(id, plan) if id == pool() => scheduler.set_plan(plan),
+                FleetCommand::PublishPlan(_, plan) => {
+                    cores = Some(plan.allowances[&organisation()].cores.get());
+                }
+                _ => {}
+            }
+        }
+        planner.set_report(pool(), scheduler.report(now));
+        cores
+    };
+    assert_eq!(granted(&mut planner, &mut scheduler), Some(0));
+    assert_eq!(granted(&mut planner, &mut scheduler), None);
+    report(&mut scheduler, now, 0, &[], &[]);
+    planner.set_report(pool(), scheduler.report(now));
+    let cores = granted(&mut planner, &mut scheduler);
+    assert!(cores >= Some(3_000), "{cores:?}");
+}
+
+/// Guards against a new leader of the fleet that raises an allowance before it has read the reports: one pool had given
+/// up a part of the limit, which another one may use.
+#[test]
+fn new_fleet_leader_raises_no_allowance_before_it_knows_the_reports() {
+    let mut planner = FleetPlanner::new();
+    let config = OrganisationConfig {
+        limit: amounts(4_000, 0),
+        ..OrganisationConfig::default()
+    };
+    planner.set_config(&SiteConfig {
+        organisations: [(organisation(), config)].into(),
+        pools: [0, 1]
+            .map(|number| (pool_id(number), PoolConfig::default()))
+            .into(),
+        ..SiteConfig::default()
+    });
+    for (number, (allowance, ceiling)) in [(0, 1_984), (3_968, 3_968)].into_iter().enumerate() {
+        let plan = PoolPlan {
+            version: PlanVersion::default().next(),
+            allowances: [(organisation(), amounts(allowance, 0))].into(),
+            ceilings: [(organisation(), amounts(ceiling, 0))].into(),
+            ..PoolPlan::default()
+        };
+        planner.set_plan(pool_id(number), plan);
+    }
+    for command in planner.decide(Instant::now()) {
+        if let FleetCommand::PublishPlan(id, plan) = command
+            && id == pool_id(0)
+        {
+            assert_eq!(plan.allowances[&organisation()].cores.get(), 0);
+        }
+    }
+}
+
 /// An event of a random series.
 #[derive(Debug, Clone)]
 enum Event {
@@ -301,7 +395,11 @@
     SetLimit(u64),
     HoldUp(usize, u64),
     LoseFleetLeader,
-    LosePoolLeader(usize, u64),
+    LosePoolLeader {
+        pool: usize,
+        ms: u64,
+        silent_ms: u64,
+    },
 }
 
 const POOLS: usize = 3;
@@ -330,7 +428,8 @@
         1 => (LIMIT / 2..=LIMIT).prop_map(Event::SetLimit),
         2 => (0..POOLS, 100..5_000_u64).prop_map(|(pool, ms)| Event::HoldUp(pool, ms)),
         1 => Just(Event::LoseFleetLeader),
-        1 => (0..POOLS, 100..4_000_u64).prop_map(|(pool, ms)| Event::LosePoolLeader(pool, ms)),
+        1 => (0..POOLS, 100..4_000_u64, 0..3_000_u64)
+            .prop_map(|(pool, ms, silent_ms)| Event::LosePoolLeader { pool, ms, silent_ms }),
     ]
 }
 
@@ -359,7 +458,13 @@
         Event::SetLimit(limit) => fleet.set_limit(amounts(*limit, LIMIT)),
         Event::HoldUp(pool, ms) => fleet.hold_up(*pool, Duration::from_millis(*ms)),
         Event::LoseFleetLeader => fleet.lose_fleet_leader(),
-        Event::LosePoolLeader(pool, ms) => fleet.lose_pool_leader(*pool, Duration::from_millis(*ms)),
+        Event::LosePoolLeader { pool, ms, silent_ms } => {
+            fleet.lose_pool_leader(
+                *pool,
+                Duration::from_millis(*ms),
+                Duration::from_millis(*silent_ms),
+            );
+        }
     }
 }
 
@@ -367,7 +472,8 @@
     #![proptest_config(ProptestConfig::with_cases(32))]
 
     /// Guards against exceeding the limit, and against tasks that fit the limit and never start, in any series of
-    /// submissions, ends, cancellations, changes of the limit, late reports and plans, and lost leaders.
+    /// submissions, ends, cancellations, changes of the limit, late reports and plans, and lost leaders, whose successors
+    /// may not reach the workers at first.
     #[test]
     fn limit_holds_and_all_work_ends(series in vec((event(), 0..1_500_u64), 1..40)) {
         let mut fleet = LimitFleet::new(POOLS, 2, amounts(LIMIT, LIMIT));
