Tell a gang whose job has ended from one that cannot be completed

The end of a job has requested the stops already, so that its gangs are only forgotten and their unsent starts dropped, without a line about a gang given up.

--- a/src/dispatch/pool_scheduler/gang_starts.rs
+++ b/src/dispatch/pool_scheduler/gang_starts.rs
@@ -179,6 +179,10 @@
                 GangProgress::Running => {
                     self.gang_starts.open.remove(&step);
                 }
+                // The end of the job has requested the stops.
+                GangProgress::Ended => {
+                    self.drop_unsent_starts(now, &step);
+                }
                 GangProgress::Broken(reason) => self.give_up_gang(now, &step, gang, reason),
             }
         }
@@ -207,11 +211,9 @@
     }
 
     fn gang_progress(&self, now: Instant, step: &StepId, gang: OpenGang) -> GangProgress {
-        let Some(job) = self.jobs.get(&step.job) else {
-            return GangProgress::Broken("its job has ended");
-        };
-        let Some(state) = job.step(step).filter(|_| !job.state.is_final()) else {
-            return GangProgress::Broken("its job has ended");
+        let job = self.jobs.get(&step.job).filter(|job| !job.state.is_final());
+        let Some(state) = job.and_then(|job| job.step(step)) else {
+            return GangProgress::Ended;
         };
         if state.unfinished == 0 {
             return GangProgress::Running;
@@ -245,21 +247,24 @@
         }
     }
 
-    /// Drops the starts of a gang that were not sent and stops its other members.
-    fn give_up_gang(&mut self, now: Instant, step: &StepId, gang: OpenGang, reason: &str) {
+    /// Forgets a gang and drops those of its starts that were not sent. Returns their number.
+    fn drop_unsent_starts(&mut self, now: Instant, step: &StepId) -> usize {
         self.gang_starts.open.remove(step);
-        let mut dropped = Vec::new();
+        let mut dropped: Vec<(WorkerId, RunId)> = Vec::new();
         for (worker, queue) in &mut self.gang_starts.queued {
-            let (own, others) = std::mem::take(queue)
-                .into_iter()
-                .partition(|start| start.run.task.step == *step);
-            *queue = others;
-            let own: VecDeque<StartCommand> = own;
-            dropped.extend(own.into_iter().map(|start| (worker.clone(), start.run)));
+            let own = queue.iter().filter(|start| start.run.task.step == *step);
+            dropped.extend(own.map(|start| (worker.clone(), start.run.clone())));
+            queue.retain(|start| start.run.task.step != *step);
         }
         for (worker, run) in &dropped {
             self.drop_run(now, worker, run, false);
         }
+        dropped.len()
+    }
+
+    /// Drops the starts of a gang that were not sent and stops its other members.
+    fn give_up_gang(&mut self, now: Instant, step: &StepId, gang: OpenGang, reason: &str) {
+        let dropped = self.drop_unsent_starts(now, step);
         let Some(state) = self.jobs.get(&step.job).and_then(|job| job.step(step)) else {
             return;
         };
@@ -274,9 +279,8 @@
             );
         }
         let inputs = format!(
-            "step {step}, run {}: {reason}; {} starts not sent, {stopped} members stopped",
-            gang.run,
-            dropped.len()
+            "step {step}, run {}: {reason}; {dropped} starts not sent, {stopped} members stopped",
+            gang.run
         );
         self.note("gang given up", Some(step.job.clone()), None, inputs);
     }
@@ -288,6 +292,8 @@
     Starting,
     /// All members are confirmed.
     Running,
+    /// Its job has ended.
+    Ended,
     /// The gang cannot be completed, for this reason.
     Broken(&'static str),
 }
