Count what the former leader reported, not all that its workers could run

Callers saw: since unknown runs of a former leader count against limits, jobs waited up to 5 s after a take-over beside a worker out of reach.

Cause: the whole capacity of each worker that had not answered counted as used by every organisation with a limit.

Change: what the former leader reported as used by an organisation counts until all its workers have answered. This still holds the organisation that is at its limit, and no other.

--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -519,7 +519,7 @@
         self.expire_runs(now);
         self.withdraw_moves(now);
         self.note_empty_zones();
-        self.update_unknown_use(now);
+        self.review_former_usage(now);
         let may_start = is_leadership_valid && self.zones.is_confirmed(now);
         self.issue_stops(now, may_start, &mut commands);
         if is_leadership_valid {
--- a/src/dispatch/pool_scheduler/limit_use.rs
+++ b/src/dispatch/pool_scheduler/limit_use.rs
@@ -40,8 +40,8 @@
 pub(super) struct LimitUse {
     used: BTreeMap<OrganisationId, ResourceSet>,
     pinned: BTreeMap<OrganisationId, ResourceSet>,
-    /// Upper bound of what unknown runs of the former leader use.
-    unknown: ResourceSet,
+    /// What the former leader reported as used, until all its workers have answered.
+    former: BTreeMap<OrganisationId, ResourceSet>,
     waiting: BTreeMap<OrganisationId, WaitingStart>,
     /// What was found to fit no worker in the latest pass.
     lacking: BTreeSet<LackingKey>,
@@ -130,8 +130,8 @@
         amounts.get(organisation).copied().unwrap_or_default()
     }
 
-    /// Whether another `demand` fits within the organisation's limit on this pool, whatever runs of the former
-    /// leader go on where no worker has answered.
+    /// Whether another `demand` fits within the organisation's limit on this pool. While workers of the former leader
+    /// have not answered, at least what that leader reported counts as used.
     pub(super) fn is_within_limit(
         &self,
         organisation: Option<&OrganisationId>,
@@ -140,21 +140,22 @@
         let limited = organisation.filter(|organisation| self.limit(organisation).is_some());
         limited.is_none_or(|organisation| {
             let allowance = Self::amount(&self.plan.allowances, organisation);
-            let used = Self::amount(&self.limit_use.used, organisation);
-            let most = used.plus(&self.limit_use.unknown).plus(demand);
-            allowance.covers(&most)
+            let known = Self::amount(&self.limit_use.used, organisation);
+            let former = Self::amount(&self.limit_use.former, organisation);
+            allowance.covers(&known.component_max(&former).plus(demand))
         })
     }
 
-    /// Updates what unknown runs of the former leader may use: the capacity of the workers that have not answered. That
-    /// of a worker without an entry is not known.
-    pub(super) fn update_unknown_use(&mut self, now: Instant) {
-        let unanswered = self.takeover.unanswered(now);
-        let capacities = unanswered.map(|id| match self.workers.get(id) {
-            Some(worker) => worker.entry.capacity,
-            None => ResourceSet::from_array([u64::MAX; 3]),
-        });
-        self.limit_use.unknown = capacities.fold(ResourceSet::default(), |sum, capacity| sum.plus(&capacity));
+    /// Sets what the former leader reported as used.
+    pub fn set_former_usage(&mut self, usage: BTreeMap<OrganisationId, ResourceSet>) {
+        self.limit_use.former = usage;
+    }
+
+    /// Forgets what the former leader reported once all its workers have answered or their leases have ended.
+    pub(super) fn review_former_usage(&mut self, now: Instant) {
+        if !self.limit_use.former.is_empty() && self.takeover.unanswered(now).next().is_none() {
+            self.limit_use.former.clear();
+        }
     }
 
     /// Whether a start of `step` that needs `demand` fits within the organisation's limit on this pool and need not
--- a/src/node/pool_leader.rs
+++ b/src/node/pool_leader.rs
@@ -189,6 +189,7 @@
             scheduler = scheduler.with_shedding_by_cost();
         }
         scheduler.set_plan(records.plan);
+        scheduler.set_former_usage(records.report.usage);
         scheduler.set_evacuated_zones(zones.borrow().clone());
         let executor = CommandExecutor::new(context.clone(), claim.term, zones.clone(), log.clone());
         Self {
--- a/tests/pool_decisions/limit_fleet.rs
+++ b/tests/pool_decisions/limit_fleet.rs
@@ -463,6 +463,9 @@
         let mut next = scheduler(number, self.term, takeover);
         next.set_config(config);
         next.set_plan(self.stored_plan.clone());
+        if let Some((_, report)) = &self.last_report {
+            next.set_former_usage(report.usage.clone());
+        }
         self.plan_in_force = self.stored_plan.clone();
         self.plans.clear();
         for runner in &self.runners {
--- a/tests/pool_decisions/limits.rs
+++ b/tests/pool_decisions/limits.rs
@@ -268,6 +268,7 @@
             allowances: [(organisation(), allowance)].into(),
             ..PoolPlan::default()
         });
+        scheduler.set_former_usage([(organisation(), amounts(8_000, 1_000))].into());
         for number in 0..2 {
             scheduler.set_worker(now, entry(number, 8));
         }
