Search a waiting step's job once in each pass

Callers saw: at the worst load jobs that were late were done too late.

Cause: each waiting step searched for its job two more times in each pass, to note the first start of its organisation.

Change: the note uses the search of the start itself, and only a step whose start was noted is looked at again.

--- a/src/dispatch/pool_scheduler/limit_use.rs
+++ b/src/dispatch/pool_scheduler/limit_use.rs
@@ -43,6 +43,8 @@
     /// What the former leader reported as used, until all its workers have answered.
     former: BTreeMap<OrganisationId, ResourceSet>,
     waiting: BTreeMap<OrganisationId, WaitingStart>,
+    /// Whether a start was noted since [`Self::take_noted`] was called.
+    has_noted: bool,
     /// What was found to fit no worker in the latest pass.
     lacking: BTreeSet<LackingKey>,
 }
@@ -85,6 +87,11 @@
         }
     }
 
+    /// Whether a start was noted since the previous call.
+    pub(super) fn take_noted(&mut self) -> bool {
+        std::mem::take(&mut self.has_noted)
+    }
+
     /// Forgets the starts of the previous pass.
     pub(super) fn begin_pass(&mut self) {
         self.waiting.clear();
@@ -202,6 +209,13 @@
         takes_lacking && waited.is_some_and(|waited| turn_phase::is_kept(waited, KEEP_TIME))
     }
 
+    /// Whether no start of the organisation, which has a limit, has been noted in this pass.
+    pub(super) fn may_note_start(&self, organisation: Option<&OrganisationId>) -> bool {
+        organisation.is_some_and(|organisation| {
+            !self.limit_use.waiting.contains_key(organisation) && self.limit(organisation).is_some()
+        })
+    }
+
     /// Notes the next start of a step, unless one of the same organisation comes before it in this pass. Demand that
     /// exceeds the limit or fits no worker is left out, so that it takes nothing from others.
     pub(super) fn note_waiting_start(&mut self, step: &StepId) {
@@ -212,11 +226,10 @@
             return;
         };
         let spec = &job.record.spec.steps[step.step as usize];
-        let is_noted = self.limit_use.waiting.contains_key(organisation)
-            || self.limit(organisation).is_none()
+        let is_left_out = !self.may_note_start(Some(organisation))
             || !self.fits_whole_limit(organisation, spec)
             || !may_fit_worker(&self.workers, spec, &mut self.limit_use.lacking);
-        if is_noted {
+        if is_left_out {
             return;
         }
         let start = WaitingStart {
@@ -227,6 +240,7 @@
             },
         };
         self.limit_use.waiting.insert(organisation.clone(), start);
+        self.limit_use.has_noted = true;
     }
 
     /// Forgets the noted start of a step if all its tasks have been started.
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -90,9 +90,10 @@
             if commands.len() - first >= MAX_STARTS || !self.start_budget.has_room(now) {
                 break;
             }
-            self.note_waiting_start(key.step());
             self.start_step(now, key.step(), &mut unplaceable, commands);
-            self.forget_started(now, key.step());
+            if self.limit_use.take_noted() {
+                self.forget_started(now, key.step());
+            }
         }
         if commands.len() - first < MAX_STARTS && self.start_budget.has_room(now) {
             self.start_speculative_copies(now, commands);
@@ -140,9 +141,17 @@
         unplaceable: &mut UnplaceableDemands,
         commands: &mut Vec<PoolCommand>,
     ) {
-        let Some(job) = self.jobs.get(&step.job) else {
+        // Thousands of steps may wait; each costs one search for its job.
+        let Some(mut job) = self.jobs.get(&step.job) else {
             return;
         };
+        if self.may_note_start(job.record.organisation.as_ref()) {
+            self.note_waiting_start(step);
+            let Some(same) = self.jobs.get(&step.job) else {
+                return;
+            };
+            job = same;
+        }
         let spec = &job.record.spec.steps[step.step as usize];
         if unplaceable.includes(&spec.reserved()) {
             return;
