--- /dev/null
+++ b/review/stand_ins_3/main.rs
@@ -0,0 +1,67 @@
+//! Stand-ins and cases of the third review. Usage: `stand_ins CASE RECORD`, in the repository's root. `TROUBLE=0` in the
+//! environment leaves the disruption out. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not
+//! run.
+
+mod client;
+mod config_changes;
+mod http;
+mod json;
+mod large_jobs;
+mod many_occurrences;
+mod many_tasks;
+mod node;
+mod record;
+mod runner;
+mod site;
+mod store;
+
+use std::process::ExitCode;
+
+use record::Record;
+
+/// What a case found.
+pub enum Verdict {
+    Held,
+    Broken,
+    NotRun(String),
+}
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().collect();
+    let [_, case, path] = words.as_slice() else {
+        eprintln!("usage: stand_ins CASE RECORD");
+        return ExitCode::from(2);
+    };
+    let record = Record::create(path);
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    record.tell(&format!("case {case}, trouble {has_trouble}"));
+    let folder = std::env::temp_dir().join(format!("figloft-review-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("temporary folder");
+    let place = folder.to_string_lossy().into_owned();
+    let verdict = match case.as_str() {
+        "large-jobs" => large_jobs::run(&place, &record, has_trouble),
+        "many-occurrences" => many_occurrences::run(&place, &record, has_trouble),
+        "many-tasks" => many_tasks::run(&place, &record, has_trouble),
+        "config-changes" => config_changes::run(&place, &record, has_trouble),
+        other => Verdict::NotRun(format!("no case has the name {other}")),
+    };
+    if std::env::var("KEEP_LOGS").is_ok() {
+        record.tell(&format!("logs kept in {place}"));
+    } else {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    match verdict {
+        Verdict::Held => {
+            record.tell("the rule held");
+            ExitCode::SUCCESS
+        }
+        Verdict::Broken => {
+            record.tell("the rule was broken");
+            ExitCode::from(1)
+        }
+        Verdict::NotRun(reason) => {
+            record.tell(&format!("the case could not run: {reason}"));
+            ExitCode::from(2)
+        }
+    }
+}
