--- a/review/stand_ins_3/client.rs
+++ b/review/stand_ins_3/client.rs
@@ -18,12 +18,16 @@
 
 impl Client<'_> {
     fn call(&self, method: &str, id: &str, body: &str) -> Option<(u16, String)> {
+        self.call_within(method, id, body, DEADLINE)
+    }
+
+    fn call_within(&self, method: &str, id: &str, body: &str, patience: Duration) -> Option<(u16, String)> {
         let token = format!("Token {}", self.key);
         let mut headers = vec![("host", self.host), ("figloft-deadline-ms", "3000"), ("authorization", &token)];
         if !body.is_empty() {
             headers.push(("content-type", "application/json"));
         }
-        http::call(self.front, method, &format!("{}{id}", self.prefix), &headers, body.as_bytes(), DEADLINE)
+        http::call(self.front, method, &format!("{}{id}", self.prefix), &headers, body.as_bytes(), patience)
     }
 
     /// Status of a submission; 0 without an answer.
@@ -31,6 +35,11 @@
         self.call("POST", id, body).map_or(0, |(status, _)| status)
     }
 
+    /// Status of a submission whose client leaves after this time; 0 without an answer until then.
+    pub fn submit_within(&self, id: &str, body: &str, patience: Duration) -> u16 {
+        self.call_within("POST", id, body, patience).map_or(0, |(status, _)| status)
+    }
+
     /// Status of a cancellation; 0 without an answer.
     pub fn cancel(&self, id: &str) -> u16 {
         self.call("DELETE", id, "").map_or(0, |(status, _)| status)
--- /dev/null
+++ b/review/stand_ins_3/few_advised.rs
@@ -0,0 +1,112 @@
+//! The policy of a queue allows three of 40 runners to run its steps. Rule: LOST.
+
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::Verdict;
+use crate::client::{Client, job_id};
+use crate::http;
+use crate::json::Json;
+use crate::record::Record;
+use crate::runner::{self, ADVICE_WORD, Runner};
+use crate::site::{FIRST_KEY, HOST, Site};
+
+/// Runners of the service, and those that the policy allows: the last ones by their ids.
+const RUNNERS: usize = 40;
+const ALLOWED: usize = 3;
+/// Prefix of the queue with advice, and what its advice costs.
+const PREFIX: &str = "/asked/";
+const DECIDE: Duration = Duration::from_millis(20);
+const EACH: Duration = Duration::from_millis(1);
+const VALID_MS: u64 = 3_000;
+/// Jobs, a second apart.
+const JOBS: usize = 5;
+/// `finish_s`, and the time for which an accepted job may have nothing running although there is room.
+const FINISH: Duration = Duration::from_secs(14);
+const IDLE_BOUND: Duration = Duration::from_secs(3);
+
+/// What the advice service was asked: number of calls, and names that it was asked about.
+#[derive(Default)]
+struct Calls {
+    count: usize,
+    names: std::collections::BTreeSet<String>,
+}
+
+pub fn run(folder: &str, record: &Record, has_trouble: bool) -> Verdict {
+    let mut ids: Vec<String> = (0..RUNNERS).map(|number| format!("i-tools-{number}")).collect();
+    ids.sort();
+    let allowed = if has_trouble { ids.split_off(RUNNERS - ALLOWED) } else { ids };
+    record.tell(&format!("the policy allows {} of {RUNNERS} runners: {}", allowed.len(), allowed.join(" ")));
+    let calls: Arc<Mutex<Calls>> = Arc::default();
+    let (seen, log, one_by_one) = (Arc::clone(&calls), record.clone(), Mutex::new(()));
+    let advice = http::serve(move |request| {
+        let _turn = one_by_one.lock();
+        let body = Json::parse(&request.body);
+        let step = body.get("step").text().to_owned();
+        let workers: Vec<&str> = body.get("workers").list().iter().map(Json::text).collect();
+        thread::sleep(DECIDE + EACH * workers.len() as u32);
+        let good = workers.iter().filter(|worker| allowed.iter().any(|id| id == *worker));
+        let rows: Vec<String> = good.map(|id| format!("[\"{id}\",\"{}\"]", runner::ticket(&step, id))).collect();
+        log.write(&format!("advice on {step} for {} runners: {} good", workers.len(), rows.len()));
+        let mut seen = seen.lock().expect("calls");
+        seen.count += 1;
+        seen.names.extend(workers.iter().map(|id| (*id).to_owned()));
+        Some((200, format!("{{\"good\":[{}],\"valid-ms\":{VALID_MS}}}", rows.join(","))))
+    });
+    let route = format!(
+        "{{\"name\":\"r-asked\",\"host\":\"{HOST}\",\"prefix\":\"{PREFIX}\",\"kind\":\"non_idempotent\",\"timeout-ms\":3000,\
+         \"target-latency-ms\":600,\"priority\":0,\"service\":\"tools\",\"max-attempts\":3,\"slack-factor\":2.0,\
+         \"public\":false,\"advice\":{{\"decide-ms\":{},\"each-ms\":{},\"valid-ms\":{VALID_MS}}}}}",
+        DECIDE.as_millis(),
+        EACH.as_millis()
+    );
+    let Some(mut site) = Site::start_with(folder, RUNNERS, record, &[route], Some(advice)) else {
+        return Verdict::NotRun("the nodes did not serve in time".to_owned());
+    };
+    let body = format!(
+        "{{\"spec\":\"{ADVICE_WORD} run-ms=500\",\"steps\":[{{\"count\":2,\"cpu\":1000,\"mem-mb\":64,\"estimate-ms\":500}}]}}"
+    );
+    let mut accepted = Vec::new();
+    for number in 0..JOBS {
+        let id = job_id(0xeeee, number);
+        let client = Client { prefix: PREFIX, ..site.client(number, FIRST_KEY) };
+        let status = client.submit(&id, &body);
+        record.tell(&format!("job {id} submitted: {status}"));
+        if status == 200 {
+            accepted.push(id);
+        }
+        thread::sleep(Duration::from_secs(1));
+    }
+    if accepted.is_empty() {
+        return Verdict::NotRun("no job was accepted".to_owned());
+    }
+    thread::sleep(FINISH);
+    let mut most_in_use = 0;
+    let window = Instant::now();
+    while window.elapsed() < IDLE_BOUND {
+        most_in_use = most_in_use.max(site.runners.iter().map(Runner::running).sum());
+        thread::sleep(Duration::from_millis(20));
+    }
+    let mut idle = 0;
+    for id in &accepted {
+        let client = Client { prefix: PREFIX, ..site.client(0, FIRST_KEY) };
+        let (status, state) = client.state(id);
+        let runs = site.runs_of(id).len();
+        record.tell(&format!("job {id}: {status} {state}, {runs} runs"));
+        idle += usize::from(status != 200 || runs == 0);
+    }
+    let calls = calls.lock().expect("calls");
+    record.tell(&format!(
+        "{idle} of {} accepted jobs have had nothing running {} s after the end of the traffic; at most {most_in_use} tasks \
+         ran in the last 3 s on {} cores; {} calls for advice, about {} of {RUNNERS} runners",
+        accepted.len(),
+        FINISH.as_secs() + IDLE_BOUND.as_secs(),
+        site.cores(),
+        calls.count,
+        calls.names.len()
+    ));
+    drop(calls);
+    site.record_nodes(record);
+    if idle > 0 { Verdict::Broken } else { Verdict::Held }
+}
--- a/review/stand_ins_3/main.rs
+++ b/review/stand_ins_3/main.rs
@@ -4,6 +4,8 @@
 
 mod client;
 mod config_changes;
+mod early_cancel;
+mod few_advised;
 mod http;
 mod json;
 mod large_jobs;
@@ -43,6 +45,8 @@
         "many-occurrences" => many_occurrences::run(&place, &record, has_trouble),
         "many-tasks" => many_tasks::run(&place, &record, has_trouble),
         "config-changes" => config_changes::run(&place, &record, has_trouble),
+        "early-cancel" => early_cancel::run(&place, &record, has_trouble),
+        "few-advised" => few_advised::run(&place, &record, has_trouble),
         other => Verdict::NotRun(format!("no case has the name {other}")),
     };
     if std::env::var("KEEP_LOGS").is_ok() {
--- a/review/stand_ins_3/node.rs
+++ b/review/stand_ins_3/node.rs
@@ -14,7 +14,7 @@
 pub struct Setup<'a> {
     pub name: &'a str,
     pub store: SocketAddr,
-    pub cloud: Option<SocketAddr>,
+    pub advice: Option<SocketAddr>,
 }
 
 /// Memory of a node's machine, in megabytes.
@@ -30,9 +30,7 @@
     pub fn start(folder: &str, setup: &Setup<'_>) -> Self {
         let (front, ready, control) = (unused_address(), unused_address(), unused_address());
         let name = setup.name;
-        let cloud = setup.cloud.map_or(String::new(), |address| {
-            format!(",\"cloud-api\":{{\"address\":\"{address}\",\"rate-per-s\":64.0,\"duties\":[],\"duty-per-s\":64.0}}")
-        });
+        let advice = setup.advice.map_or(String::new(), |address| format!(",\"advice\":\"{address}\""));
         let settings = format!(
             "{{\"node\":\"{name}\",\"role\":\"entry\",\"machine-class\":\"edge\",\"serves\":[\"edge\"],\
              \"bind-ip\":\"127.0.0.1\",\"zone\":\"zone-a\",\"region\":\"region\",\"zones\":{{\"zone-a\":\"region\"}},\
@@ -45,7 +43,7 @@
              \"early_ms\":250,\"finish_s\":14,\"status_s\":120,\"require-fencing\":false,\"lease-ms\":3000}},\
              \"commands\":\"rpc\",\
              \"platform\":{{\"address\":\"{}\",\"form\":\"kv\",\"writes-per-s\":400,\"reads-per-s\":2000,\
-             \"history-s\":20,\"value-bytes\":1048576,\"ttl-min-ms\":1000}}{cloud}}}",
+             \"history-s\":20,\"value-bytes\":1048576,\"ttl-min-ms\":1000}}{advice}}}",
             setup.store
         );
         let path = format!("{folder}/{name}.json");
--- a/review/stand_ins_3/runner.rs
+++ b/review/stand_ins_3/runner.rs
@@ -17,6 +17,15 @@
 const MAX_LISTED_ENDS: usize = 500;
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
+/// Word in the text of tasks that need a ticket.
+pub const ADVICE_WORD: &str = "needs-ticket";
+
+/// The ticket of a runner for the step of a task; `name` is that of the step or of one of its tasks.
+pub fn ticket(name: &str, runner: &str) -> String {
+    let words: Vec<&str> = name.split('.').take(3).collect();
+    format!("{}/{runner}", words.join("."))
+}
+
 #[derive(Debug, Clone)]
 pub struct RunRecord {
     pub task: String,
@@ -185,6 +194,10 @@
                 if deadline.unwrap_or(0) < clock as i64 {
                     return refuse("late");
                 }
+                let needs_ticket = body.get("spec").text().contains(ADVICE_WORD);
+                if needs_ticket && body.get("ticket").text() != ticket(&key.0, &self.id) {
+                    return refuse("ticket");
+                }
                 state.extend(deadline);
                 if state.running.contains_key(&key) {
                     return (200, format!("{{\"clock-ms\":{clock}}}"));
--- a/review/stand_ins_3/site.rs
+++ b/review/stand_ins_3/site.rs
@@ -59,15 +59,27 @@
     pub nodes: Vec<Node>,
     folder: String,
     store_address: SocketAddr,
+    advice_address: Option<SocketAddr>,
 }
 
 impl Site {
     /// Starts a site and waits until each node has served a job. `None` if that takes too long.
     pub fn start(folder: &str, runners: usize, record: &Record) -> Option<Self> {
+        Self::start_with(folder, runners, record, &[], None)
+    }
+
+    /// The same with further routes, and an advice service at this address.
+    pub fn start_with(
+        folder: &str,
+        runners: usize,
+        record: &Record,
+        routes: &[String],
+        advice_address: Option<SocketAddr>,
+    ) -> Option<Self> {
         let (store, store_address) = Store::start();
-        store.write("op/config", &config(1, &[], &[FIRST_KEY]));
+        store.write("op/config", &config(1, routes, &[FIRST_KEY]));
         let runners = (0..runners).map(|number| Runner::start(number, "tools", RUNNER_CORES, &store, record)).collect();
-        let mut site = Self { store, runners, nodes: Vec::new(), folder: folder.to_owned(), store_address };
+        let mut site = Self { store, runners, nodes: Vec::new(), folder: folder.to_owned(), store_address, advice_address };
         site.nodes = (0..NODES).map(|number| site.start_node(number)).collect();
         let end = Instant::now() + Duration::from_secs(15);
         for number in 0..NODES {
@@ -85,7 +97,7 @@
 
     fn start_node(&self, number: usize) -> Node {
         let name = format!("node-{number}");
-        Node::start(&self.folder, &Setup { name: &name, store: self.store_address, cloud: None })
+        Node::start(&self.folder, &Setup { name: &name, store: self.store_address, advice: self.advice_address })
     }
 
     /// Starts a node whose process has ended.
--- a/review/stand_ins_3/store.rs
+++ b/review/stand_ins_3/store.rs
@@ -18,6 +18,8 @@
 const MAX_PAGE_BYTES: usize = 1_000_000;
 /// Entries of one transaction.
 const MAX_ENTRIES: usize = 32;
+/// Time after which a transaction without an answer is carried out, if its conditions hold then.
+const LATE_TIME: Duration = Duration::from_secs(2);
 /// Time that the store takes for an answer.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 
@@ -46,6 +48,8 @@
     largest_watch: usize,
     refused_values: u64,
     largest_refused: usize,
+    /// Prefix of a key; the next transaction that writes it gets no answer and is carried out late.
+    late_prefix: Option<String>,
 }
 
 #[derive(Clone, Default)]
@@ -173,7 +177,12 @@
         let store = Self::default();
         store.lock().revision = 1;
         let shared = store.clone();
-        let address = http::serve(move |request| Some(shared.handle(&request)));
+        let address = http::serve(move |request| {
+            if shared.takes_delay(&request) {
+                return None;
+            }
+            Some(shared.handle(&request))
+        });
         let expiring = store.clone();
         thread::spawn(move || {
             loop {
@@ -224,6 +233,29 @@
         (state.refused_values, state.largest_refused)
     }
 
+    /// Leaves the next transaction that writes a key with this prefix without an answer, and carries it out late.
+    pub fn delay_write(&self, prefix: &str) {
+        self.lock().late_prefix = Some(prefix.to_owned());
+    }
+
+    /// Whether the request is the transaction that gets no answer.
+    fn takes_delay(&self, request: &Request) -> bool {
+        let Some(prefix) = self.lock().late_prefix.clone().filter(|_| request.path == "/kv-txn") else {
+            return false;
+        };
+        let body = request.json();
+        let is_late = body.get("puts").list().iter().any(|put| put.get("key").text().starts_with(&prefix));
+        if is_late {
+            self.lock().late_prefix = None;
+            let store = self.clone();
+            thread::spawn(move || {
+                thread::sleep(LATE_TIME);
+                store.change(|state| state.transact(&body))
+            });
+        }
+        is_late
+    }
+
     fn handle(&self, request: &Request) -> Response {
         thread::sleep(ANSWER_TIME);
         let body = request.json();
