--- a/review/stand_ins_3/few_advised.rs
+++ b/review/stand_ins_3/advised.rs
@@ -1,4 +1,4 @@
-//! The policy of a queue allows three of 40 runners to run its steps. Rule: LOST.
+//! Queues with advice. In one case the policy allows three of 40 runners, in the other the advice takes long. Rule: LOST.
 
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -12,13 +12,8 @@
 use crate::runner::{self, ADVICE_WORD, Runner};
 use crate::site::{FIRST_KEY, HOST, Site};
 
-/// Runners of the service, and those that the policy allows: the last ones by their ids.
-const RUNNERS: usize = 40;
-const ALLOWED: usize = 3;
-/// Prefix of the queue with advice, and what its advice costs.
+/// Prefix of the queue with advice, and time for which its tickets are valid.
 const PREFIX: &str = "/asked/";
-const DECIDE: Duration = Duration::from_millis(20);
-const EACH: Duration = Duration::from_millis(1);
 const VALID_MS: u64 = 3_000;
 /// Jobs, a second apart.
 const JOBS: usize = 5;
@@ -33,11 +28,37 @@
     names: std::collections::BTreeSet<String>,
 }
 
-pub fn run(folder: &str, record: &Record, has_trouble: bool) -> Verdict {
-    let mut ids: Vec<String> = (0..RUNNERS).map(|number| format!("i-tools-{number}")).collect();
+/// A service with advice.
+struct Policy {
+    runners: usize,
+    /// Runners that the policy allows: the last ones by their ids.
+    allowed: usize,
+    /// Time of an answer (`decide-ms`), and what each runner that a call names adds to it (`each-ms`).
+    decide: Duration,
+    each: Duration,
+}
+
+/// Three of 40 runners are allowed; without the disruption, all.
+pub fn run_few(folder: &str, record: &Record, has_trouble: bool) -> Verdict {
+    let allowed = if has_trouble { 3 } else { 40 };
+    let (decide, each) = (Duration::from_millis(20), Duration::from_millis(1));
+    run(folder, record, Policy { runners: 40, allowed, decide, each })
+}
+
+/// Advice on all 12 runners takes 2.7 s; without the disruption, 0.54 s.
+pub fn run_slow(folder: &str, record: &Record, has_trouble: bool) -> Verdict {
+    let each = Duration::from_millis(if has_trouble { 200 } else { 20 });
+    let decide = Duration::from_millis(300);
+    run(folder, record, Policy { runners: 12, allowed: 12, decide, each })
+}
+
+fn run(folder: &str, record: &Record, policy: Policy) -> Verdict {
+    let Policy { runners, decide, each, .. } = policy;
+    let mut ids: Vec<String> = (0..runners).map(|number| format!("i-tools-{number}")).collect();
     ids.sort();
-    let allowed = if has_trouble { ids.split_off(RUNNERS - ALLOWED) } else { ids };
-    record.tell(&format!("the policy allows {} of {RUNNERS} runners: {}", allowed.len(), allowed.join(" ")));
+    let allowed = ids.split_off(runners - policy.allowed);
+    record.tell(&format!("the policy allows {} of {runners} runners: {}", allowed.len(), allowed.join(" ")));
+    record.tell(&format!("advice takes {} ms and {} ms for each runner", decide.as_millis(), each.as_millis()));
     let calls: Arc<Mutex<Calls>> = Arc::default();
     let (seen, log, one_by_one) = (Arc::clone(&calls), record.clone(), Mutex::new(()));
     let advice = http::serve(move |request| {
@@ -45,7 +66,7 @@
         let body = Json::parse(&request.body);
         let step = body.get("step").text().to_owned();
         let workers: Vec<&str> = body.get("workers").list().iter().map(Json::text).collect();
-        thread::sleep(DECIDE + EACH * workers.len() as u32);
+        thread::sleep(decide + each * workers.len() as u32);
         let good = workers.iter().filter(|worker| allowed.iter().any(|id| id == *worker));
         let rows: Vec<String> = good.map(|id| format!("[\"{id}\",\"{}\"]", runner::ticket(&step, id))).collect();
         log.write(&format!("advice on {step} for {} runners: {} good", workers.len(), rows.len()));
@@ -58,10 +79,10 @@
         "{{\"name\":\"r-asked\",\"host\":\"{HOST}\",\"prefix\":\"{PREFIX}\",\"kind\":\"non_idempotent\",\"timeout-ms\":3000,\
          \"target-latency-ms\":600,\"priority\":0,\"service\":\"tools\",\"max-attempts\":3,\"slack-factor\":2.0,\
          \"public\":false,\"advice\":{{\"decide-ms\":{},\"each-ms\":{},\"valid-ms\":{VALID_MS}}}}}",
-        DECIDE.as_millis(),
-        EACH.as_millis()
+        decide.as_millis(),
+        each.as_millis()
     );
-    let Some(mut site) = Site::start_with(folder, RUNNERS, record, &[route], Some(advice)) else {
+    let Some(mut site) = Site::start_with(folder, runners, record, &[route], Some(advice)) else {
         return Verdict::NotRun("the nodes did not serve in time".to_owned());
     };
     let body = format!(
@@ -99,7 +120,7 @@
     let calls = calls.lock().expect("calls");
     record.tell(&format!(
         "{idle} of {} accepted jobs have had nothing running {} s after the end of the traffic; at most {most_in_use} tasks \
-         ran in the last 3 s on {} cores; {} calls for advice, about {} of {RUNNERS} runners",
+         ran in the last 3 s on {} cores; {} calls for advice, about {} of {runners} runners",
         accepted.len(),
         FINISH.as_secs() + IDLE_BOUND.as_secs(),
         site.cores(),
--- a/review/stand_ins_3/main.rs
+++ b/review/stand_ins_3/main.rs
@@ -2,13 +2,14 @@
 //! environment leaves the disruption out. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not
 //! run.
 
+mod advised;
 mod client;
 mod config_changes;
 mod early_cancel;
-mod few_advised;
 mod http;
 mod json;
 mod large_jobs;
+mod long_tasks;
 mod many_occurrences;
 mod many_tasks;
 mod node;
@@ -46,7 +47,9 @@
         "many-tasks" => many_tasks::run(&place, &record, has_trouble),
         "config-changes" => config_changes::run(&place, &record, has_trouble),
         "early-cancel" => early_cancel::run(&place, &record, has_trouble),
-        "few-advised" => few_advised::run(&place, &record, has_trouble),
+        "few-advised" => advised::run_few(&place, &record, has_trouble),
+        "slow-advice" => advised::run_slow(&place, &record, has_trouble),
+        "long-tasks" => long_tasks::run(&place, &record, has_trouble),
         other => Verdict::NotRun(format!("no case has the name {other}")),
     };
     if std::env::var("KEEP_LOGS").is_ok() {
--- a/review/stand_ins_3/node.rs
+++ b/review/stand_ins_3/node.rs
@@ -1,7 +1,7 @@
 //! A process of figloft, started with the command of the deploy file.
 
 use std::fs::{self, File};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
 
 pub struct Node {
@@ -20,8 +20,15 @@
 /// Memory of a node's machine, in megabytes.
 pub const MEMORY_MB: u64 = 260;
 
-pub fn unused_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("free port");
+/// Loopback address of the nodes of this program. Cases that run at the same time have different ones, so that none takes a
+/// port that another one has just found to be free.
+fn node_ip() -> Ipv4Addr {
+    let [.., high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 | (high & 63), middle, low.clamp(1, 254))
+}
+
+fn unused_address() -> SocketAddr {
+    let listener = TcpListener::bind((node_ip(), 0)).expect("free port");
     listener.local_addr().expect("address")
 }
 
@@ -33,7 +40,7 @@
         let advice = setup.advice.map_or(String::new(), |address| format!(",\"advice\":\"{address}\""));
         let settings = format!(
             "{{\"node\":\"{name}\",\"role\":\"entry\",\"machine-class\":\"edge\",\"serves\":[\"edge\"],\
-             \"bind-ip\":\"127.0.0.1\",\"zone\":\"zone-a\",\"region\":\"region\",\"zones\":{{\"zone-a\":\"region\"}},\
+             \"bind-ip\":\"{}\",\"zone\":\"zone-a\",\"region\":\"region\",\"zones\":{{\"zone-a\":\"region\"}},\
              \"listen-addrs\":{{\"front\":\"{front}\",\"ready\":\"{ready}\",\"control\":\"{control}\"}},\
              \"port-range\":[7000,7015],\"seeds\":[],\"bootstrap\":true,\
              \"limits\":{{\"cpu-share\":0.25,\"cores\":1,\"memory-mb\":{MEMORY_MB},\"max-fds\":4100,\"link-mbps\":1000.0,\"disk-mb\":0}},\
@@ -44,6 +51,7 @@
              \"commands\":\"rpc\",\
              \"platform\":{{\"address\":\"{}\",\"form\":\"kv\",\"writes-per-s\":400,\"reads-per-s\":2000,\
              \"history-s\":20,\"value-bytes\":1048576,\"ttl-min-ms\":1000}}{advice}}}",
+            node_ip(),
             setup.store
         );
         let path = format!("{folder}/{name}.json");
--- a/review/stand_ins_3/runner.rs
+++ b/review/stand_ins_3/runner.rs
@@ -15,6 +15,8 @@
 const MAX_LEASE_MS: u64 = 6_000;
 /// Ends that one answer lists.
 const MAX_LISTED_ENDS: usize = 500;
+/// Run time from which a task counts as one that lasts.
+const LASTING: Duration = Duration::from_secs(1_000);
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
 /// Word in the text of tasks that need a ticket.
@@ -29,6 +31,7 @@
 #[derive(Debug, Clone)]
 pub struct RunRecord {
     pub task: String,
+    pub started: Instant,
     pub ended: Option<(Instant, &'static str)>,
     /// Time at which the end was taken note of (`ack-seq`).
     pub noted: Option<Instant>,
@@ -93,7 +96,14 @@
     }
 
     fn report(&self, born: u64) -> String {
-        let running = self.running.keys().map(|(task, run)| format!("[\"{task}\",{run},\"\",50,0]"));
+        let now = Instant::now();
+        let running = self.running.iter().map(|((task, run), (place, end))| {
+            let started = self.records[*place].started;
+            let part = now.duration_since(started).as_secs_f64() / end.duration_since(started).as_secs_f64();
+            // Tasks that last are at work after their start.
+            let percent = if *end > started + LASTING { 100 } else { (part * 100.0).min(99.0) as u32 };
+            format!("[\"{task}\",{run},\"\",{percent},0]")
+        });
         let running: Vec<String> = running.collect();
         let ended = self.ended.iter().take(MAX_LISTED_ENDS);
         let ended = ended.map(|(number, task, run, how, _)| format!("[{number},\"{task}\",{run},\"{how}\",\"\"]"));
@@ -207,7 +217,7 @@
                 }
                 let started = Instant::now();
                 self.record.write(&format!("run {} task {} run {} token {token} starts", self.id, key.0, key.1));
-                state.records.push(RunRecord { task: key.0.clone(), ended: None, noted: None });
+                state.records.push(RunRecord { task: key.0.clone(), started, ended: None, noted: None });
                 let place = state.records.len() - 1;
                 state.running.insert(key, (place, started + run_time(body.get("spec").text())));
             }
