review: stand-ins formatted, logs of a case that cannot run

Formats the stand-ins of the third review and copies the ends of the nodes' logs to the record of a case that could not run.

--- a/review/stand_ins_3/advised.rs
+++ b/review/stand_ins_3/advised.rs
@@ -4,13 +4,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::Verdict;
-use crate::client::{Client, job_id};
+use crate::client::{job_id, Client};
 use crate::http;
 use crate::json::Json;
 use crate::record::Record;
-use crate::runner::{self, ADVICE_WORD, Runner};
-use crate::site::{FIRST_KEY, HOST, Site};
+use crate::runner::{self, Runner, ADVICE_WORD};
+use crate::site::{Site, FIRST_KEY, HOST};
+use crate::Verdict;
 
 /// Prefix of the queue with advice, and time for which its tickets are valid.
 const PREFIX: &str = "/asked/";
@@ -42,23 +42,54 @@
 pub fn run_few(folder: &str, record: &Record, has_trouble: bool) -> Verdict {
     let allowed = if has_trouble { 3 } else { 40 };
     let (decide, each) = (Duration::from_millis(20), Duration::from_millis(1));
-    run(folder, record, Policy { runners: 40, allowed, decide, each })
+    run(
+        folder,
+        record,
+        Policy {
+            runners: 40,
+            allowed,
+            decide,
+            each,
+        },
+    )
 }
 
 /// Advice on all 12 runners takes 2.7 s; without the disruption, 0.54 s.
 pub fn run_slow(folder: &str, record: &Record, has_trouble: bool) -> Verdict {
     let each = Duration::from_millis(if has_trouble { 200 } else { 20 });
     let decide = Duration::from_millis(300);
-    run(folder, record, Policy { runners: 12, allowed: 12, decide, each })
+    run(
+        folder,
+        record,
+        Policy {
+            runners: 12,
+            allowed: 12,
+            decide,
+            each,
+        },
+    )
 }
 
 fn run(folder: &str, record: &Record, policy: Policy) -> Verdict {
-    let Policy { runners, decide, each, .. } = policy;
+    let Policy {
+        runners,
+        decide,
+        each,
+        ..
+    } = policy;
     let mut ids: Vec<String> = (0..runners).map(|number| format!("i-tools-{number}")).collect();
     ids.sort();
     let allowed = ids.split_off(runners - policy.allowed);
-    record.tell(&format!("the policy allows {} of {runners} runners: {}", allowed.len(), allowed.join(" ")));
-    record.tell(&format!("advice takes {} ms and {} ms for each runner", decide.as_millis(), each.as_millis()));
+    record.tell(&format!(
+        "the policy allows {} of {runners} runners: {}",
+        allowed.len(),
+        allowed.join(" ")
+    ));
+    record.tell(&format!(
+        "advice takes {} ms and {} ms for each runner",
+        decide.as_millis(),
+        each.as_millis()
+    ));
     let calls: Arc<Mutex<Calls>> = Arc::default();
     let (seen, log, one_by_one) = (Arc::clone(&calls), record.clone(), Mutex::new(()));
     let advice = http::serve(move |request| {
@@ -67,13 +98,24 @@
         let step = body.get("step").text().to_owned();
         let workers: Vec<&str> = body.get("workers").list().iter().map(Json::text).collect();
         thread::sleep(decide + each * workers.len() as u32);
-        let good = workers.iter().filter(|worker| allowed.iter().any(|id| id == *worker));
-        let rows: Vec<String> = good.map(|id| format!("[\"{id}\",\"{}\"]", runner::ticket(&step, id))).collect();
-        log.write(&format!("advice on {step} for {} runners: {} good", workers.len(), rows.len()));
+        let good = workers
+            .iter()
+            .filter(|worker| allowed.iter().any(|id| id == *worker));
+        let rows: Vec<String> = good
+            .map(|id| format!("[\"{id}\",\"{}\"]", runner::ticket(&step, id)))
+            .collect();
+        log.write(&format!(
+            "advice on {step} for {} runners: {} good",
+            workers.len(),
+            rows.len()
+        ));
         let mut seen = seen.lock().expect("calls");
         seen.count += 1;
         seen.names.extend(workers.iter().map(|id| (*id).to_owned()));
-        Some((200, format!("{{\"good\":[{}],\"valid-ms\":{VALID_MS}}}", rows.join(","))))
+        Some((
+            200,
+            format!("{{\"good\":[{}],\"valid-ms\":{VALID_MS}}}", rows.join(",")),
+        ))
     });
     let route = format!(
         "{{\"name\":\"r-asked\",\"host\":\"{HOST}\",\"prefix\":\"{PREFIX}\",\"kind\":\"non_idempotent\",\"timeout-ms\":3000,\
@@ -91,7 +133,10 @@
     let mut accepted = Vec::new();
     for number in 0..JOBS {
         let id = job_id(0xeeee, number);
-        let client = Client { prefix: PREFIX, ..site.client(number, FIRST_KEY) };
+        let client = Client {
+            prefix: PREFIX,
+            ..site.client(number, FIRST_KEY)
+        };
         let status = client.submit(&id, &body);
         record.tell(&format!("job {id} submitted: {status}"));
         if status == 200 {
@@ -111,7 +156,10 @@
     }
     let mut idle = 0;
     for id in &accepted {
-        let client = Client { prefix: PREFIX, ..site.client(0, FIRST_KEY) };
+        let client = Client {
+            prefix: PREFIX,
+            ..site.client(0, FIRST_KEY)
+        };
         let (status, state) = client.state(id);
         let runs = site.runs_of(id).len();
         record.tell(&format!("job {id}: {status} {state}, {runs} runs"));
@@ -129,5 +177,9 @@
     ));
     drop(calls);
     site.record_nodes(record);
-    if idle > 0 { Verdict::Broken } else { Verdict::Held }
+    if idle > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand_ins_3/client.rs
+++ b/review/stand_ins_3/client.rs
@@ -23,11 +23,22 @@
 
     fn call_within(&self, method: &str, id: &str, body: &str, patience: Duration) -> Option<(u16, String)> {
         let token = format!("Token {}", self.key);
-        let mut headers = vec![("host", self.host), ("figloft-deadline-ms", "3000"), ("authorization", &token)];
+        let mut headers = vec![
+            ("host", self.host),
+            ("figloft-deadline-ms", "3000"),
+            ("authorization", &token),
+        ];
         if !body.is_empty() {
             headers.push(("content-type", "application/json"));
         }
-        http::call(self.front, method, &format!("{}{id}", self.prefix), &headers, body.as_bytes(), patience)
+        http::call(
+            self.front,
+            method,
+            &format!("{}{id}", self.prefix),
+            &headers,
+            body.as_bytes(),
+            patience,
+        )
     }
 
     /// Status of a submission; 0 without an answer.
@@ -37,7 +48,8 @@
 
     /// Status of a submission whose client leaves after this time; 0 without an answer until then.
     pub fn submit_within(&self, id: &str, body: &str, patience: Duration) -> u16 {
-        self.call_within("POST", id, body, patience).map_or(0, |(status, _)| status)
+        self.call_within("POST", id, body, patience)
+            .map_or(0, |(status, _)| status)
     }
 
     /// Status of a cancellation; 0 without an answer.
@@ -47,8 +59,13 @@
 
     /// Status and state of a job; status 0 without an answer.
     pub fn state(&self, id: &str) -> (u16, String) {
-        let Some((status, body)) = self.call("GET", id, "") else { return (0, String::new()) };
-        (status, Json::parse(body.as_bytes()).get("state").text().to_owned())
+        let Some((status, body)) = self.call("GET", id, "") else {
+            return (0, String::new());
+        };
+        (
+            status,
+            Json::parse(body.as_bytes()).get("state").text().to_owned(),
+        )
     }
 }
 
--- a/review/stand_ins_3/config_changes.rs
+++ b/review/stand_ins_3/config_changes.rs
@@ -3,10 +3,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::Verdict;
 use crate::client::job_id;
 use crate::record::Record;
-use crate::site::{self, FIRST_KEY, HOST, SMALL_JOB, Site};
+use crate::site::{self, Site, FIRST_KEY, HOST, SMALL_JOB};
+use crate::Verdict;
 
 /// Routes that no client uses: 110 of the site, and four times 350 more.
 const IDLE_ROUTES: usize = 110 + 4 * 350;
@@ -47,8 +47,15 @@
     record.tell(&format!("configuration 2 of {} bytes", text.len()));
     site.store.write("op/config", &text);
     thread::sleep(CONTACT);
-    let before: Vec<u16> = (0..3).map(|node| site.client(node, WITHDRAWN_KEY).submit(&job_id(0xbbbb, node), SMALL_JOB)).collect();
-    record.tell(&format!("answers to submissions with the key at the three nodes: {before:?}"));
+    let before: Vec<u16> = (0..3)
+        .map(|node| {
+            site.client(node, WITHDRAWN_KEY)
+                .submit(&job_id(0xbbbb, node), SMALL_JOB)
+        })
+        .collect();
+    record.tell(&format!(
+        "answers to submissions with the key at the three nodes: {before:?}"
+    ));
     if before != [200; 3] {
         return Verdict::NotRun("the key was not accepted before it was withdrawn".to_owned());
     }
@@ -59,8 +66,13 @@
     }
     for number in 0..VERSIONS {
         let version = 3 + number;
-        let keys = if number + 1 < VERSIONS { &with_key[..] } else { &with_key[..1] };
-        site.store.write("op/config", &site::config(version, &idle_routes(version), keys));
+        let keys = if number + 1 < VERSIONS {
+            &with_key[..]
+        } else {
+            &with_key[..1]
+        };
+        site.store
+            .write("op/config", &site::config(version, &idle_routes(version), keys));
         record.write(&format!("configuration {version} acknowledged"));
         thread::sleep(GAP);
     }
@@ -68,7 +80,10 @@
     thread::sleep(FREEZE.saturating_sub(frozen_at.elapsed()));
     site.nodes[FROZEN].signal("CONT");
     let woken = Instant::now();
-    record.tell(&format!("node-{FROZEN} runs on after {} ms; the last version withdraws the key", frozen_at.elapsed().as_millis()));
+    record.tell(&format!(
+        "node-{FROZEN} runs on after {} ms; the last version withdraws the key",
+        frozen_at.elapsed().as_millis()
+    ));
     thread::sleep((CONTACT + Duration::from_millis(100)).saturating_sub(woken.elapsed()));
     thread::sleep((CONFIG_APPLY + Duration::from_millis(100)).saturating_sub(acknowledged.elapsed()));
     let start = Instant::now();
@@ -78,7 +93,9 @@
         for node in 0..site.nodes.len() {
             let id = job_id(0xcccc, sent);
             let status = site.client(node, WITHDRAWN_KEY).submit(&id, SMALL_JOB);
-            record.write(&format!("job {id} submitted at node-{node} with the withdrawn key: {status}"));
+            record.write(&format!(
+                "job {id} submitted at node-{node} with the withdrawn key: {status}"
+            ));
             sent += 1;
             stale += usize::from(status == 200);
             statuses[node].push(status);
@@ -99,5 +116,9 @@
         site.store.largest_watch()
     ));
     site.record_nodes(record);
-    if stale > 0 { Verdict::Broken } else { Verdict::Held }
+    if stale > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand_ins_3/early_cancel.rs
+++ b/review/stand_ins_3/early_cancel.rs
@@ -3,10 +3,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::Verdict;
 use crate::client::job_id;
 use crate::record::Record;
-use crate::site::{FIRST_KEY, Site};
+use crate::site::{Site, FIRST_KEY};
+use crate::Verdict;
 
 /// Jobs of the case, one after the other.
 const JOBS: usize = 6;
@@ -30,8 +30,13 @@
         if has_trouble {
             site.store.delay_write(&format!("job/{id}"));
         }
-        let status = site.client(number, FIRST_KEY).submit_within(&id, LONG_JOB, PATIENCE);
-        record.tell(&format!("job {id} submitted: {status} (0: the client left after {} ms)", PATIENCE.as_millis()));
+        let status = site
+            .client(number, FIRST_KEY)
+            .submit_within(&id, LONG_JOB, PATIENCE);
+        record.tell(&format!(
+            "job {id} submitted: {status} (0: the client left after {} ms)",
+            PATIENCE.as_millis()
+        ));
         let status = site.client(number + 1, FIRST_KEY).cancel(&id);
         record.tell(&format!("job {id} cancelled at the next node: {status}"));
         if status == 200 || status == 410 {
@@ -58,5 +63,9 @@
     }
     record.tell(&format!("{active} of {JOBS} cancelled jobs run"));
     site.record_nodes(record);
-    if active > 0 { Verdict::Broken } else { Verdict::Held }
+    if active > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand_ins_3/http.rs
+++ b/review/stand_ins_3/http.rs
@@ -18,11 +18,17 @@
 
 impl Request {
     pub fn query(&self, name: &str) -> &str {
-        self.query.iter().find(|(key, _)| key == name).map_or("", |(_, value)| value)
+        self.query
+            .iter()
+            .find(|(key, _)| key == name)
+            .map_or("", |(_, value)| value)
     }
 
     pub fn header(&self, name: &str) -> &str {
-        self.headers.iter().find(|(key, _)| key == name).map_or("", |(_, value)| value)
+        self.headers
+            .iter()
+            .find(|(key, _)| key == name)
+            .map_or("", |(_, value)| value)
     }
 
     pub fn json(&self) -> Json {
@@ -70,7 +76,12 @@
 }
 
 fn read_body(reader: &mut BufReader<TcpStream>, headers: &[(String, String)]) -> Option<Vec<u8>> {
-    let find = |name: &str| headers.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str());
+    let find = |name: &str| {
+        headers
+            .iter()
+            .find(|(key, _)| key == name)
+            .map(|(_, value)| value.as_str())
+    };
     if find("transfer-encoding") == Some("chunked") {
         let mut body = Vec::new();
         loop {
@@ -85,7 +96,9 @@
             body.extend(&chunk[..size]);
         }
     }
-    let length = find("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let length = find("content-length")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
     Some(body)
@@ -97,9 +110,17 @@
     let (method, target) = (words.next()?.to_owned(), words.next()?);
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let query = pairs.map(|(name, value)| (name.to_owned(), unescape(value))).collect();
+    let query = pairs
+        .map(|(name, value)| (name.to_owned(), unescape(value)))
+        .collect();
     let body = read_body(reader, &headers)?;
-    Some(Request { method, path: path.to_owned(), query, headers, body })
+    Some(Request {
+        method,
+        path: path.to_owned(),
+        query,
+        headers,
+        body,
+    })
 }
 
 /// Serves requests on an unused loopback port, each connection in a thread of its own. A handler that returns `None`
@@ -113,7 +134,9 @@
             let handler = Arc::clone(&handler);
             thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
-                let Ok(mut writer) = stream.try_clone() else { return };
+                let Ok(mut writer) = stream.try_clone() else {
+                    return;
+                };
                 let mut reader = BufReader::new(stream);
                 while let Some(request) = read_request(&mut reader) {
                     let Some((status, body)) = handler(request) else {
@@ -148,7 +171,10 @@
     let mut stream = TcpStream::connect_timeout(&address, timeout).ok()?;
     stream.set_read_timeout(Some(timeout)).ok()?;
     stream.set_write_timeout(Some(timeout)).ok()?;
-    let mut head = format!("{method} {path} HTTP/1.1\r\nconnection: close\r\ncontent-length: {}\r\n", body.len());
+    let mut head = format!(
+        "{method} {path} HTTP/1.1\r\nconnection: close\r\ncontent-length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         head += &format!("{name}: {value}\r\n");
     }
--- a/review/stand_ins_3/json.rs
+++ b/review/stand_ins_3/json.rs
@@ -19,7 +19,10 @@
     /// The field of a table; null if there is none.
     pub fn get(&self, name: &str) -> &Json {
         match self {
-            Json::Table(rows) => rows.iter().find(|(key, _)| key == name).map_or(&NULL, |(_, value)| value),
+            Json::Table(rows) => rows
+                .iter()
+                .find(|(key, _)| key == name)
+                .map_or(&NULL, |(_, value)| value),
             _ => &NULL,
         }
     }
--- a/review/stand_ins_3/large_jobs.rs
+++ b/review/stand_ins_3/large_jobs.rs
@@ -3,11 +3,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::Verdict;
 use crate::client::job_id;
 use crate::record::Record;
 use crate::runner::Runner;
-use crate::site::{FIRST_KEY, SECOND_KEY, SMALL_JOB, Site};
+use crate::site::{Site, FIRST_KEY, SECOND_KEY, SMALL_JOB};
+use crate::Verdict;
 
 /// Large jobs that come at once.
 const LARGE_JOBS: usize = 48;
@@ -28,7 +28,9 @@
     let (rack, image) = (name("rack"), name("image"));
     let mut steps = Vec::new();
     for step in 0..STEPS {
-        let before: Vec<String> = (step.saturating_sub(110)..step).map(|before| before.to_string()).collect();
+        let before: Vec<String> = (step.saturating_sub(110)..step)
+            .map(|before| before.to_string())
+            .collect();
         steps.push(format!(
             "{{\"count\":1,\"cpu\":100,\"mem-mb\":16,\"estimate-ms\":50,\"affinity\":\"{rack}\",\"image\":\"{image}\",\
              \"after\":[{}]}}",
@@ -50,10 +52,18 @@
     record.tell(&format!("job {lasting} with tasks that last submitted: {status}"));
     thread::sleep(Duration::from_secs(2));
     let bodies: Vec<String> = (0..LARGE_JOBS)
-        .map(|number| if has_trouble { large_job(number) } else { SMALL_JOB.to_owned() })
+        .map(|number| {
+            if has_trouble {
+                large_job(number)
+            } else {
+                SMALL_JOB.to_owned()
+            }
+        })
         .collect();
     let largest = bodies.iter().map(String::len).max().unwrap_or(0);
-    record.tell(&format!("{LARGE_JOBS} jobs with bodies of at most {largest} bytes come at once"));
+    record.tell(&format!(
+        "{LARGE_JOBS} jobs with bodies of at most {largest} bytes come at once"
+    ));
     let statuses: Vec<u16> = thread::scope(|scope| {
         let calls: Vec<_> = bodies
             .iter()
@@ -82,8 +92,15 @@
     record.tell(&format!("job {lasting} cancelled: {status}"));
     let cancelled = Instant::now();
     thread::sleep(CANCEL_BOUND);
-    let active = site.runs_of(&lasting).iter().filter(|run| run.ended.is_none()).count();
-    record.tell(&format!("{active} tasks of the cancelled job run {} ms after the answer", cancelled.elapsed().as_millis()));
+    let active = site
+        .runs_of(&lasting)
+        .iter()
+        .filter(|run| run.ended.is_none())
+        .count();
+    record.tell(&format!(
+        "{active} tasks of the cancelled job run {} ms after the answer",
+        cancelled.elapsed().as_millis()
+    ));
     thread::sleep((FINISH + IDLE_BOUND).saturating_sub(traffic_end.elapsed()));
     let in_use: usize = site.runners.iter().map(Runner::running).sum();
     let mut idle = 0;
@@ -109,5 +126,9 @@
     if idle > 0 {
         record.tell("LOST: accepted jobs have nothing running although there is room");
     }
-    if idle > 0 || is_unasked { Verdict::Broken } else { Verdict::Held }
+    if idle > 0 || is_unasked {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand_ins_3/long_tasks.rs
+++ b/review/stand_ins_3/long_tasks.rs
@@ -3,11 +3,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::Verdict;
 use crate::client::job_id;
 use crate::record::Record;
 use crate::runner::{RunRecord, Runner};
-use crate::site::{FIRST_KEY, SECOND_KEY, SMALL_JOB, Site};
+use crate::site::{Site, FIRST_KEY, SECOND_KEY, SMALL_JOB};
+use crate::Verdict;
 
 /// Jobs of one long task each, and the run time of a task.
 const LONG_JOBS: usize = 6;
@@ -27,8 +27,10 @@
 fn longest_gap(runs: &[RunRecord], from: Instant, to: Instant) -> Duration {
     let done = |run: &RunRecord| run.ended.filter(|(_, how)| *how == "done").map(|(at, _)| at);
     let end = runs.iter().filter_map(done).min().map_or(to, |at| at.min(to));
-    let mut spans: Vec<(Instant, Instant)> =
-        runs.iter().map(|run| (run.started, run.ended.map_or(to, |(at, _)| at))).collect();
+    let mut spans: Vec<(Instant, Instant)> = runs
+        .iter()
+        .map(|run| (run.started, run.ended.map_or(to, |(at, _)| at)))
+        .collect();
     spans.sort();
     let (mut at, mut longest) = (from, Duration::ZERO);
     for (start, stop) in spans {
@@ -42,8 +44,14 @@
     let Some(mut site) = Site::start(folder, RUNNERS, record) else {
         return Verdict::NotRun("the nodes did not serve in time".to_owned());
     };
-    let estimate = if has_trouble { String::new() } else { format!(",\"estimate-ms\":{RUN_MS}") };
-    let body = format!("{{\"spec\":\"run-ms={RUN_MS}\",\"steps\":[{{\"count\":1,\"cpu\":500,\"mem-mb\":64{estimate}}}]}}");
+    let estimate = if has_trouble {
+        String::new()
+    } else {
+        format!(",\"estimate-ms\":{RUN_MS}")
+    };
+    let body = format!(
+        "{{\"spec\":\"run-ms={RUN_MS}\",\"steps\":[{{\"count\":1,\"cpu\":500,\"mem-mb\":64{estimate}}}]}}"
+    );
     let mut accepted = Vec::new();
     for number in 0..LONG_JOBS {
         let id = job_id(0xbbbb, number);
@@ -76,7 +84,10 @@
     let mut lost = 0;
     for id in &accepted {
         let runs = site.runs_of(id);
-        let stopped = runs.iter().filter(|run| matches!(run.ended, Some((_, "stopped")))).count();
+        let stopped = runs
+            .iter()
+            .filter(|run| matches!(run.ended, Some((_, "stopped"))))
+            .count();
         let gap = longest_gap(&runs, from, to);
         let (_, state) = site.client(0, FIRST_KEY).state(id);
         record.tell(&format!(
@@ -93,5 +104,9 @@
         site.cores()
     ));
     site.record_nodes(record);
-    if lost > 0 { Verdict::Broken } else { Verdict::Held }
+    if lost > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand_ins_3/main.rs
+++ b/review/stand_ins_3/main.rs
@@ -29,6 +29,16 @@
     NotRun(String),
 }
 
+/// Copies the ends of the nodes' logs to the record.
+fn record_logs(folder: &std::path::Path, record: &Record) {
+    for entry in std::fs::read_dir(folder).into_iter().flatten().flatten() {
+        let text = std::fs::read_to_string(entry.path()).unwrap_or_default();
+        for line in text.lines().rev().take(5) {
+            record.write(&format!("{}: {line}", entry.file_name().to_string_lossy()));
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let words: Vec<String> = std::env::args().collect();
     let [_, case, path] = words.as_slice() else {
@@ -52,6 +62,9 @@
         "long-tasks" => long_tasks::run(&place, &record, has_trouble),
         other => Verdict::NotRun(format!("no case has the name {other}")),
     };
+    if matches!(verdict, Verdict::NotRun(_)) {
+        record_logs(&folder, &record);
+    }
     if std::env::var("KEEP_LOGS").is_ok() {
         record.tell(&format!("logs kept in {place}"));
     } else {
--- a/review/stand_ins_3/many_occurrences.rs
+++ b/review/stand_ins_3/many_occurrences.rs
@@ -3,11 +3,11 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime};
 
-use crate::Verdict;
 use crate::client::job_id;
 use crate::record::Record;
 use crate::runner::Runner;
-use crate::site::{FIRST_KEY, SECOND_KEY, SMALL_JOB, Site};
+use crate::site::{Site, FIRST_KEY, SECOND_KEY, SMALL_JOB};
+use crate::Verdict;
 
 /// Occurrences of the job; without the disruption, few.
 const OCCURRENCES: u64 = 100_000;
@@ -26,7 +26,9 @@
         return Verdict::NotRun("the nodes did not serve in time".to_owned());
     };
     let count = if has_trouble { OCCURRENCES } else { FEW_OCCURRENCES };
-    let now = SystemTime::UNIX_EPOCH.elapsed().map_or(0, |time| time.as_millis() as u64);
+    let now = SystemTime::UNIX_EPOCH
+        .elapsed()
+        .map_or(0, |time| time.as_millis() as u64);
     let body = format!(
         "{{\"spec\":\"run-ms=20\",\"steps\":[{{\"count\":1,\"cpu\":100,\"mem-mb\":16,\"estimate-ms\":20}}],\
          \"start-ms\":{},\"interval-ms\":{INTERVAL_MS},\"repeat-count\":{count}}}",
@@ -49,7 +51,9 @@
         if number % 8 == 0 {
             let (refused, largest) = site.store.refused_values();
             let term = site.term();
-            record.tell(&format!("term {term}; the store refused {refused} values, the largest of {largest} bytes"));
+            record.tell(&format!(
+                "term {term}; the store refused {refused} values, the largest of {largest} bytes"
+            ));
         }
         thread::sleep(Duration::from_secs(1));
     }
@@ -73,10 +77,21 @@
     }
     let (status, state) = site.client(1, FIRST_KEY).state(&repeated);
     let runs = runs_at(&repeated);
-    record.tell(&format!("job {repeated}: {status} {state}, {runs} runs, {} of them in the last 3 s", runs - repeated_before));
-    let ends: Vec<_> = site.runners.iter().flat_map(Runner::records).filter(|run| run.ended.is_some()).collect();
+    record.tell(&format!(
+        "job {repeated}: {status} {state}, {runs} runs, {} of them in the last 3 s",
+        runs - repeated_before
+    ));
+    let ends: Vec<_> = site
+        .runners
+        .iter()
+        .flat_map(Runner::records)
+        .filter(|run| run.ended.is_some())
+        .collect();
     let noted = ends.iter().filter(|run| run.noted.is_some()).count();
-    record.tell(&format!("{noted} of {} ends that the runners list are taken note of", ends.len()));
+    record.tell(&format!(
+        "{noted} of {} ends that the runners list are taken note of",
+        ends.len()
+    ));
     record.tell(&format!(
         "{idle} of {} accepted jobs have had nothing running {} s after the end of the traffic; at most {most_in_use} tasks \
          ran in the last 3 s on {} cores; term {}",
@@ -86,5 +101,9 @@
         site.term()
     ));
     site.record_nodes(record);
-    if idle > 0 { Verdict::Broken } else { Verdict::Held }
+    if idle > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand_ins_3/many_tasks.rs
+++ b/review/stand_ins_3/many_tasks.rs
@@ -3,11 +3,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::Verdict;
 use crate::client::job_id;
 use crate::node::MEMORY_MB;
 use crate::record::Record;
-use crate::site::{FIRST_KEY, SECOND_KEY, SMALL_JOB, Site};
+use crate::site::{Site, FIRST_KEY, SECOND_KEY, SMALL_JOB};
+use crate::Verdict;
 
 /// Jobs of the tenant, and the time in which they come.
 const JOBS: usize = 152;
@@ -83,9 +83,19 @@
         thread::sleep(Duration::from_millis(10));
     }
     let ran = own.iter().filter(|id| !site.runs_of(id).is_empty()).count();
-    record.tell(&format!("{ran} of {} accepted jobs of another tenant ran", own.len()));
-    record.tell(&format!("processes ended for their memory {ends:?} times, peaks {peaks:?} MB, term {}", site.term()));
+    record.tell(&format!(
+        "{ran} of {} accepted jobs of another tenant ran",
+        own.len()
+    ));
+    record.tell(&format!(
+        "processes ended for their memory {ends:?} times, peaks {peaks:?} MB, term {}",
+        site.term()
+    ));
     site.record_nodes(record);
     let faulty = ends.iter().filter(|count| **count >= FAULT_ENDS).count();
-    if faulty >= FAULT_MACHINES { Verdict::Broken } else { Verdict::Held }
+    if faulty >= FAULT_MACHINES {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand_ins_3/node.rs
+++ b/review/stand_ins_3/node.rs
@@ -37,7 +37,9 @@
     pub fn start(folder: &str, setup: &Setup<'_>) -> Self {
         let (front, ready, control) = (unused_address(), unused_address(), unused_address());
         let name = setup.name;
-        let advice = setup.advice.map_or(String::new(), |address| format!(",\"advice\":\"{address}\""));
+        let advice = setup
+            .advice
+            .map_or(String::new(), |address| format!(",\"advice\":\"{address}\""));
         let settings = format!(
             "{{\"node\":\"{name}\",\"role\":\"entry\",\"machine-class\":\"edge\",\"serves\":[\"edge\"],\
              \"bind-ip\":\"{}\",\"zone\":\"zone-a\",\"region\":\"region\",\"zones\":{{\"zone-a\":\"region\"}},\
@@ -58,18 +60,29 @@
         fs::write(&path, settings).expect("settings");
         let log = File::create(format!("{folder}/{name}.log")).expect("log");
         let child = Command::new("target/release/figloftd")
-            .args(["--platform", "--metrics-port", &unused_address().port().to_string()])
+            .args([
+                "--platform",
+                "--metrics-port",
+                &unused_address().port().to_string(),
+            ])
             .env("FIGLOFT_SETTINGS", &path)
             .stdout(Stdio::from(log.try_clone().expect("log")))
             .stderr(Stdio::from(log))
             .spawn()
             .expect("target/release/figloftd");
-        Self { name: name.to_owned(), front, child }
+        Self {
+            name: name.to_owned(),
+            front,
+            child,
+        }
     }
 
     /// Sends a signal, for example `STOP`.
     pub fn signal(&self, signal: &str) {
-        let _ = Command::new("kill").arg(format!("-{signal}")).arg(self.child.id().to_string()).status();
+        let _ = Command::new("kill")
+            .arg(format!("-{signal}"))
+            .arg(self.child.id().to_string())
+            .status();
     }
 
     /// Whether the process has not ended.
@@ -84,7 +97,10 @@
             let line = text.lines().find(|line| line.starts_with(name))?;
             line.split_whitespace().nth(1)?.parse::<u64>().ok()
         };
-        (read("VmRSS:").unwrap_or(0) / 1_000, read("VmHWM:").unwrap_or(0) / 1_000)
+        (
+            read("VmRSS:").unwrap_or(0) / 1_000,
+            read("VmHWM:").unwrap_or(0) / 1_000,
+        )
     }
 }
 
--- a/review/stand_ins_3/record.rs
+++ b/review/stand_ins_3/record.rs
@@ -14,7 +14,10 @@
 impl Record {
     pub fn create(path: &str) -> Self {
         let file = File::create(path).expect("record.txt");
-        Self { file: Arc::new(Mutex::new(file)), start: Instant::now() }
+        Self {
+            file: Arc::new(Mutex::new(file)),
+            start: Instant::now(),
+        }
     }
 
     pub fn write(&self, line: &str) {
--- a/review/stand_ins_3/runner.rs
+++ b/review/stand_ins_3/runner.rs
@@ -59,7 +59,10 @@
 }
 
 fn run_time(text: &str) -> Duration {
-    let millis = text.split("run-ms=").nth(1).map_or("", |rest| rest.split(' ').next().unwrap_or(""));
+    let millis = text
+        .split("run-ms=")
+        .nth(1)
+        .map_or("", |rest| rest.split(' ').next().unwrap_or(""));
     Duration::from_millis(millis.parse().unwrap_or(200))
 }
 
@@ -69,9 +72,12 @@
     }
 
     fn end(&mut self, key: &(String, u64), how: &'static str) {
-        let Some((place, _)) = self.running.remove(key) else { return };
+        let Some((place, _)) = self.running.remove(key) else {
+            return;
+        };
         self.records[place].ended = Some((Instant::now(), how));
-        self.ended.push((self.next_number, key.0.clone(), key.1, how, place));
+        self.ended
+            .push((self.next_number, key.0.clone(), key.1, how, place));
         self.next_number += 1;
         let closed = self.closed.entry(key.0.clone()).or_default();
         *closed = (*closed).max(key.1);
@@ -80,7 +86,10 @@
     fn advance(&mut self) -> bool {
         let now = Instant::now();
         let is_lapsed = self.clock_ms() > self.deadline_ms;
-        let due = self.running.iter().filter(|(_, (_, end))| is_lapsed || *end <= now);
+        let due = self
+            .running
+            .iter()
+            .filter(|(_, (_, end))| is_lapsed || *end <= now);
         let keys: Vec<(String, u64)> = due.map(|(key, _)| key.clone()).collect();
         for key in &keys {
             self.end(key, if is_lapsed { "lapsed" } else { "done" });
@@ -101,12 +110,17 @@
             let started = self.records[*place].started;
             let part = now.duration_since(started).as_secs_f64() / end.duration_since(started).as_secs_f64();
             // Tasks that last are at work after their start.
-            let percent = if *end > started + LASTING { 100 } else { (part * 100.0).min(99.0) as u32 };
+            let percent = if *end > started + LASTING {
+                100
+            } else {
+                (part * 100.0).min(99.0) as u32
+            };
             format!("[\"{task}\",{run},\"\",{percent},0]")
         });
         let running: Vec<String> = running.collect();
         let ended = self.ended.iter().take(MAX_LISTED_ENDS);
-        let ended = ended.map(|(number, task, run, how, _)| format!("[{number},\"{task}\",{run},\"{how}\",\"\"]"));
+        let ended =
+            ended.map(|(number, task, run, how, _)| format!("[{number},\"{task}\",{run},\"{how}\",\"\"]"));
         let ended: Vec<String> = ended.collect();
         format!(
             "{{\"clock-ms\":{},\"born\":{born},\"running\":[{}],\"ended-runs\":[{}]}}",
@@ -130,7 +144,9 @@
             closed: BTreeMap::new(),
             records: Vec::new(),
         };
-        let born = SystemTime::UNIX_EPOCH.elapsed().map_or(0, |time| time.as_millis() as u64);
+        let born = SystemTime::UNIX_EPOCH
+            .elapsed()
+            .map_or(0, |time| time.as_millis() as u64);
         let mut runner = Self {
             id: format!("i-{service}-{number}"),
             address: None,
@@ -142,12 +158,10 @@
         let address = http::serve(move |request| Some(handler.handle(&request)));
         runner.address = Some(address);
         let advancing = runner.clone();
-        thread::spawn(move || {
-            loop {
-                thread::sleep(Duration::from_millis(10));
-                if advancing.lock().advance() {
-                    advancing.shared.1.notify_all();
-                }
+        thread::spawn(move || loop {
+            thread::sleep(Duration::from_millis(10));
+            if advancing.lock().advance() {
+                advancing.shared.1.notify_all();
             }
         });
         let (store, id, service) = (store.clone(), runner.id.clone(), service.to_owned());
@@ -198,7 +212,10 @@
         }
         state.token = token;
         let deadline = body.get("deadline-ms").int();
-        let key = (body.get("task").text().to_owned(), body.get("run").int().unwrap_or(0) as u64);
+        let key = (
+            body.get("task").text().to_owned(),
+            body.get("run").int().unwrap_or(0) as u64,
+        );
         match request.path.as_str() {
             "/run-start" => {
                 if deadline.unwrap_or(0) < clock as i64 {
@@ -216,10 +233,20 @@
                     return refuse("old");
                 }
                 let started = Instant::now();
-                self.record.write(&format!("run {} task {} run {} token {token} starts", self.id, key.0, key.1));
-                state.records.push(RunRecord { task: key.0.clone(), started, ended: None, noted: None });
+                self.record.write(&format!(
+                    "run {} task {} run {} token {token} starts",
+                    self.id, key.0, key.1
+                ));
+                state.records.push(RunRecord {
+                    task: key.0.clone(),
+                    started,
+                    ended: None,
+                    noted: None,
+                });
                 let place = state.records.len() - 1;
-                state.running.insert(key, (place, started + run_time(body.get("spec").text())));
+                state
+                    .running
+                    .insert(key, (place, started + run_time(body.get("spec").text())));
             }
             "/run-stop" => {
                 let closed = state.closed.entry(key.0.clone()).or_default();
@@ -232,7 +259,9 @@
                 state.extend(deadline);
                 let noted = body.get("ack-seq").int().unwrap_or(0) as u64;
                 let now = Instant::now();
-                let (gone, kept) = std::mem::take(&mut state.ended).into_iter().partition(|row| row.0 <= noted);
+                let (gone, kept) = std::mem::take(&mut state.ended)
+                    .into_iter()
+                    .partition(|row| row.0 <= noted);
                 state.ended = kept;
                 let gone: Vec<(u64, String, u64, &'static str, usize)> = gone;
                 for row in gone {
--- a/review/stand_ins_3/site.rs
+++ b/review/stand_ins_3/site.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::client::{Client, job_id};
+use crate::client::{job_id, Client};
 use crate::json::Json;
 use crate::node::{Node, Setup};
 use crate::record::Record;
@@ -78,8 +78,17 @@
     ) -> Option<Self> {
         let (store, store_address) = Store::start();
         store.write("op/config", &config(1, routes, &[FIRST_KEY]));
-        let runners = (0..runners).map(|number| Runner::start(number, "tools", RUNNER_CORES, &store, record)).collect();
-        let mut site = Self { store, runners, nodes: Vec::new(), folder: folder.to_owned(), store_address, advice_address };
+        let runners = (0..runners)
+            .map(|number| Runner::start(number, "tools", RUNNER_CORES, &store, record))
+            .collect();
+        let mut site = Self {
+            store,
+            runners,
+            nodes: Vec::new(),
+            folder: folder.to_owned(),
+            store_address,
+            advice_address,
+        };
         site.nodes = (0..NODES).map(|number| site.start_node(number)).collect();
         let end = Instant::now() + Duration::from_secs(15);
         for number in 0..NODES {
@@ -97,7 +106,14 @@
 
     fn start_node(&self, number: usize) -> Node {
         let name = format!("node-{number}");
-        Node::start(&self.folder, &Setup { name: &name, store: self.store_address, advice: self.advice_address })
+        Node::start(
+            &self.folder,
+            &Setup {
+                name: &name,
+                store: self.store_address,
+                advice: self.advice_address,
+            },
+        )
     }
 
     /// Starts a node whose process has ended.
@@ -107,7 +123,12 @@
 
     /// A client with this key, at one node after the other.
     pub fn client<'a>(&self, number: usize, key: &'a str) -> Client<'a> {
-        Client { front: self.nodes[number % self.nodes.len()].front, host: HOST, prefix: PREFIX, key }
+        Client {
+            front: self.nodes[number % self.nodes.len()].front,
+            host: HOST,
+            prefix: PREFIX,
+            key,
+        }
     }
 
     /// All runs of the tasks of a job.
--- a/review/stand_ins_3/store.rs
+++ b/review/stand_ins_3/store.rs
@@ -67,7 +67,12 @@
 impl State {
     fn put(&mut self, key: &str, value: String, lease: u64) {
         let created = self.items.get(key).map_or(self.revision, |item| item.created);
-        let item = Item { value, revision: self.revision, created, lease };
+        let item = Item {
+            value,
+            revision: self.revision,
+            created,
+            lease,
+        };
         let text = encode_item(key, &item);
         self.items.insert(key.to_owned(), item);
         self.record(key, text);
@@ -75,13 +80,21 @@
 
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
-            let text = format!("{{\"key\":\"{key}\",\"revision\":{},\"removed\":true}}", self.revision);
+            let text = format!(
+                "{{\"key\":\"{key}\",\"revision\":{},\"removed\":true}}",
+                self.revision
+            );
             self.record(key, text);
         }
     }
 
     fn record(&mut self, key: &str, text: String) {
-        let event = Event { revision: self.revision, at: Instant::now(), key: key.to_owned(), text };
+        let event = Event {
+            revision: self.revision,
+            at: Instant::now(),
+            key: key.to_owned(),
+            text,
+        };
         self.events.push(event);
     }
 
@@ -99,11 +112,20 @@
 
     fn expire(&mut self) {
         let now = Instant::now();
-        let ended: Vec<u64> = self.leases.iter().filter(|(_, (end, _))| *end <= now).map(|(id, _)| *id).collect();
+        let ended: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (end, _))| *end <= now)
+            .map(|(id, _)| *id)
+            .collect();
         for lease in ended {
             self.end_lease(lease);
         }
-        let old = self.events.iter().take_while(|event| event.at + HISTORY < now).count();
+        let old = self
+            .events
+            .iter()
+            .take_while(|event| event.at + HISTORY < now)
+            .count();
         if old > 0 {
             self.discarded = self.events[old - 1].revision;
             self.events.drain(..old);
@@ -111,12 +133,19 @@
     }
 
     fn transact(&mut self, body: &Json) -> Response {
-        let (expected, puts, deletes) = (body.get("expected").list(), body.get("puts").list(), body.get("delete").list());
+        let (expected, puts, deletes) = (
+            body.get("expected").list(),
+            body.get("puts").list(),
+            body.get("delete").list(),
+        );
         if expected.len() + puts.len() + deletes.len() > MAX_ENTRIES {
             return (400, "{\"reason\":\"entries\"}".to_owned());
         }
         let is_current = |row: &Json| {
-            let found = self.items.get(row.get("key").text()).map_or(0, |item| item.revision);
+            let found = self
+                .items
+                .get(row.get("key").text())
+                .map_or(0, |item| item.revision);
             Some(found as i64) == row.get("revision").int()
         };
         if !expected.iter().all(is_current) {
@@ -128,7 +157,10 @@
             return (412, format!("{{\"items\":[{}]}}", items.join(",")));
         }
         let lease_of = |put: &Json| put.get("lease").int().unwrap_or(0) as u64;
-        if puts.iter().any(|put| lease_of(put) > 0 && !self.leases.contains_key(&lease_of(put))) {
+        if puts
+            .iter()
+            .any(|put| lease_of(put) > 0 && !self.leases.contains_key(&lease_of(put)))
+        {
             return (404, "{}".to_owned());
         }
         for put in puts {
@@ -141,7 +173,11 @@
         }
         self.revision += 1;
         for put in puts {
-            self.put(put.get("key").text(), put.get("value").text().to_owned(), lease_of(put));
+            self.put(
+                put.get("key").text(),
+                put.get("value").text().to_owned(),
+                lease_of(put),
+            );
         }
         for key in deletes {
             self.remove(key.text());
@@ -167,7 +203,13 @@
             rows.push(row);
         }
         let rows = rows.join(",");
-        (200, format!("{{\"items\":[{rows}],\"truncated\":{is_truncated},\"as-of\":{}}}", self.revision))
+        (
+            200,
+            format!(
+                "{{\"items\":[{rows}],\"truncated\":{is_truncated},\"as-of\":{}}}",
+                self.revision
+            ),
+        )
     }
 }
 
@@ -184,11 +226,9 @@
             Some(shared.handle(&request))
         });
         let expiring = store.clone();
-        thread::spawn(move || {
-            loop {
-                thread::sleep(Duration::from_millis(10));
-                expiring.change(State::expire);
-            }
+        thread::spawn(move || loop {
+            thread::sleep(Duration::from_millis(10));
+            expiring.change(State::expire);
         });
         (store, address)
     }
@@ -240,11 +280,20 @@
 
     /// Whether the request is the transaction that gets no answer.
     fn takes_delay(&self, request: &Request) -> bool {
-        let Some(prefix) = self.lock().late_prefix.clone().filter(|_| request.path == "/kv-txn") else {
+        let Some(prefix) = self
+            .lock()
+            .late_prefix
+            .clone()
+            .filter(|_| request.path == "/kv-txn")
+        else {
             return false;
         };
         let body = request.json();
-        let is_late = body.get("puts").list().iter().any(|put| put.get("key").text().starts_with(&prefix));
+        let is_late = body
+            .get("puts")
+            .list()
+            .iter()
+            .any(|put| put.get("key").text().starts_with(&prefix));
         if is_late {
             self.lock().late_prefix = None;
             let store = self.clone();
@@ -267,7 +316,10 @@
                 match state.items.get(key) {
                     Some(item) => {
                         let text = encode_item(key, item);
-                        (200, format!("{},\"as-of\":{}}}", &text[..text.len() - 1], state.revision))
+                        (
+                            200,
+                            format!("{},\"as-of\":{}}}", &text[..text.len() - 1], state.revision),
+                        )
                     }
                     None => (404, empty()),
                 }
@@ -293,7 +345,11 @@
                 })
             }
             (method, path) => {
-                let id = path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
+                let id = path
+                    .rsplit('/')
+                    .next()
+                    .and_then(|id| id.parse().ok())
+                    .unwrap_or(0);
                 self.change(|state| match (method, state.leases.get_mut(&id)) {
                     (_, None) => (404, empty()),
                     ("DELETE", Some(_)) => {
@@ -319,11 +375,18 @@
             if after < state.discarded {
                 return (410, "{}".to_owned());
             }
-            let events = state.events.iter().filter(|event| event.revision > after && event.key.starts_with(prefix));
+            let events = state
+                .events
+                .iter()
+                .filter(|event| event.revision > after && event.key.starts_with(prefix));
             let events: Vec<&str> = events.map(|event| event.text.as_str()).collect();
             let now = Instant::now();
             if !events.is_empty() || now >= end {
-                let text = format!("{{\"events\":[{}],\"as-of\":{}}}", events.join(","), state.revision);
+                let text = format!(
+                    "{{\"events\":[{}],\"as-of\":{}}}",
+                    events.join(","),
+                    state.revision
+                );
                 state.largest_watch = state.largest_watch.max(text.len());
                 return (200, text);
             }
