--- a/src/dispatch/pool_scheduler/command_outcomes.rs
+++ b/src/dispatch/pool_scheduler/command_outcomes.rs
@@ -147,7 +147,9 @@
         let Some(advice) = self.advice.get_mut(step) else {
             return;
         };
-        advice.requested_at = None;
+        let requested_at = advice.requested_at.take();
+        let elapsed = now.saturating_duration_since(requested_at.unwrap_or(now));
+        let admitted = answer.as_ref().map(|answer| answer.tickets.len());
         match answer {
             None => advice.retry_at = now + ADVICE_RETRY,
             Some(answer) => {
@@ -156,5 +158,10 @@
                 advice.tickets = answer.tickets.into_iter().collect();
             }
         }
+        let answer = admitted.map_or("no answer".to_owned(), |count| {
+            format!("{count} workers admitted")
+        });
+        let inputs = format!("step {step}: {answer} after {} ms", elapsed.as_millis());
+        self.note("advice", Some(step.job.clone()), None, inputs);
     }
 }
--- a/src/node/command_executor.rs
+++ b/src/node/command_executor.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use slog::{Logger, info, warn};
+use slog::{Logger, debug, info, warn};
 
 use crate::dispatch::command::{AdviceAnswer, PollError, PoolCommand, RunId, StartOutcome, StopOutcome};
 use crate::dispatch::task_id::StepId;
@@ -111,9 +111,12 @@
         };
         let outcome = if advice.is_ok() { "Answer" } else { "NoAnswer" };
         self.record("advise", outcome, sent_at);
-        if let Err(error) = &advice {
-            warn!(self.log, "advice request failed"; "job" => %step.job, "step" => %step,
-                "workers" => workers.len(), "error" => %error);
+        match &advice {
+            Ok(answer) => debug!(self.log, "advice received"; "job" => %step.job, "step" => %step,
+                "workers" => workers.len(), "first" => workers.first().map(WorkerId::as_str),
+                "last" => workers.last().map(WorkerId::as_str), "admitted" => answer.tickets.len()),
+            Err(error) => warn!(self.log, "advice request failed"; "job" => %step.job, "step" => %step,
+                "workers" => workers.len(), "error" => %error),
         }
         CommandOutcome::Advised(step, advice.ok())
     }
--- a/src/node/platform_node.rs
+++ b/src/node/platform_node.rs
@@ -187,7 +187,11 @@
 }
 
 fn start_servers(context: &NodeContext, metrics_port: Option<u16>) -> Result<Vec<RunningServer>> {
-    let batcher = SubmissionBatcher::start(context.store.clone(), Arc::clone(&context.clock));
+    let batcher = SubmissionBatcher::start(
+        context.store.clone(),
+        Arc::clone(&context.clock),
+        context.log.clone(),
+    );
     let gate = AdmissionGate::start(context);
     let api = Arc::new(QueueApi::new(context.clone(), batcher, gate));
     let mut servers = vec![
--- a/src/request/submission_batcher.rs
+++ b/src/request/submission_batcher.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::SharedClock;
@@ -61,9 +62,9 @@
 
 impl SubmissionBatcher {
     /// Starts the background task on the current runtime. It ends when all clones are dropped.
-    pub fn start(store: StoreApiClient, clock: SharedClock) -> Self {
+    pub fn start(store: StoreApiClient, clock: SharedClock, log: Logger) -> Self {
         let (sender, receiver) = mpsc::channel(MAX_WAITING);
-        tokio::spawn(run_batches(store.clone(), clock, receiver));
+        tokio::spawn(run_batches(store.clone(), clock, log, receiver));
         Self { sender, store }
     }
 
@@ -95,6 +96,7 @@
 async fn run_batches(
     store: StoreApiClient,
     clock: SharedClock,
+    log: Logger,
     mut receiver: mpsc::Receiver<PendingSubmission>,
 ) {
     let permits = Arc::new(tokio::sync::Semaphore::new(MAX_BATCHES_IN_FLIGHT));
@@ -112,8 +114,9 @@
             }
         }
         let (store, clock, batch) = (store.clone(), Arc::clone(&clock), std::mem::take(&mut batch));
+        let log = log.clone();
         tokio::spawn(async move {
-            store_batch(&store, &clock, batch).await;
+            store_batch(&store, &clock, &log, batch).await;
             drop(permit);
         });
     }
@@ -122,7 +125,12 @@
 /// Stores a batch, trying again until the outcome is certain or the submissions' deadlines pass. Jobs that
 /// turn out to be stored already are left out of the next attempt. Such a job counts as accepted rather than
 /// as a duplicate if an earlier attempt of this batch may have stored it.
-async fn store_batch(store: &StoreApiClient, clock: &SharedClock, mut batch: Vec<PendingSubmission>) {
+async fn store_batch(
+    store: &StoreApiClient,
+    clock: &SharedClock,
+    log: &Logger,
+    mut batch: Vec<PendingSubmission>,
+) {
     let mut may_be_stored = false;
     let mut refusals = 0;
     let mut delay = node_context::store_retry_delay();
@@ -132,7 +140,13 @@
             Err(error) => return reply_all(batch, &Err(error)),
         };
         match store.commit(&transaction, ATTEMPT_TIMEOUT).await {
-            Ok(CommitOutcome::Done(_)) => return reply_all(batch, &Ok(SubmissionOutcome::Accepted)),
+            Ok(CommitOutcome::Done(revision)) => {
+                if may_be_stored {
+                    info!(log, "submissions stored after a write without an answer"; "job" => first_job(&batch),
+                        "jobs" => batch.len(), "revision" => %revision, "abandoned" => count_abandoned(&batch));
+                }
+                return reply_all(batch, &Ok(SubmissionOutcome::Accepted));
+            }
             Ok(CommitOutcome::Conflict(items)) => {
                 let is_duplicate = |submission: &PendingSubmission| {
                     let key = store_keys::summary_key(&submission.record.id);
@@ -153,7 +167,11 @@
                 batch = others;
             }
             Ok(CommitOutcome::LeaseEnded) => return reply_all(batch, &Err(unexplained_conflict())),
-            Err(error) if error.kind() == ErrorKind::StoreOutcomeUnknown => may_be_stored = true,
+            Err(error) if error.kind() == ErrorKind::StoreOutcomeUnknown => {
+                may_be_stored = true;
+                warn!(log, "submissions written without an answer"; "job" => first_job(&batch),
+                    "jobs" => batch.len(), "abandoned" => count_abandoned(&batch), "error" => %error);
+            }
             Err(error) if may_be_stored => drop(error),
             Err(error) => {
                 refusals += 1;
@@ -209,6 +227,21 @@
     Ok(transaction)
 }
 
+/// Id of the first job, which stands for a batch in the log.
+fn first_job(batch: &[PendingSubmission]) -> &str {
+    batch
+        .first()
+        .map_or("", |submission| submission.record.id.as_str())
+}
+
+/// Number of submissions whose caller has disconnected.
+fn count_abandoned(batch: &[PendingSubmission]) -> usize {
+    batch
+        .iter()
+        .filter(|submission| submission.reply.is_closed())
+        .count()
+}
+
 fn reply_all(batch: Vec<PendingSubmission>, outcome: &Result<SubmissionOutcome>) {
     for submission in batch {
         // Sending fails if the caller has disconnected.
--- a/tests/platform_soak/admission.rs
+++ b/tests/platform_soak/admission.rs
@@ -102,7 +102,11 @@
         Self {
             fake,
             gate: AdmissionGate::start(&context),
-            batcher: SubmissionBatcher::start(context.store.clone(), Arc::clone(&context.clock)),
+            batcher: SubmissionBatcher::start(
+                context.store.clone(),
+                Arc::clone(&context.clock),
+                context.log.clone(),
+            ),
             context,
             next_probe: 1_000,
         }
