Keep a cancellation of a job that is not stored

Cause: such a cancellation left nothing behind. The node that had taken the submission wrote it again, or the store executed its first write late, and the condition of these writes, that the job has no record, still held.

The cancellation is now stored under the key of the job's summary before 410 is answered, bound to a lease that keeps it for status_s and a minute. Submissions and cancellations share the code that writes the first record of a job: whichever is first makes the other fail, and only that job of a batch. A submission that comes later is refused with job_cancelled. Records are written 16 at a time, five times a second at most, and the waiting calls are limited for each organisation, since anyone may cancel any id.

--- a/src/dispatch/job_record.rs
+++ b/src/dispatch/job_record.rs
@@ -56,6 +56,9 @@
     /// Why the job failed; absent in any other state.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub reason: Option<Arc<str>>,
+    /// Whether the job was cancelled before any submission of it was stored, so that it never runs.
+    #[serde(rename = "early", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_early_cancellation: bool,
 }
 
 /// Latency of the external service that advises where a step may run, and validity of its advice.
--- a/src/dispatch/job_state.rs
+++ b/src/dispatch/job_state.rs
@@ -312,6 +312,7 @@
             state: self.state,
             ended_at: self.state.is_final().then_some(wall_time),
             reason: self.end_reason.clone().filter(|_| self.state == JobState::Failed),
+            is_early_cancellation: false,
         }
     }
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -88,6 +88,7 @@
     KeyRefused, "key_refused", 403, NotRun, Never, "The key is unknown, withdrawn or not valid for the target.";
     NotFound, "not_found", 404, NotRun, Never, "The named object does not exist.";
     JobGone, "job_gone", 410, NotRun, Never, "No such job is known.";
+    JobCancelled, "job_cancelled", 429, NotRun, Never, "The job was cancelled before it was stored; its id stays refused.";
     Conflict, "conflict", 409, NotRun, Never, "The object changed since the caller read it.";
     AlreadyRan, "already_ran", 409, Ran, Never, "The ticket's work ran and its answer is no longer kept.";
     InProgress, "in_progress", 409, Unknown, After, "The ticket's work is running.";
--- a/src/node/platform_node.rs
+++ b/src/node/platform_node.rs
@@ -32,6 +32,7 @@
 use crate::request::evacuations_api;
 use crate::request::explain_api;
 use crate::request::http_server::{self, EntryHandler, RunningServer, ServerLimits};
+use crate::request::job_canceller::JobCanceller;
 use crate::request::queue_api::QueueApi;
 use crate::request::response;
 use crate::request::submission_batcher::SubmissionBatcher;
@@ -193,7 +194,8 @@
         context.log.clone(),
     );
     let gate = AdmissionGate::start(context);
-    let api = Arc::new(QueueApi::new(context.clone(), batcher, gate));
+    let canceller = JobCanceller::start(context);
+    let api = Arc::new(QueueApi::new(context.clone(), batcher, gate, canceller));
     let mut servers = vec![
         start_server(
             context.settings.caller_address,
--- a/src/request/admission_gate.rs
+++ b/src/request/admission_gate.rs
@@ -213,8 +213,11 @@
             }
             Err(error) => error,
         };
-        if error.kind() != ErrorKind::Overloaded {
-            state.store_failed_at = Some(now);
+        match error.kind() {
+            ErrorKind::Overloaded => {}
+            // The store knows that the job never runs.
+            ErrorKind::JobCancelled => drop(state.unsettled.until.remove(job)),
+            _ => state.store_failed_at = Some(now),
         }
         if self.reader.is_none() {
             return Err(error);
--- a/src/request/explain_api.rs
+++ b/src/request/explain_api.rs
@@ -50,6 +50,9 @@
         "is {} in queue {} of pool {}",
         summary.state, summary.queue, summary.pool
     )];
+    if summary.is_early_cancellation {
+        facts.push("was cancelled before a submission was stored, and never runs".to_owned());
+    }
     if let Some(at) = summary.ended_at {
         facts.push(format!("ended at {} ms since 1970", at.get()));
     }
--- a/src/request/queue_api.rs
+++ b/src/request/queue_api.rs
@@ -11,18 +11,19 @@
 use http::{Method, Response, StatusCode};
 use slog::{debug, info};
 
-use crate::dispatch::job_record::{JobRecord, JobSummary};
+use crate::dispatch::job_record::JobRecord;
 use crate::dispatch::site_config::{QueueConfig, SiteConfig};
 use crate::error::{Error, ErrorKind, Result};
-use crate::model::id::{JobId, OrganisationId, QueueId, StoreRevision};
+use crate::model::id::{JobId, OrganisationId, QueueId};
 use crate::model::resource::ResourceSet;
 use crate::node::node_context::{NodeContext, STORE_TIMEOUT};
 use crate::node::store_keys;
 use crate::node::waiting_counts;
 use crate::platform::caller_protocol;
-use crate::platform::store::{CommitOutcome, StoreTransaction};
 use crate::request::admission_gate::AdmissionGate;
+use crate::request::early_cancellations::EarlyCancellation;
 use crate::request::http_server::{EntryHandler, EntryRequest};
+use crate::request::job_canceller::{self, JobCanceller};
 use crate::request::response;
 use crate::request::response_stream::ResponseStream;
 use crate::request::submission_batcher::SubmissionBatcher;
@@ -43,16 +44,13 @@
 /// Longest time for a body, whatever the caller's deadline. The largest body takes 0.2 s on the slowest link.
 const MAX_BODY_TIME: Duration = Duration::from_secs(10);
 
-/// Number of attempts to store a cancellation. A state changes at most twice after the submission, so that each
-/// attempt but the last can meet a change.
-const MAX_CANCEL_ATTEMPTS: usize = 3;
-
 /// The platform's HTTP API for callers.
 #[derive(Debug)]
 pub struct QueueApi {
     context: NodeContext,
     batcher: SubmissionBatcher,
     gate: AdmissionGate,
+    canceller: JobCanceller,
 }
 
 /// What [`QueueApi::find_queue`] finds out about a request. `organisation` is `None` for requests
@@ -68,11 +66,17 @@
 
 impl QueueApi {
     /// Creates the API. Jobs that `gate` admits are stored through `batcher`.
-    pub fn new(context: NodeContext, batcher: SubmissionBatcher, gate: AdmissionGate) -> Self {
+    pub fn new(
+        context: NodeContext,
+        batcher: SubmissionBatcher,
+        gate: AdmissionGate,
+        canceller: JobCanceller,
+    ) -> Self {
         Self {
             context,
             batcher,
             gate,
+            canceller,
         }
     }
 
@@ -124,10 +128,7 @@
                     .await
             }
             (&Method::POST, false) => self.submit(&request, queue_request).await,
-            (&Method::DELETE, false) => {
-                self.cancel(&caller_protocol::decode_job_id(&queue_request.job_path)?)
-                    .await
-            }
+            (&Method::DELETE, false) => self.cancel(queue_request).await,
             _ => Err(Error::new(
                 ErrorKind::BadRequest,
                 "jobs are submitted with POST, shown with GET and cancelled with DELETE",
@@ -205,19 +206,10 @@
         ))
     }
 
-    /// Reads the summary of a job, with the revision of its last change.
-    async fn read_summary(&self, job: &JobId) -> Result<(JobSummary, StoreRevision)> {
-        if self.context.store.is_unreachable() {
-            return Err(store_unavailable());
-        }
-        let key = store_keys::summary_key(job);
-        let item = self.context.store.get(&key, STORE_TIMEOUT).await?;
-        let item = item.ok_or_else(|| Error::new(ErrorKind::JobGone, format!("job {job} is not known")))?;
-        Ok((store_keys::decode(&key, &item.value)?, item.revision))
-    }
-
     async fn show_state(&self, job: &JobId) -> Result<Response<ResponseStream>> {
-        let (summary, _) = self.read_summary(job).await?;
+        let found = self.canceller.read_summary(job).await?;
+        let found = found.filter(|(summary, _)| !summary.is_early_cancellation);
+        let (summary, _) = found.ok_or_else(|| job_canceller::job_gone(job))?;
         debug!(self.context.log, "state shown"; "job" => %job, "state" => %summary.state);
         Ok(response::json_response(
             StatusCode::OK,
@@ -225,42 +217,20 @@
         ))
     }
 
-    /// Stores a cancellation, which the pool leader carries out. A job that has ended is left as it is.
-    async fn cancel(&self, job: &JobId) -> Result<Response<ResponseStream>> {
-        for _ in 0..MAX_CANCEL_ATTEMPTS {
-            let (summary, revision) = self.read_summary(job).await?;
-            if summary.state.is_final() || self.store_cancellation(job, &summary, revision).await? {
-                info!(self.context.log, "job cancelled"; "job" => %job, "state" => %summary.state);
-                return Ok(response::text_response(
-                    StatusCode::OK,
-                    "application/json",
-                    Bytes::new(),
-                ));
-            }
-        }
-        let message = format!("the state of job {job} changed during each attempt to cancel it");
-        Err(Error::new(ErrorKind::StoreUnavailable, message).with_retry_after(RETRY_AFTER))
-    }
-
-    /// Stores the cancellation of a job whose state was last changed at `revision`. Executed late, after a further
-    /// change, it has no effect. Returns whether it is stored.
-    async fn store_cancellation(
-        &self,
-        job: &JobId,
-        summary: &JobSummary,
-        revision: StoreRevision,
-    ) -> Result<bool> {
-        let mut transaction = StoreTransaction {
-            expected_revisions: vec![(store_keys::summary_key(job), revision)],
-            ..StoreTransaction::default()
+    async fn cancel(&self, queue_request: QueueRequest) -> Result<Response<ResponseStream>> {
+        let cancellation = EarlyCancellation {
+            job: caller_protocol::decode_job_id(&queue_request.job_path)?,
+            pool: queue_request.queue.pool,
+            queue: queue_request.queue.id,
+            organisation: queue_request.organisation,
+            deadline: queue_request.deadline,
         };
-        transaction.put(
-            store_keys::cancel_key(&summary.pool, job),
-            Bytes::from_static(b"1"),
-            None,
-        );
-        let outcome = self.context.store.commit(&transaction, STORE_TIMEOUT).await?;
-        Ok(matches!(outcome, CommitOutcome::Done(_)))
+        self.canceller.cancel(&cancellation).await?;
+        Ok(response::text_response(
+            StatusCode::OK,
+            "application/json",
+            Bytes::new(),
+        ))
     }
 
     /// Counts the waiting jobs of a queue in all pools, since a queue may have been moved to another pool.
--- a/tests/platform_soak/admission.rs
+++ b/tests/platform_soak/admission.rs
@@ -35,7 +35,8 @@
 /// Attempts until a submission is decided by a recent digest; each takes a fraction of a second.
 const MAX_ATTEMPTS: usize = 40;
 
-fn context(store: StoreApiClient) -> NodeContext {
+/// Context of a node that admits submissions by forecast.
+pub fn context(store: StoreApiClient) -> NodeContext {
     let address = "127.0.0.1:1";
     let settings = json!({
         "node": "node-1", "zone": "zone-a", "bind-ip": "127.0.0.1",
@@ -60,7 +61,8 @@
     }
 }
 
-fn record(id: u64) -> JobRecord {
+/// A job of one task.
+pub fn record(id: u64) -> JobRecord {
     JobRecord {
         id: JobId::new(format!("{id:016x}")).expect("job"),
         pool: PoolId::new("pool-a").expect("pool"),
--- a/tests/platform_soak/fake_server.rs
+++ b/tests/platform_soak/fake_server.rs
@@ -1,6 +1,6 @@
 //! HTTP server of the fakes.
 
-use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -33,6 +33,17 @@
     serde_json::from_slice(&body).unwrap_or(Value::Null)
 }
 
+/// Marks a response in whose place the connection is closed.
+#[derive(Debug, Clone)]
+struct ClosedConnection;
+
+/// Closes the connection without a response.
+pub fn no_response() -> FakeResponse {
+    let mut response = Response::default();
+    response.extensions_mut().insert(ClosedConnection);
+    response
+}
+
 /// Serves requests with `handler` on an unused port, each connection in a task of its own. Returns the
 /// address.
 pub async fn start<S, F>(handler: S) -> SocketAddr
@@ -48,7 +59,14 @@
             tokio::spawn(async move {
                 let service = service_fn(move |request| {
                     let response = handler(request);
-                    async move { Ok::<_, Infallible>(response.await) }
+                    async move {
+                        let response = response.await;
+                        let is_closed = response.extensions().get::<ClosedConnection>().is_some();
+                        if is_closed {
+                            return Err(io::Error::from(io::ErrorKind::ConnectionAborted));
+                        }
+                        Ok(response)
+                    }
                 });
                 let connection = hyper::server::conn::http1::Builder::new();
                 let _ = connection.serve_connection(TokioIo::new(stream), service).await;
--- a/tests/platform_soak/fake_store.rs
+++ b/tests/platform_soak/fake_store.rs
@@ -1,6 +1,6 @@
 //! Fake of the platform's store that can lose responses and delay commits.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -43,6 +43,42 @@
     delay: Duration,
 }
 
+/// What happens to a commit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CommitFate {
+    /// It is executed and answered.
+    Answered,
+    /// It is executed, and its connection is closed without an answer.
+    Unanswered,
+    /// Its connection is closed, and it is never executed.
+    Dropped,
+    /// Its connection is closed, and it is executed after so many further commits if its conditions hold then.
+    Late(usize),
+}
+
+/// Commits whose fate is set in advance.
+#[derive(Debug, Default)]
+struct CommitScript {
+    /// Fates of the next commits; further ones are answered.
+    fates: VecDeque<CommitFate>,
+    /// Commits to execute late, each with the number of commits that come before it.
+    late: Vec<(usize, Value)>,
+    commits: usize,
+}
+
+impl CommitScript {
+    /// Counts a commit and takes its fate, and the late ones that come before it.
+    fn begin(&mut self) -> (CommitFate, Vec<Value>) {
+        self.commits += 1;
+        for (ahead, _) in &mut self.late {
+            *ahead = ahead.saturating_sub(1);
+        }
+        let due = self.late.extract_if(.., |(ahead, _)| *ahead == 0);
+        let due = due.map(|(_, body)| body).collect();
+        (self.fates.pop_front().unwrap_or(CommitFate::Answered), due)
+    }
+}
+
 /// A fake store; clones share its state.
 #[derive(Debug, Clone)]
 pub struct FakeStore {
@@ -56,6 +92,7 @@
     has_no_conflict_items: Arc<AtomicBool>,
     /// The next commit to delay.
     delayed_commit: Arc<Mutex<Option<DelayedCommit>>>,
+    script: Arc<Mutex<CommitScript>>,
 }
 
 impl StoreState {
@@ -155,6 +192,7 @@
             commit_draw: Arc::default(),
             has_no_conflict_items: Arc::default(),
             delayed_commit: Arc::default(),
+            script: Arc::default(),
         };
         let shared = store.clone();
         let handler = move |request| {
@@ -185,6 +223,34 @@
         *self.delayed_commit.lock().expect("rule") = Some(DelayedCommit { prefix, delay });
     }
 
+    /// Sets the fates of the next commits.
+    pub fn set_fates(&self, fates: impl IntoIterator<Item = CommitFate>) {
+        self.script.lock().expect("script").fates = fates.into_iter().collect();
+    }
+
+    /// Executes the late commits that have not been executed yet, in the order of their arrival.
+    pub fn execute_late_commits(&self) {
+        let late = std::mem::take(&mut self.script.lock().expect("script").late);
+        let mut state = self.state.lock().expect("state");
+        for (_, body) in late {
+            state.commit(&body);
+        }
+    }
+
+    /// Ends all leases, which removes their keys.
+    pub fn end_all_leases(&self) {
+        let mut state = self.state.lock().expect("state");
+        let leases: Vec<u64> = state.leases.keys().copied().collect();
+        for lease in leases {
+            state.revoke_lease(lease);
+        }
+    }
+
+    /// Number of commits so far.
+    pub fn commit_count(&self) -> usize {
+        self.script.lock().expect("script").commits
+    }
+
     /// Leaves the items out of the answers to conflicts.
     pub fn leave_out_conflict_items(&self) {
         self.has_no_conflict_items.store(true, Ordering::Relaxed);
@@ -294,11 +360,25 @@
             });
             return std::future::pending().await;
         }
+        let (fate, due) = self.script.lock().expect("script").begin();
+        if let CommitFate::Late(ahead) = fate {
+            let late = (ahead + 1, body.clone());
+            self.script.lock().expect("script").late.push(late);
+        }
         let (status, mut body) = {
             let mut state = self.state.lock().expect("state");
             state.expire_leases();
+            for late in due {
+                state.commit(&late);
+            }
+            if matches!(fate, CommitFate::Late(_) | CommitFate::Dropped) {
+                return fake_server::no_response();
+            }
             state.commit(&body)
         };
+        if fate == CommitFate::Unanswered {
+            return fake_server::no_response();
+        }
         if draw < lost_percent {
             return std::future::pending().await;
         }
--- a/tests/platform_soak/late_writes.rs
+++ b/tests/platform_soak/late_writes.rs
@@ -23,6 +23,9 @@
 /// Time after which the delayed write is executed; by then it has timed out and later ones have been stored.
 const WRITE_DELAY: Duration = Duration::from_millis(3_500);
 
+/// Time after which a caller leaves, before the first attempt to store its submission times out.
+const CALLER_PATIENCE: Duration = Duration::from_millis(600);
+
 /// Jobs that wait while a long-running job takes the whole worker.
 const WAITING_JOBS: usize = 12;
 
@@ -158,6 +161,40 @@
     std::fs::remove_dir_all(&directory).expect("directory");
 }
 
+/// Guards against a job that runs after its cancellation was acknowledged with 410: the first write of the submission has
+/// no answer, the caller leaves and cancels at another node, and the submission was written again, or executed late.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn job_cancelled_before_it_is_stored_never_runs() {
+    let directory = test_directory("early-cancel");
+    let (store, store_address) = FakeStore::start().await;
+    let (worker, worker_address) = FakeWorker::start().await;
+    store.write("op/config", &scenario::config());
+    let entry = scenario::worker_entry(worker_address, worker.incarnation());
+    store.write("servers/i-0", &entry);
+    let mut nodes = [0, 1].map(|number| NodeProcess::new(&directory, number, store_address));
+    nodes.iter_mut().for_each(NodeProcess::start);
+    let leads = || !store.history("wait/pool-a").is_empty();
+    wait_until("a node leads the pool", leads).await;
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let body =
+        json!({"spec": "text", "steps": [{"count": 1, "cpu": 500, "mem-mb": 64, "estimate-ms": 60_000}]});
+    for (submitter, canceller) in [(0, 1), (1, 0)] {
+        let job = format!("{submitter:016x}");
+        store.delay_commit("job/", WRITE_DELAY);
+        let call = scenario::send_request(&client, "POST", nodes[submitter].caller_address, &job, &body);
+        let answer = tokio::time::timeout(CALLER_PATIENCE, call).await;
+        assert!(answer.is_err(), "the caller leaves without an answer");
+        let address = nodes[canceller].caller_address;
+        let (status, _) = scenario::send_request(&client, "DELETE", address, &job, &Value::Null).await;
+        assert_eq!(status, 410, "the cancellation finds no job");
+    }
+    tokio::time::sleep(WRITE_DELAY + Duration::from_secs(1)).await;
+    let started: Vec<_> = worker.records().into_iter().map(|run| run.task).collect();
+    assert!(started.is_empty(), "started: {started:?}");
+    drop(nodes);
+    std::fs::remove_dir_all(&directory).expect("directory");
+}
+
 /// Guards against a count that outlives its leader: the node's lease has ended when the write that holds it succeeds,
 /// and the count was stored without a lease. Records that are kept for callers are stored all the same.
 #[tokio::test]
--- a/tests/platform_soak/main.rs
+++ b/tests/platform_soak/main.rs
@@ -6,6 +6,7 @@
 //! the cause.
 
 mod admission;
+mod cancellations;
 mod checker;
 mod fake_server;
 mod fake_store;
