Ask for advice about workers that were not asked about yet

Cause: only the tickets of the newest answer were kept, and each request named the 30 workers with the most free cores, which do not change in an idle pool.

step_advice keeps what was answered about each process of a worker. Refused ones are left out, so that the next request gets to the others; new processes are unknown. Tickets of several answers are kept, and only those of workers that can take the task count. A gang gets all its tickets with one answer.

Tests: the five of tests/pool_decisions/advice.rs failed on the code before.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -36,6 +36,7 @@
 pub mod site_config;
 pub mod speed_control;
 pub mod start_priority;
+pub mod step_advice;
 pub mod takeover;
 pub mod task_checkpoint;
 pub mod task_id;
--- a/src/dispatch/placement.rs
+++ b/src/dispatch/placement.rs
@@ -5,12 +5,12 @@
 //! spread over workers, away from best-effort tasks.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 use std::time::Instant;
 
 use crate::dispatch::free_index::FreeIndex;
 use crate::dispatch::hold_reason::HoldReason;
 use crate::dispatch::job_spec::StepSpec;
+use crate::dispatch::step_advice::AdviceTicket;
 use crate::dispatch::task_id::{StepId, TaskId};
 use crate::dispatch::worker_state::WorkerState;
 use crate::model::id::{JobId, WorkerId};
@@ -46,7 +46,7 @@
     /// Rack that is chosen if one of its workers can take the task; absent if none is preferred.
     pub preferred_rack: Option<&'a str>,
     /// Workers that the advice service admits, with their tickets; absent if the job uses no advice.
-    pub allowed: Option<&'a BTreeMap<WorkerId, Arc<str>>>,
+    pub allowed: Option<&'a BTreeMap<WorkerId, AdviceTicket>>,
     /// Starts in flight from which a worker is refused; [`MAX_PENDING_STARTS`] if the start is sent at once.
     pub max_pending: u32,
 }
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -8,8 +8,10 @@
 //! `progress_flush` collects the changes that have to be stored. `load_report` digests the load for the admission of
 //! submissions. `held_tasks` finds out what holds back tasks that wait. `zone_evacuation` closes the workers of zones
 //! under evacuation, and `cost_order` orders the starts by the cost of delay, if that is set. `limit_use` keeps the starts
-//! within the limits of the organisations, and `gang_starts` starts gangs as a whole.
+//! within the limits of the organisations, `gang_starts` starts gangs as a whole, and `advice_requests` finds out which
+//! workers may run the steps of queues with advice.
 
+mod advice_requests;
 mod command_outcomes;
 mod cost_order;
 mod demand_report;
@@ -28,7 +30,6 @@
 mod zone_evacuation;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::dispatch::command::{PoolCommand, RunId};
@@ -53,6 +54,7 @@
 use crate::dispatch::pool_scheduler::unplaced_tasks::UnplacedSteps;
 use crate::dispatch::scheduler_timing::SchedulerTiming;
 use crate::dispatch::site_config::{OrganisationConfig, SiteConfig};
+use crate::dispatch::step_advice::StepAdvice;
 use crate::dispatch::takeover::TakeoverState;
 
 use crate::dispatch::rate_limiter::RateLimiter;
@@ -70,9 +72,6 @@
 /// Longest time for which a worker may hold back its answer to a poll until a run ends.
 pub const POLL_WAIT: Duration = Duration::from_secs(1);
 
-/// Pause before the advice service is asked again about a step.
-const ADVICE_RETRY: Duration = Duration::from_millis(300);
-
 /// Consecutive reports without a confirmed run after which the run is stopped.
 const MAX_MISSING_POLLS: u32 = 2;
 
@@ -89,15 +88,6 @@
     pub inputs: String,
 }
 
-/// State of the advice on one step. `requested_at` is set while a request is in flight.
-#[derive(Debug, Clone)]
-struct StepAdvice {
-    tickets: BTreeMap<WorkerId, Arc<str>>,
-    valid_until: Instant,
-    requested_at: Option<Instant>,
-    retry_at: Instant,
-}
-
 /// Scheduler of one pool during one term of its leader.
 #[derive(Debug)]
 pub struct PoolScheduler {
--- a/src/dispatch/pool_scheduler/command_outcomes.rs
+++ b/src/dispatch/pool_scheduler/command_outcomes.rs
@@ -1,10 +1,9 @@
-//! Handles the outcomes of starts and stops, failed polls and answers of the advice service.
+//! Handles the outcomes of starts and stops, and failed polls.
 
 use std::time::{Duration, Instant};
 
-use crate::dispatch::command::{AdviceAnswer, PollError, RunId, StartOutcome, StopOutcome};
-use crate::dispatch::pool_scheduler::{ADVICE_RETRY, PoolScheduler};
-use crate::dispatch::task_id::StepId;
+use crate::dispatch::command::{PollError, RunId, StartOutcome, StopOutcome};
+use crate::dispatch::pool_scheduler::PoolScheduler;
 use crate::dispatch::worker_state::RunPhase;
 use crate::model::id::WorkerId;
 
@@ -50,6 +49,9 @@
                     placed.phase = RunPhase::Running;
                 }
                 self.mark_started(&run.task.step.job, worker_id);
+                if let Some(advice) = self.advice.get_mut(&run.task.step) {
+                    advice.accept_ticket();
+                }
                 return;
             }
             StartOutcome::Unknown => {
@@ -72,7 +74,9 @@
             StartOutcome::NoRoom => worker.full_until = Some(now + FULL_BACKOFF),
             StartOutcome::Fenced => self.is_fenced = true,
             StartOutcome::NoTicket => {
-                self.advice.remove(&run.task.step);
+                if let Some(advice) = self.advice.get_mut(&run.task.step) {
+                    advice.reject_ticket(now, worker_id);
+                }
             }
             StartOutcome::OtherWorker => worker.is_listed = false,
             _ => {}
@@ -141,27 +145,4 @@
             self.record_missing_runs(now, worker_id);
         }
     }
-
-    /// Handles the answer of the advice service; `answer` is absent if the request failed.
-    pub fn handle_advice(&mut self, now: Instant, step: &StepId, answer: Option<AdviceAnswer>) {
-        let Some(advice) = self.advice.get_mut(step) else {
-            return;
-        };
-        let requested_at = advice.requested_at.take();
-        let elapsed = now.saturating_duration_since(requested_at.unwrap_or(now));
-        let admitted = answer.as_ref().map(|answer| answer.tickets.len());
-        match answer {
-            None => advice.retry_at = now + ADVICE_RETRY,
-            Some(answer) => {
-                advice.valid_until = now + answer.validity;
-                advice.retry_at = now + ADVICE_RETRY;
-                advice.tickets = answer.tickets.into_iter().collect();
-            }
-        }
-        let answer = admitted.map_or("no answer".to_owned(), |count| {
-            format!("{count} workers admitted")
-        });
-        let inputs = format!("step {step}: {answer} after {} ms", elapsed.as_millis());
-        self.note("advice", Some(step.job.clone()), None, inputs);
-    }
 }
--- a/src/dispatch/pool_scheduler/gang_starts.rs
+++ b/src/dispatch/pool_scheduler/gang_starts.rs
@@ -43,6 +43,11 @@
         self.without_room.retain(|step| step.job != *job);
     }
 
+    /// Notes that there is no room for the gang.
+    pub(super) fn note_lack_of_room(&mut self, step: &StepId) {
+        self.without_room.insert(step.clone());
+    }
+
     /// Whether there was no room for the gang at its latest try.
     pub(super) fn lacks_room(&self, step: &StepId) -> bool {
         self.without_room.contains(step)
@@ -72,7 +77,7 @@
             return;
         }
         if !self.has_room_for_gang(now, step, spec, members) {
-            self.gang_starts.without_room.insert(step.clone());
+            self.gang_starts.note_lack_of_room(step);
             return;
         }
         let has_advice = self.advice.contains_key(step);
@@ -299,7 +304,7 @@
 }
 
 /// Number of tasks of a step for which a worker has room.
-fn count_room(worker: &WorkerState, step: &StepId, spec: &StepSpec) -> u64 {
+pub(super) fn count_room(worker: &WorkerState, step: &StepId, spec: &StepSpec) -> u64 {
     let free = worker
         .free()
         .to_array()
--- a/src/dispatch/pool_scheduler/isolation.rs
+++ b/src/dispatch/pool_scheduler/isolation.rs
@@ -95,7 +95,12 @@
             if !is_allowed || !self.start_budget.has_room(now) {
                 break;
             }
-            if has_advice && !self.ensure_tickets(now, step, &spec, commands) {
+            let isolated = self
+                .isolated
+                .get(&step.job)
+                .map(|isolated| isolated.worker.clone());
+            let index = [task.index];
+            if has_advice && !self.ensure_tickets(now, step, &spec, &index, isolated.as_ref(), commands) {
                 break;
             }
             let start = if let Some(worker) = self.isolated_worker(now, &task, &spec) {
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -10,10 +10,11 @@
 use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::job_state::{JobRun, TaskCopy};
 use crate::dispatch::placement::{self, PlacementRequest};
-use crate::dispatch::pool_scheduler::{ADVICE_RETRY, PoolScheduler, StepAdvice, run_id};
+use crate::dispatch::pool_scheduler::{PoolScheduler, run_id};
 use crate::dispatch::start_priority::{PriorityInputs, StartKey};
+use crate::dispatch::step_advice::StepAdvice;
 use crate::dispatch::task_id::{StepId, TaskId};
-use crate::dispatch::worker_state::{PlacedRun, RunPhase, WorkerState};
+use crate::dispatch::worker_state::{PlacedRun, RunPhase};
 use crate::model::id::{OrganisationId, RunNumber, WorkerId};
 use crate::model::resource::ResourceSet;
 
@@ -27,15 +28,6 @@
 /// Size of a start command without payload and checkpoint: the request's head and its other fields.
 const START_OVERHEAD_BYTES: usize = 350;
 
-/// Upper bound of the workers named in one request for advice; the cost of a request grows with their number.
-const MAX_ADVICE_WORKERS: usize = 30;
-
-/// Upper bound of the requests for advice in flight; the service handles one request at a time.
-const MAX_ADVICE_REQUESTS: usize = 2;
-
-/// Remaining validity that a ticket needs for a start, which reaches the worker somewhat later.
-const TICKET_MARGIN: Duration = Duration::from_millis(150);
-
 /// Multiple of its estimate after which a speculative task gets a second copy.
 const SPECULATION_FACTOR: f64 = 2.0;
 
@@ -170,7 +162,7 @@
             return;
         }
         let has_advice = job.record.rule.advice.is_some();
-        if has_advice && !self.ensure_tickets(now, step, &spec, commands) {
+        if has_advice && !self.ensure_tickets(now, step, &spec, &waiting, None, commands) {
             return;
         }
         if spec.is_gang {
@@ -274,7 +266,7 @@
             evacuating: &self.evacuating,
             maintenance_due: &self.plan.maintenance_due,
             preferred_rack: None,
-            allowed: advice.map(|advice| &advice.tickets),
+            allowed: advice.map(StepAdvice::tickets),
             max_pending: placement::MAX_PENDING_STARTS,
         })
     }
@@ -308,10 +300,9 @@
         organisation: Option<&OrganisationId>,
         commands: &mut Vec<PoolCommand>,
     ) {
-        let ticket = self
-            .advice
-            .get(&task.step)
-            .and_then(|advice| advice.tickets.get(worker_id).cloned());
+        let advice = self.advice.get(&task.step);
+        let ticket = advice.and_then(|advice| advice.tickets().get(worker_id));
+        let ticket = ticket.map(|ticket| Arc::clone(&ticket.ticket));
         let lease = self.timing.lease;
         // A task that is no suspect any more starts at once, whatever was planned.
         self.forget_planned_start(task);
@@ -370,65 +361,6 @@
         }));
     }
 
-    /// Whether valid tickets for the step are available; requests them if not.
-    pub(super) fn ensure_tickets(
-        &mut self,
-        now: Instant,
-        step: &StepId,
-        spec: &StepSpec,
-        commands: &mut Vec<PoolCommand>,
-    ) -> bool {
-        let is_usable = |worker: &WorkerId| {
-            let state = self.workers.get(worker);
-            let has_room =
-                |state: &WorkerState| state.is_usable(now) && state.free().covers(&spec.reserved());
-            !self.evacuating.contains(worker) && state.is_some_and(has_room)
-        };
-        if let Some(advice) = self.advice.get(step) {
-            let is_valid = now + TICKET_MARGIN < advice.valid_until;
-            if is_valid && advice.tickets.keys().any(is_usable) {
-                return true;
-            }
-            if advice.requested_at.is_some() || now < advice.retry_at {
-                return false;
-            }
-        }
-        let in_flight = self
-            .advice
-            .values()
-            .filter(|advice| advice.requested_at.is_some())
-            .count();
-        if in_flight >= MAX_ADVICE_REQUESTS {
-            return false;
-        }
-        let mut candidates: Vec<_> = self
-            .workers
-            .values()
-            .filter(|worker| worker.is_usable(now) && placement::is_eligible(worker, spec))
-            .filter(|worker| !self.evacuating.contains(&worker.entry.id))
-            .collect();
-        if candidates.is_empty() {
-            return false;
-        }
-        candidates.sort_by_key(|worker| std::cmp::Reverse(worker.free().cores));
-        candidates.truncate(MAX_ADVICE_WORKERS);
-        let candidates = candidates
-            .into_iter()
-            .map(|worker| worker.entry.id.clone())
-            .collect();
-        self.advice.insert(
-            step.clone(),
-            StepAdvice {
-                tickets: BTreeMap::new(),
-                valid_until: now,
-                requested_at: Some(now),
-                retry_at: now + ADVICE_RETRY,
-            },
-        );
-        commands.push(PoolCommand::RequestAdvice(step.clone(), candidates));
-        false
-    }
-
     /// Starts second copies of speculative tasks that take far longer than estimated.
     fn start_speculative_copies(&mut self, now: Instant, commands: &mut Vec<PoolCommand>) {
         let mut slow = Vec::new();
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -286,6 +286,9 @@
                 request_stops(&mut self.workers, task, copies.iter().map(|copy| &copy.worker));
             }
         }
+        if step.unfinished == 0 {
+            self.advice.remove(&task_id.step);
+        }
         let is_done = self.jobs.get(id).is_some_and(JobRun::is_done);
         if is_done {
             self.end_job(id, JobState::Completed, "all tasks are done");
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of a pool's scheduler and of the fleet planner, tested without I/O.
 
+mod advice;
 mod availability;
 mod capacity;
 mod crash_world;
