Wait for advice as long as its queue declares

Cause: the timeout was fixed, and a request named up to 30 workers whatever each adds to the answer. Requests also waited for each other within their timeouts, since the service handles one at a time for an instance.

advice_pace derives the number of workers and the timeout from the queue's rule, advice_line sends one request of a node at a time and lets queues take turns, and the rule's validity holds where an answer names none.

The patterns of RequestAdvice in two existing tests follow its new form.

--- a/src/dispatch/command.rs
+++ b/src/dispatch/command.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::dispatch::task_id::{StepId, TaskId};
-use crate::model::id::{RunNumber, WorkerId, ZoneId};
+use crate::model::id::{QueueId, RunNumber, WorkerId, ZoneId};
 
 /// Worker to which a command is sent. The command carries the worker's id besides the address, so that a
 /// worker that has taken over the address rejects it.
@@ -57,17 +57,31 @@
     pub wait: Duration,
 }
 
+/// Asks the advice service which of the named workers may run a step.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdviceRequest {
+    /// Step whose tasks wait.
+    pub step: StepId,
+    /// Queue of the step's job.
+    pub queue: QueueId,
+    /// Workers to ask about.
+    pub workers: Vec<WorkerId>,
+    /// Timeout of the request, counted from when it is sent.
+    pub timeout: Duration,
+    /// Validity of the tickets if the answer does not tell it.
+    pub default_validity: Duration,
+}
+
 /// Command of a pool's scheduler.
 #[derive(Debug, Clone, PartialEq, Eq)]
-#[expect(missing_docs, reason = "start, stop and poll need no explanation")]
+#[expect(missing_docs, reason = "the other commands need no explanation")]
 pub enum PoolCommand {
     Start(StartCommand),
     Stop(CommandTarget, RunId),
     Poll(PollCommand),
     /// Limits a best-effort task to a share of full speed, in percent; 0 suspends it.
     SetSpeed(CommandTarget, RunId, u32),
-    /// Asks the advice service which of the named workers may run a step.
-    RequestAdvice(StepId, Vec<WorkerId>),
+    RequestAdvice(AdviceRequest),
 }
 
 /// Outcome of a start. The names of the variants are values of a metric label.
@@ -132,6 +146,8 @@
 #[expect(missing_docs, reason = "the comment on the type describes the tickets")]
 pub struct AdviceAnswer {
     pub tickets: Vec<(WorkerId, Arc<str>)>,
+    /// Time from sending the request to the answer.
+    pub latency: Duration,
     /// Time for which the tickets are valid, counted from the answer.
     pub validity: Duration,
 }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! of it. `fleet_planner` takes the decisions that concern several pools.
 
 pub mod admission_forecast;
+pub mod advice_pace;
 pub mod allowance_split;
 pub mod command;
 pub mod delay_cost;
--- a/src/dispatch/pool_scheduler.rs
+++ b/src/dispatch/pool_scheduler.rs
@@ -46,6 +46,7 @@
 use crate::dispatch::open_losses::OpenLosses;
 use crate::dispatch::poll_pace::{MIN_POLL_INTERVAL, PollPace};
 use crate::dispatch::pool_plan::PoolPlan;
+use crate::dispatch::pool_scheduler::advice_requests::AdviceQueues;
 use crate::dispatch::pool_scheduler::cost_order::CostOrder;
 use crate::dispatch::pool_scheduler::gang_starts::GangStarts;
 use crate::dispatch::pool_scheduler::held_tasks::HeldTasks;
@@ -132,6 +133,7 @@
     inflow: InflowForecast,
     work_average: WorkAverage,
     advice: BTreeMap<StepId, StepAdvice>,
+    advice_queues: AdviceQueues,
     changes: FlushQueue,
     /// Cancellations of unknown jobs, whose records have to be deleted.
     stale_cancels: Vec<JobId>,
@@ -187,6 +189,7 @@
             inflow: InflowForecast::default(),
             work_average: WorkAverage::default(),
             advice: BTreeMap::new(),
+            advice_queues: AdviceQueues::default(),
             changes: FlushQueue::default(),
             stale_cancels: Vec::new(),
             ended_jobs: EndedJobs::default(),
--- a/src/dispatch/pool_scheduler/advice_requests.rs
+++ b/src/dispatch/pool_scheduler/advice_requests.rs
@@ -4,10 +4,13 @@
 //! that in the end each worker is known to be admitted or refused.
 
 use std::cmp::Reverse;
-use std::time::Instant;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
-use crate::dispatch::command::{AdviceAnswer, PoolCommand};
+use crate::dispatch::advice_pace::AdvicePace;
+use crate::dispatch::command::{AdviceAnswer, AdviceRequest, PoolCommand};
 use crate::dispatch::hold_reason::HoldReason;
+use crate::dispatch::job_record::AdviceRule;
 use crate::dispatch::job_spec::StepSpec;
 use crate::dispatch::placement::{self, PlacementRequest};
 use crate::dispatch::pool_scheduler::{PoolScheduler, gang_starts};
@@ -15,17 +18,14 @@
 use crate::dispatch::task_id::{StepId, TaskId};
 use crate::dispatch::worker_state::WorkerState;
 use crate::model::amount::MilliCores;
-use crate::model::id::WorkerId;
-
-/// Upper bound of the workers named in one request, unless a gang needs more; the cost of a request grows with their
-/// number.
-const MAX_ADVICE_WORKERS: usize = 30;
+use crate::model::id::{QueueId, WorkerId};
 
 /// Upper bound of the workers that the service accepts in one request.
 const MAX_NAMED_WORKERS: usize = 100;
 
-/// Upper bound of the requests in flight; the service handles one request at a time.
-const MAX_ADVICE_REQUESTS: usize = 2;
+/// Upper bound of the requests of one queue that wait or are in flight. The second one is sent when the first one is
+/// answered, so that the service is not idle meanwhile.
+const MAX_QUEUE_REQUESTS: usize = 2;
 
 /// Multiple of the room that the waiting tasks need for which tickets are renewed. Other jobs may take a part of it
 /// before the tickets arrive.
@@ -53,6 +53,37 @@
     id: WorkerId,
 }
 
+/// Requests for advice by queue.
+#[derive(Debug, Default)]
+pub(super) struct AdviceQueues {
+    /// Requests that wait or are in flight, also for jobs that have ended since: the number of workers named.
+    pending: BTreeMap<StepId, (QueueId, usize)>,
+    paces: BTreeMap<QueueId, AdvicePace>,
+}
+
+impl AdviceQueues {
+    fn pace(&self, queue: &QueueId) -> AdvicePace {
+        self.paces.get(queue).copied().unwrap_or_default()
+    }
+
+    fn count_pending(&self, queue: &QueueId) -> usize {
+        self.pending.values().filter(|(other, _)| other == queue).count()
+    }
+
+    /// Records the end of a request; `latency` is absent without an answer.
+    fn end_request(&mut self, step: &StepId, rule: Option<&AdviceRule>, latency: Option<Duration>) {
+        let Some((queue, workers)) = self.pending.remove(step) else {
+            return;
+        };
+        if let Some(rule) = rule {
+            self.paces
+                .entry(queue)
+                .or_default()
+                .record(rule, workers, latency);
+        }
+    }
+}
+
 impl PoolScheduler {
     /// Whether tickets are available with which the waiting tasks of a step can start: some task of them, or all members
     /// of a gang. Requests tickets if not. With `wanted`, only a ticket for this worker counts.
@@ -84,20 +115,25 @@
         {
             return false;
         }
-        let in_flight = self.advice.values().filter(|advice| advice.is_pending()).count();
-        if in_flight >= MAX_ADVICE_REQUESTS {
+        let Some((queue, rule)) = self.advice_rule(step) else {
+            return false;
+        };
+        let pending = self.advice_queues.count_pending(&queue);
+        if pending >= MAX_QUEUE_REQUESTS || self.advice_queues.pending.contains_key(step) {
             return false;
         }
+        let pace = self.advice_queues.pace(&queue);
+        let max_workers = pace.max_workers(&rule);
         let candidates = self.advice_candidates(now, &first, spec, wanted);
-        let named = if spec.is_gang {
-            self.name_for_gang(step, candidates, waiting.len() as u64)
+        let workers = if spec.is_gang {
+            self.name_for_gang(step, candidates, waiting.len() as u64, max_workers)
         } else {
-            name_for_tasks(candidates, waiting.len() as u64, in_flight == 0)
+            name_for_tasks(candidates, waiting.len() as u64, max_workers, pending == 0)
         };
-        if named.is_empty() {
+        if workers.is_empty() {
             return false;
         }
-        let processes = named.iter().map(|id| {
+        let processes = workers.iter().map(|id| {
             let incarnation = self.workers.get(id).and_then(|worker| worker.incarnation);
             (id.clone(), incarnation)
         });
@@ -105,10 +141,24 @@
         let advice = self.advice.entry(step.clone());
         let advice = advice.or_insert_with(|| StepAdvice::new(now));
         advice.begin_request(now, processes, |id| self.workers.contains_key(id));
-        commands.push(PoolCommand::RequestAdvice(step.clone(), named));
+        let in_flight = (queue.clone(), workers.len());
+        self.advice_queues.pending.insert(step.clone(), in_flight);
+        commands.push(PoolCommand::RequestAdvice(AdviceRequest {
+            step: step.clone(),
+            queue,
+            timeout: pace.timeout(&rule, workers.len()),
+            default_validity: rule.ticket_validity,
+            workers,
+        }));
         false
     }
 
+    /// Queue of a step's job, and its rule for advice.
+    fn advice_rule(&self, step: &StepId) -> Option<(QueueId, AdviceRule)> {
+        let record = &self.jobs.get(&step.job)?.record;
+        Some((record.queue.clone(), record.rule.advice?))
+    }
+
     /// Request for a place of any worker, whether it has a ticket or not.
     fn open_request<'a>(&'a self, task: &'a TaskId, spec: &'a StepSpec) -> Option<PlacementRequest<'a>> {
         Some(PlacementRequest {
@@ -201,6 +251,7 @@
         step: &StepId,
         candidates: Vec<AdviceCandidate>,
         members: u64,
+        max_workers: usize,
     ) -> Vec<WorkerId> {
         let is_admitted = |candidate: &&AdviceCandidate| {
             candidate.readiness == WorkerReadiness::Ready && candidate.advice == WorkerAdvice::Admitted
@@ -216,11 +267,8 @@
         }
         let unknown = candidates
             .into_iter()
-            .filter(|candidate| candidate.advice == WorkerAdvice::Unknown);
-        let named: Vec<_> = unknown
-            .map(|candidate| candidate.id)
-            .take(MAX_ADVICE_WORKERS)
-            .collect();
+            .filter(|candidate| candidate.advice != WorkerAdvice::Admitted);
+        let named: Vec<_> = unknown.map(|candidate| candidate.id).take(max_workers).collect();
         if named.is_empty() {
             self.gang_starts.note_lack_of_room(step);
         }
@@ -229,6 +277,9 @@
 
     /// Handles the answer of the advice service; `answer` is absent if the request failed.
     pub fn handle_advice(&mut self, now: Instant, step: &StepId, answer: Option<AdviceAnswer>) {
+        let rule = self.advice_rule(step).map(|(_, rule)| rule);
+        let latency = answer.as_ref().map(|answer| answer.latency);
+        self.advice_queues.end_request(step, rule.as_ref(), latency);
         let workers = &self.workers;
         let incarnation = |id: &WorkerId| workers.get(id).and_then(|worker| worker.incarnation);
         let advice = self.advice.get_mut(step);
@@ -262,7 +313,12 @@
 
 /// Chooses the workers to name for tasks that start one by one. Those that can take no task now are named only with
 /// `may_wait`, so that they do not hold up requests about others.
-fn name_for_tasks(mut candidates: Vec<AdviceCandidate>, tasks: u64, may_wait: bool) -> Vec<WorkerId> {
+fn name_for_tasks(
+    mut candidates: Vec<AdviceCandidate>,
+    tasks: u64,
+    max_workers: usize,
+    may_wait: bool,
+) -> Vec<WorkerId> {
     let is_ready = |candidate: &AdviceCandidate| candidate.readiness == WorkerReadiness::Ready;
     if candidates.iter().any(is_ready) {
         candidates.retain(is_ready);
@@ -279,8 +335,8 @@
     let needed = tasks.saturating_mul(RENEWED_ROOM_FACTOR);
     let mut room = 0_u64;
     let mut named = Vec::new();
-    for candidate in candidates.into_iter().take(MAX_ADVICE_WORKERS) {
-        let is_enough = room >= needed && candidate.advice == WorkerAdvice::Unknown;
+    for candidate in candidates.into_iter().take(max_workers) {
+        let is_enough = room >= needed && candidate.advice != WorkerAdvice::Admitted;
         if is_enough {
             break;
         }
--- a/src/dispatch/step_advice.rs
+++ b/src/dispatch/step_advice.rs
@@ -22,7 +22,7 @@
 /// Factor of the pause after several rejected tickets in a row.
 const MAX_PAUSE_FACTOR: u32 = 10;
 
-/// Time after which a refused worker may be asked about again, in case that the service did not know it yet.
+/// Time for which a refusal holds without a doubt.
 const MAX_REFUSAL_AGE: Duration = Duration::from_mins(1);
 
 /// Process of a worker: its id, and its start time if that is known.
@@ -44,6 +44,9 @@
     Admitted,
     /// The service has not been asked about this process of the worker.
     Unknown,
+    /// The worker was refused long ago. It is asked about again, in case that the service did not know it yet, but after
+    /// those that are unknown.
+    Outdated,
     /// The worker may not run the step.
     Refused,
 }
@@ -117,7 +120,8 @@
             Some(answer) if answer.incarnation != incarnation => WorkerAdvice::Unknown,
             Some(answer) if answer.is_admitted => WorkerAdvice::Admitted,
             Some(answer) if now < answer.answered_at + MAX_REFUSAL_AGE => WorkerAdvice::Refused,
-            _ => WorkerAdvice::Unknown,
+            Some(_) => WorkerAdvice::Outdated,
+            None => WorkerAdvice::Unknown,
         }
     }
 
--- a/src/node/command_executor.rs
+++ b/src/node/command_executor.rs
@@ -4,7 +4,9 @@
 
 use slog::{Logger, debug, info, warn};
 
-use crate::dispatch::command::{AdviceAnswer, PollError, PoolCommand, RunId, StartOutcome, StopOutcome};
+use crate::dispatch::command::{
+    AdviceAnswer, AdviceRequest, PollError, PoolCommand, RunId, StartOutcome, StopOutcome,
+};
 use crate::dispatch::task_id::StepId;
 use crate::dispatch::worker_report::WorkerReport;
 use crate::error::{Error, ErrorKind};
@@ -93,32 +95,37 @@
                     "task" => %run.task, "percent" => percent, "taken" => is_accepted);
                 None
             }
-            PoolCommand::RequestAdvice(step, workers) => {
-                Some(self.request_advice(step, &workers, sent_at).await)
-            }
+            PoolCommand::RequestAdvice(request) => Some(self.request_advice(request, sent_at).await),
         }
     }
 
-    async fn request_advice(&self, step: StepId, workers: &[WorkerId], sent_at: Instant) -> CommandOutcome {
+    async fn request_advice(&self, request: AdviceRequest, sent_at: Instant) -> CommandOutcome {
         let address = self
             .context
             .settings
             .advice_address
             .ok_or_else(|| Error::new(ErrorKind::BadRecord, "the settings name no advice service"));
         let advice = match address {
-            Ok(address) => advice::request_advice(&self.context.http_client, address, &step, workers).await,
+            Ok(address) => {
+                let _turn = self.context.advice_line.wait_for_turn(&request.queue).await;
+                let (client, clock) = (&self.context.http_client, &self.context.clock);
+                advice::request_advice(client, clock, address, &request).await
+            }
             Err(error) => Err(error),
         };
         let outcome = if advice.is_ok() { "Answer" } else { "NoAnswer" };
         self.record("advise", outcome, sent_at);
+        let (step, workers) = (&request.step, &request.workers);
         match &advice {
             Ok(answer) => debug!(self.log, "advice received"; "job" => %step.job, "step" => %step,
                 "workers" => workers.len(), "first" => workers.first().map(WorkerId::as_str),
-                "last" => workers.last().map(WorkerId::as_str), "admitted" => answer.tickets.len()),
+                "last" => workers.last().map(WorkerId::as_str), "admitted" => answer.tickets.len(),
+                "ms" => answer.latency.as_millis() as u64),
             Err(error) => warn!(self.log, "advice request failed"; "job" => %step.job, "step" => %step,
-                "workers" => workers.len(), "error" => %error),
+                "queue" => %request.queue, "workers" => workers.len(),
+                "timeout_ms" => request.timeout.as_millis() as u64, "error" => %error),
         }
-        CommandOutcome::Advised(step, advice.ok())
+        CommandOutcome::Advised(request.step, advice.ok())
     }
 
     fn record(&self, command: &str, outcome: &str, sent_at: Instant) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,6 +7,7 @@
 //!
 //! Log messages, log keys and stored keys call a role a duty.
 
+pub mod advice_line;
 pub mod command_executor;
 pub mod config_watcher;
 pub mod digest_reader;
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -11,6 +11,7 @@
 use crate::error::Result;
 use crate::model::id::SessionId;
 use crate::model::unix_time::UnixMillis;
+use crate::node::advice_line::AdviceLine;
 use crate::node::node_lease::LeaseStatus;
 use crate::node::node_metrics::NodeMetrics;
 use crate::platform::http::HttpClient;
@@ -78,6 +79,8 @@
     /// Shared by all outgoing requests.
     pub http_client: HttpClient,
     pub store: StoreApiClient,
+    /// Order of the requests for advice of all pools that this node leads.
+    pub advice_line: Arc<AdviceLine>,
     pub config: ConfigReceiver,
     /// The lease under which this node holds its roles.
     pub lease: watch::Receiver<LeaseStatus>,
--- a/src/node/platform_node.rs
+++ b/src/node/platform_node.rs
@@ -102,6 +102,7 @@
         session,
         clock: Arc::clone(&clock),
         http_client,
+        advice_line: Arc::default(),
         store: store.clone(),
         config,
         lease,
--- a/src/platform/advice.rs
+++ b/src/platform/advice.rs
@@ -7,16 +7,12 @@
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use crate::dispatch::command::AdviceAnswer;
-use crate::dispatch::task_id::StepId;
+use crate::clock::SharedClock;
+use crate::dispatch::command::{AdviceAnswer, AdviceRequest};
 use crate::error::{Error, ErrorKind, Result};
 use crate::model::id::WorkerId;
 use crate::platform::http::{HttpClient, HttpRequest};
 
-/// Timeout of a request. The service handles the requests of an instance one at a time, so that they may
-/// queue.
-const ADVICE_TIMEOUT: Duration = Duration::from_millis(2_500);
-
 #[derive(Debug, Serialize)]
 struct WireAdviceRequest<'a> {
     step: String,
@@ -28,33 +24,30 @@
 struct WireAdviceResponse {
     /// Workers that may run the step, each with its ticket.
     good: Vec<(Arc<str>, Arc<str>)>,
-    #[serde(default = "default_validity")]
-    valid_ms: u64,
-}
-
-/// Validity of the tickets, in milliseconds, if the response does not set it.
-fn default_validity() -> u64 {
-    1_000
+    /// Validity of the tickets in milliseconds; the queue's rule holds if it is absent.
+    #[serde(default)]
+    valid_ms: Option<u64>,
 }
 
-/// Requests advice on which of `workers` may run a step.
+/// Requests advice on which workers may run a step.
 ///
 /// # Errors
 /// `worker_refused` if the service refuses the request or does not respond, `bad_message` if its response is
 /// malformed.
 pub async fn request_advice(
     http_client: &HttpClient,
+    clock: &SharedClock,
     address: SocketAddr,
-    step: &StepId,
-    workers: &[WorkerId],
+    request: &AdviceRequest,
 ) -> Result<AdviceAnswer> {
     let body = WireAdviceRequest {
-        step: step.to_string(),
-        workers: workers.iter().map(WorkerId::as_str).collect(),
+        step: request.step.to_string(),
+        workers: request.workers.iter().map(WorkerId::as_str).collect(),
     };
-    let request = HttpRequest::new(address, Method::POST, "/advise", ADVICE_TIMEOUT).with_json(&body)?;
+    let call = HttpRequest::new(address, Method::POST, "/advise", request.timeout).with_json(&body)?;
+    let sent_at = clock.now();
     let response = http_client
-        .send(request)
+        .send(call)
         .await
         .map_err(|error| Error::new(ErrorKind::WorkerRefused, format!("advice service: {error}")))?;
     if response.status != StatusCode::OK {
@@ -68,6 +61,9 @@
         .map(|(worker, ticket)| Ok((WorkerId::new(worker)?, ticket)));
     Ok(AdviceAnswer {
         tickets: tickets.collect::<Result<_>>()?,
-        validity: Duration::from_millis(wire.valid_ms),
+        latency: clock.now().saturating_duration_since(sent_at),
+        validity: wire
+            .valid_ms
+            .map_or(request.default_validity, Duration::from_millis),
     })
 }
--- a/tests/platform_soak/admission.rs
+++ b/tests/platform_soak/admission.rs
@@ -48,6 +48,7 @@
         clock: Arc::new(SystemClock),
         http_client: HttpClient::new(),
         store,
+        advice_line: Arc::default(),
         config: watch::channel(None).1,
         lease: watch::channel(LeaseStatus::default()).1,
         stopping: watch::channel(false).1,
--- a/tests/platform_soak/main.rs
+++ b/tests/platform_soak/main.rs
@@ -6,6 +6,7 @@
 //! the cause.
 
 mod admission;
+mod advice;
 mod cancellations;
 mod checker;
 mod fake_server;
--- a/tests/pool_decisions/advice.rs
+++ b/tests/pool_decisions/advice.rs
@@ -14,7 +14,7 @@
 const MS: Duration = Duration::from_millis(1);
 
 /// Validity of the tickets, unless a test needs another one.
-const VALIDITY: Duration = Duration::from_millis(2_000);
+const VALIDITY: Duration = Duration::from_secs(2);
 
 fn advised_job(number: usize, steps: Vec<StepSpec>) -> JobRecord {
     let mut job = record(number, steps);
@@ -38,7 +38,7 @@
     for command in scheduler.decide(now, WALL, true) {
         match command {
             PoolCommand::Start(start) => pass.starts.push(start),
-            PoolCommand::RequestAdvice(step, workers) => pass.requests.push((step, workers)),
+            PoolCommand::RequestAdvice(request) => pass.requests.push((request.step, request.workers)),
             _ => {}
         }
     }
@@ -59,6 +59,7 @@
         tickets: admitted
             .map(|id| (id.clone(), format!("{step}/{id}").into()))
             .collect(),
+        latency: MS * 50,
         validity,
     };
     scheduler.handle_advice(now, step, Some(answer));
--- a/tests/pool_decisions/features.rs
+++ b/tests/pool_decisions/features.rs
@@ -295,7 +295,7 @@
 
 fn advice_requests(commands: &[PoolCommand]) -> Vec<usize> {
     let asked = commands.iter().filter_map(|command| match command {
-        PoolCommand::RequestAdvice(_, workers) => Some(workers.len()),
+        PoolCommand::RequestAdvice(request) => Some(request.workers.len()),
         _ => None,
     });
     asked.collect()
@@ -319,6 +319,7 @@
     let ticket: Arc<str> = "t-7".into();
     let answer = AdviceAnswer {
         tickets: vec![(worker_id(7), Arc::clone(&ticket))],
+        latency: MS * 50,
         validity: MS * 2_000,
     };
     scheduler.handle_advice(now, &id, Some(answer));
@@ -341,6 +342,7 @@
     let id = figloft::dispatch::task_id::StepId::new(job_id(1), 0, 0);
     let answer = AdviceAnswer {
         tickets: vec![(worker_id(1), "old".into())],
+        latency: MS * 50,
         validity: MS * 2_000,
     };
     scheduler.handle_advice(now, &id, Some(answer));
--- a/tests/pool_decisions/main.rs
+++ b/tests/pool_decisions/main.rs
@@ -1,6 +1,7 @@
 //! Decisions of a pool's scheduler and of the fleet planner, tested without I/O.
 
 mod advice;
+mod advice_world;
 mod availability;
 mod capacity;
 mod crash_world;
