Send the starts of a gang within the wait that the settings declare

The members of a gang end on their own when they have waited gang-ms for the others. The starts were sent within a fixed 2 s: too late where gang-ms is below 2 s, and gangs on slow workers were given up early where it is longer.

Test: gang_is_given_up_within_the_wait_of_its_members fails with the fixed 2 s.

--- a/src/dispatch/pool_scheduler/gang_starts.rs
+++ b/src/dispatch/pool_scheduler/gang_starts.rs
@@ -6,7 +6,7 @@
 //! and members that may run are stopped.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crate::dispatch::command::{PoolCommand, RunId, StartCommand};
 use crate::dispatch::job_spec::StepSpec;
@@ -17,8 +17,9 @@
 use crate::dispatch::worker_state::{RunPhase, WorkerState};
 use crate::model::id::{JobId, OrganisationId, RunNumber, WorkerId};
 
-/// Time within which all starts of a gang are sent. Members end on their own when they have waited 3 s for others.
-const MAX_SENDING_TIME: Duration = Duration::from_secs(2);
+/// Part of the time for which members wait for the others within which all starts of a gang are sent, as a fraction. The
+/// rest is for the last start on its way.
+const SENDING_PART: (u32, u32) = (2, 3);
 
 /// Gang of which not all members are known to run.
 #[derive(Debug, Clone, Copy)]
@@ -242,7 +243,8 @@
             let worker = self.workers.get(id);
             self.evacuating.contains(id) || !worker.is_some_and(|worker| worker.is_usable(now))
         };
-        let is_late = now.saturating_duration_since(gang.placed_at) > MAX_SENDING_TIME;
+        let max_sending_time = self.timing.gang_wait * SENDING_PART.0 / SENDING_PART.1;
+        let is_late = now.saturating_duration_since(gang.placed_at) > max_sending_time;
         if waiting.any(|(id, _)| is_late || is_unusable(id)) {
             GangProgress::Broken("a worker takes no more starts")
         } else if is_confirmed {
--- a/src/dispatch/scheduler_timing.rs
+++ b/src/dispatch/scheduler_timing.rs
@@ -14,6 +14,8 @@
     pub max_lease: Duration,
     /// Longest time before its due time at which an occurrence of a scheduled job may start.
     pub max_early_start: Duration,
+    /// Time for which the members of a gang wait on their workers for the others before they end on their own.
+    pub gang_wait: Duration,
 }
 
 /// Lease that is requested if the platform allows it. Tasks survive a store outage of this length less the
@@ -27,6 +29,7 @@
             stop_timeout: Duration::from_millis(900),
             max_lease: Duration::from_secs(6),
             max_early_start: Duration::from_millis(250),
+            gang_wait: Duration::from_secs(3),
         }
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -142,6 +142,8 @@
     /// Maximum time before its due time at which an occurrence of a scheduled job may start.
     #[serde(rename = "early_ms")]
     early_ms: u64,
+    /// Time for which the members of a gang wait for the others.
+    gang_ms: u64,
     /// Time for which callers may read the state of a finished job.
     #[serde(rename = "status_s")]
     status_s: f64,
@@ -156,6 +158,7 @@
             hold_max_ms: 6_000,
             stop_ms: 900,
             early_ms: 250,
+            gang_ms: 3_000,
             status_s: 120.0,
             evacuate_ms: None,
         }
@@ -217,6 +220,7 @@
             stop_timeout: Duration::from_millis(bounds.stop_ms),
             max_lease: Duration::from_millis(bounds.hold_max_ms),
             max_early_start: Duration::from_millis(bounds.early_ms),
+            gang_wait: Duration::from_millis(bounds.gang_ms),
         };
         Ok(Self {
             node: file.node,
--- a/tests/pool_decisions/features.rs
+++ b/tests/pool_decisions/features.rs
@@ -8,13 +8,17 @@
 use figloft::dispatch::job_record::{AdviceRule, JobRecord};
 use figloft::dispatch::job_spec::{JobSchedule, StepSpec};
 use figloft::dispatch::pool_scheduler::PoolScheduler;
+use figloft::dispatch::scheduler_timing::SchedulerTiming;
+use figloft::dispatch::takeover::TakeoverState;
 use figloft::dispatch::worker_report::{ActiveRun, EndedRun, RunOutcome, WorkerReport};
-use figloft::model::id::LeaseId;
+use figloft::model::id::{LeaderTerm, LeaseId};
 use figloft::model::listed_rows::ListedRows;
 use figloft::model::unix_time::UnixMillis;
 use figloft::node::retention_lease::RetentionLease;
 
-use crate::setup::{WALL, job_id, record, running_row, scheduler, start_all, starts, step, worker_id};
+use crate::setup::{
+    WALL, entry, job_id, pool, record, report, running_row, scheduler, start_all, starts, step, worker_id,
+};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -178,6 +182,36 @@
     assert!(again.iter().all(|start| start.run.number > first[0].run.number));
 }
 
+/// Guards against starts of a gang that are sent after its first members have ended on their own, where the platform lets
+/// them wait for less than three seconds, and against gangs that are given up early where they wait for longer.
+#[test]
+fn gang_is_given_up_within_the_wait_of_its_members() {
+    for (gang_wait, given_up_ms) in [(1_200, 900), (3_000, 2_100), (6_000, 4_100)] {
+        let now = Instant::now();
+        let timing = SchedulerTiming {
+            gang_wait: MS * gang_wait,
+            ..SchedulerTiming::default()
+        };
+        let mut scheduler = PoolScheduler::new(pool(), LeaderTerm::new(1), timing, TakeoverState::default());
+        for number in 0..2 {
+            scheduler.set_worker(now, entry(number, 20));
+        }
+        scheduler.decide(now, WALL, true);
+        for number in 0..2 {
+            report(&mut scheduler, now, number, &[], &[]);
+        }
+        scheduler.submit(now, now, record(1, vec![gang(20, 1)]), None);
+        assert_eq!(starts(scheduler.decide(now, WALL, true)).len(), 12);
+        let mut is_given_up = |at: u32| {
+            scheduler.decide(now + MS * at, WALL, true);
+            let notes = scheduler.take_notes();
+            notes.iter().any(|note| note.decision == "gang given up")
+        };
+        assert!(!is_given_up(given_up_ms - 200), "{gang_wait} ms");
+        assert!(is_given_up(given_up_ms), "{gang_wait} ms");
+    }
+}
+
 /// The same after a worker was lost: the members on the other one are stopped.
 #[test]
 fn gang_with_a_lost_worker_is_given_up() {
