Do not stop long tasks as stalled while they make progress

Cause: progress was measured against a tenth of what the estimate predicts, which is 3 % in 1.8 s without one. Each stop counted as a failure of the worker, so that all workers were in backoff most of the time.

Any increase that a worker reports is progress now. A task that stalls all the same gets twice the time with each run. A stall counts against the worker only if the task has an estimate and has not stalled before.

The parts of the request for tickets are functions of their own, and what a caller sends to cancel a job is a CancelRequest.

--- a/src/dispatch/job_state.rs
+++ b/src/dispatch/job_state.rs
@@ -43,6 +43,8 @@
     pub last_run: RunNumber,
     /// Runs that were lost with their worker.
     pub losses: LossHistory,
+    /// Runs in this term that were stopped because they made no progress.
+    pub stalled_runs: u32,
     /// Time since which the task waits for an isolated worker; absent if it does not.
     pub suspect_since: Option<Instant>,
 }
--- a/src/dispatch/pool_scheduler/advice_requests.rs
+++ b/src/dispatch/pool_scheduler/advice_requests.rs
@@ -42,14 +42,14 @@
     Full,
 }
 
-/// Worker that a request may name.
+/// Worker that a request may name. The order of the fields is that in which workers are asked about.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct AdviceCandidate {
     readiness: WorkerReadiness,
     advice: WorkerAdvice,
     free: Reverse<MilliCores>,
     /// Number of tasks of the step that it has room for.
-    room: u64,
+    room: Reverse<u64>,
     id: WorkerId,
 }
 
@@ -108,30 +108,43 @@
                 return true;
             }
         }
-        if self
-            .advice
-            .get(step)
-            .is_some_and(|advice| !advice.may_request(now))
-        {
-            return false;
+        let tasks = waiting.len() as u64;
+        if let Some(request) = self.request_tickets(now, &first, spec, tasks, wanted) {
+            commands.push(PoolCommand::RequestAdvice(request));
         }
-        let Some((queue, rule)) = self.advice_rule(step) else {
-            return false;
-        };
+        false
+    }
+
+    /// Request for the tickets of so many waiting tasks, of which `first` is one; `None` if none may be sent now, or
+    /// there is no worker to ask about.
+    fn request_tickets(
+        &mut self,
+        now: Instant,
+        first: &TaskId,
+        spec: &StepSpec,
+        tasks: u64,
+        wanted: Option<&WorkerId>,
+    ) -> Option<AdviceRequest> {
+        let step = &first.step;
+        let known = self.advice.get(step);
+        if known.is_some_and(|advice| !advice.may_request(now)) {
+            return None;
+        }
+        let (queue, rule) = self.advice_rule(step)?;
         let pending = self.advice_queues.count_pending(&queue);
         if pending >= MAX_QUEUE_REQUESTS || self.advice_queues.pending.contains_key(step) {
-            return false;
+            return None;
         }
         let pace = self.advice_queues.pace(&queue);
         let max_workers = pace.max_workers(&rule);
-        let candidates = self.advice_candidates(now, &first, spec, wanted);
+        let candidates = self.advice_candidates(now, first, spec, wanted);
         let workers = if spec.is_gang {
-            self.name_for_gang(step, candidates, waiting.len() as u64, max_workers)
+            self.name_for_gang(step, candidates, tasks, max_workers)
         } else {
-            name_for_tasks(candidates, waiting.len() as u64, max_workers, pending == 0)
+            name_for_tasks(candidates, tasks, max_workers, pending == 0)
         };
         if workers.is_empty() {
-            return false;
+            return None;
         }
         let processes = workers.iter().map(|id| {
             let incarnation = self.workers.get(id).and_then(|worker| worker.incarnation);
@@ -143,14 +156,13 @@
         advice.begin_request(now, processes, |id| self.workers.contains_key(id));
         let in_flight = (queue.clone(), workers.len());
         self.advice_queues.pending.insert(step.clone(), in_flight);
-        commands.push(PoolCommand::RequestAdvice(AdviceRequest {
+        Some(AdviceRequest {
             step: step.clone(),
             queue,
             timeout: pace.timeout(&rule, workers.len()),
             default_validity: rule.ticket_validity,
             workers,
-        }));
-        false
+        })
     }
 
     /// Queue of a step's job, and its rule for advice.
@@ -203,8 +215,8 @@
         room.fold(0, u64::saturating_add) >= members
     }
 
-    /// Workers that may be named, the best first. Workers that were refused are left out, and for a gang none has to have
-    /// expired: all its tickets come with one answer.
+    /// Workers that may be named, the best first. Those that were refused are left out, and those with a ticket too unless
+    /// the step is a gang, whose tickets come with one answer.
     fn advice_candidates(
         &self,
         now: Instant,
@@ -235,7 +247,7 @@
                     readiness,
                     advice: known,
                     free: Reverse(worker.free().cores),
-                    room: gang_starts::count_room(worker, &task.step, spec),
+                    room: Reverse(gang_starts::count_room(worker, &task.step, spec)),
                     id: id.clone(),
                 });
             }
@@ -259,7 +271,7 @@
         let mut room = 0_u64;
         let mut named = Vec::new();
         for candidate in candidates.iter().filter(is_admitted).take(MAX_NAMED_WORKERS) {
-            room = room.saturating_add(candidate.room);
+            room = room.saturating_add(candidate.room.0);
             named.push(candidate.id.clone());
             if room >= members {
                 return named;
@@ -341,7 +353,7 @@
             break;
         }
         if candidate.advice == WorkerAdvice::Admitted && candidate.readiness == WorkerReadiness::Ready {
-            room = room.saturating_add(candidate.room);
+            room = room.saturating_add(candidate.room.0);
         }
         named.push(candidate.id);
     }
--- a/src/dispatch/pool_scheduler/task_starts.rs
+++ b/src/dispatch/pool_scheduler/task_starts.rs
@@ -333,6 +333,7 @@
         };
         state.last_run = run;
         state.suspect_since = None;
+        let stalled_before = state.stalled_runs;
         state.copies.push(TaskCopy {
             worker: worker_id.clone(),
             run,
@@ -341,6 +342,7 @@
         self.start_budget
             .spend(payload.len() + checkpoint.len() + START_OVERHEAD_BYTES);
         let placed = PlacedRun {
+            stalled_before,
             deadline_ms,
             ..PlacedRun::new(now, run, RunPhase::Starting, spec, organisation.cloned())
         };
--- a/src/dispatch/pool_scheduler/worker_reports.rs
+++ b/src/dispatch/pool_scheduler/worker_reports.rs
@@ -459,13 +459,18 @@
         for (task, placed) in &mut worker.runs {
             if placed.is_stalled(now) {
                 placed.request_stop(StopRule::Always);
-                worker.health.record_failure(now, &task.step.job);
+                // Nothing is known of the progress of tasks without an estimate, and a task that stalls on several workers
+                // tells nothing about them.
+                if !placed.estimate.is_zero() && placed.stalled_before == 0 {
+                    worker.health.record_failure(now, &task.step.job);
+                }
                 stalled.push((run_id(task, placed), placed.progress_percent));
             }
         }
         for (run, percent) in stalled {
             if let Some(task) = self.task_mut(&run.task) {
                 task.avoided_workers.insert(worker_id.clone());
+                task.stalled_runs += 1;
             }
             let inputs = format!("run {} of task {} at {percent} %", run.number, run.task);
             let job = Some(run.task.step.job.clone());
--- a/src/dispatch/worker_state.rs
+++ b/src/dispatch/worker_state.rs
@@ -26,9 +26,12 @@
 /// progress in whole percents only.
 const STALL_FRACTION: f64 = 0.3;
 
-/// Smallest increase that counts as progress, in percent. It is a tenth of the progress that the estimate
-/// predicts within [`STALL_FRACTION`], so that a slow run does not count as stalled.
-const MIN_PROGRESS_PERCENT: f64 = 3.0;
+/// Smallest increase that counts as progress, in percent: the smallest one that workers report. A run that is far slower
+/// than estimated makes progress too.
+const MIN_PROGRESS_PERCENT: f64 = 1.0;
+
+/// Upper bound of the exponent by which the time without progress grows with the stalled runs of a task.
+const MAX_STALL_DOUBLINGS: u32 = 8;
 
 /// Age of a report up to which a run that it does not list is stopped. A run that starts meanwhile is not at work
 /// yet; decisions follow a report within 40 ms.
@@ -99,6 +102,8 @@
     pub last_progress_percent: f64,
     /// Time of that increase, or of the start.
     pub last_progress_at: Instant,
+    /// Earlier runs of the task that were stopped as stalled.
+    pub stalled_before: u32,
     /// Load reported at the last poll: tail latency in milliseconds for a task that serves requests, CPU use
     /// otherwise.
     pub load: f64,
@@ -166,6 +171,7 @@
             progress_percent: 0.0,
             last_progress_percent: 0.0,
             last_progress_at: now,
+            stalled_before: 0,
             load: 0.0,
             checkpoint: Arc::default(),
             deadline_ms: 0,
@@ -236,9 +242,11 @@
         self.must_stop && is_known && is_due && (self.stop_rule != StopRule::WhileUnlisted || is_unlisted())
     }
 
-    /// Whether a confirmed run makes no progress. Long-running and best-effort tasks never count as stalled.
+    /// Whether a confirmed run makes no progress. Long-running and best-effort tasks never count as stalled. A task that
+    /// stalled before gets twice the time with each run: if it stalls on any worker, it takes longer than estimated.
     pub fn is_stalled(&self, now: Instant) -> bool {
         let limit = MIN_STALL_TIME.max(self.estimate.mul_f64(STALL_FRACTION));
+        let limit = limit * (1 << self.stalled_before.min(MAX_STALL_DOUBLINGS));
         let can_stall = !self.is_long_running && !self.is_best_effort && self.progress_percent < 100.0;
         can_stall
             && self.phase == RunPhase::Running
--- a/src/request/early_cancellations.rs
+++ b/src/request/early_cancellations.rs
@@ -16,9 +16,10 @@
 
 use crate::dispatch::job_record::{JobState, JobSummary};
 use crate::error::{Error, ErrorKind, Result};
-use crate::model::id::{JobId, LeaseId, OrganisationId, PoolId, QueueId};
+use crate::model::id::{LeaseId, OrganisationId};
 use crate::node::node_context::{NodeContext, STORE_TIMEOUT};
 use crate::request::first_record::{self, BatchEnd, FirstOutcome, FirstRecord};
+use crate::request::job_canceller::CancelRequest;
 
 /// Largest number of cancellations in one transaction. Each adds one condition and one put.
 const MAX_BATCH_JOBS: usize = 16;
@@ -46,18 +47,6 @@
 /// `retry-after` of refused cancellations.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// A cancellation of a job that is not stored.
-#[derive(Debug, Clone)]
-#[expect(missing_docs, reason = "the names of the fields say what they hold")]
-pub struct EarlyCancellation {
-    pub job: JobId,
-    pub pool: PoolId,
-    pub queue: QueueId,
-    /// Organisation of the caller; absent without a known key.
-    pub organisation: Option<OrganisationId>,
-    pub deadline: Instant,
-}
-
 /// Number of waiting cancellations of each organisation.
 type WaitingCounts = Arc<Mutex<BTreeMap<Option<OrganisationId>, usize>>>;
 
@@ -152,25 +141,25 @@
     /// # Errors
     /// `limit_reached` or `overloaded` if too many cancellations wait, `store_unavailable` if it is not stored,
     /// `store_outcome_unknown` if it may be stored.
-    pub async fn store(&self, cancellation: EarlyCancellation) -> Result<FirstOutcome> {
-        let organisation = cancellation.organisation.as_ref();
+    pub async fn store(&self, request: CancelRequest) -> Result<FirstOutcome> {
+        let organisation = request.organisation.as_ref();
         let Some(_place) = WaitingPlace::take(&self.waiting, organisation) else {
             let message = "the job was not cancelled: too many cancellations of unknown jobs wait";
             return Err(Error::new(ErrorKind::LimitReached, message).with_retry_after(RETRY_AFTER));
         };
         let (reply, receiver) = oneshot::channel();
         let record = FirstRecord {
-            job: cancellation.job,
+            job: request.job,
             summary: JobSummary {
-                pool: cancellation.pool,
-                queue: cancellation.queue,
+                pool: request.pool,
+                queue: request.queue,
                 state: JobState::Cancelled,
                 ended_at: Some(self.context.wall_time()),
                 reason: None,
                 is_early_cancellation: true,
             },
             submission: None,
-            deadline: cancellation.deadline,
+            deadline: request.deadline,
             reply,
         };
         if self.sender.try_send(record).is_err() {
--- a/src/request/job_canceller.rs
+++ b/src/request/job_canceller.rs
@@ -3,18 +3,18 @@
 //! An acknowledged cancellation holds for a job that is not stored yet too, see
 //! [`early_cancellations`](crate::request::early_cancellations).
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use slog::info;
 
 use crate::dispatch::job_record::{JobState, JobSummary};
 use crate::error::{Error, ErrorKind, Result};
-use crate::model::id::{JobId, StoreRevision};
+use crate::model::id::{JobId, OrganisationId, PoolId, QueueId, StoreRevision};
 use crate::node::node_context::{NodeContext, STORE_TIMEOUT};
 use crate::node::store_keys;
 use crate::platform::store::{CommitOutcome, StoreTransaction};
-use crate::request::early_cancellations::{EarlyCancellation, EarlyCancellations};
+use crate::request::early_cancellations::EarlyCancellations;
 use crate::request::first_record::FirstOutcome;
 
 /// Number of attempts to store a cancellation. The job may be stored during the first attempt, and its state changes at
@@ -24,6 +24,19 @@
 /// `retry-after` of cancellations that are not stored.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Request to cancel a job.
+#[derive(Debug, Clone)]
+#[expect(missing_docs, reason = "the names of the other fields say what they hold")]
+pub struct CancelRequest {
+    pub job: JobId,
+    /// Pool and queue to which the request was sent.
+    pub pool: PoolId,
+    pub queue: QueueId,
+    /// Organisation of the caller; absent without a known key.
+    pub organisation: Option<OrganisationId>,
+    pub deadline: Instant,
+}
+
 /// Cancels jobs.
 #[derive(Debug, Clone)]
 pub struct JobCanceller {
@@ -45,11 +58,11 @@
     /// # Errors
     /// `job_gone` if no such job is stored, which stays so for this id; any other error if the cancellation is not
     /// acknowledged.
-    pub async fn cancel(&self, cancellation: &EarlyCancellation) -> Result<JobState> {
-        let job = &cancellation.job;
+    pub async fn cancel(&self, request: &CancelRequest) -> Result<JobState> {
+        let job = &request.job;
         for _ in 0..MAX_ATTEMPTS {
             let Some((summary, revision)) = self.read_summary(job).await? else {
-                match self.early.store(cancellation.clone()).await? {
+                match self.early.store(request.clone()).await? {
                     FirstOutcome::Stored | FirstOutcome::Cancelled => return Err(job_gone(job)),
                     FirstOutcome::Submitted { .. } => continue,
                 }
--- a/src/request/queue_api.rs
+++ b/src/request/queue_api.rs
@@ -21,9 +21,8 @@
 use crate::node::waiting_counts;
 use crate::platform::caller_protocol;
 use crate::request::admission_gate::AdmissionGate;
-use crate::request::early_cancellations::EarlyCancellation;
 use crate::request::http_server::{EntryHandler, EntryRequest};
-use crate::request::job_canceller::{self, JobCanceller};
+use crate::request::job_canceller::{self, CancelRequest, JobCanceller};
 use crate::request::response;
 use crate::request::response_stream::ResponseStream;
 use crate::request::submission_batcher::SubmissionBatcher;
@@ -218,14 +217,14 @@
     }
 
     async fn cancel(&self, queue_request: QueueRequest) -> Result<Response<ResponseStream>> {
-        let cancellation = EarlyCancellation {
+        let request = CancelRequest {
             job: caller_protocol::decode_job_id(&queue_request.job_path)?,
             pool: queue_request.queue.pool,
             queue: queue_request.queue.id,
             organisation: queue_request.organisation,
             deadline: queue_request.deadline,
         };
-        self.canceller.cancel(&cancellation).await?;
+        self.canceller.cancel(&request).await?;
         Ok(response::text_response(
             StatusCode::OK,
             "application/json",
--- a/tests/platform_soak/cancellations.rs
+++ b/tests/platform_soak/cancellations.rs
@@ -7,8 +7,7 @@
 use figloft::dispatch::job_record::JobState;
 use figloft::error::{Error, ErrorKind, Result, WorkOutcome};
 use figloft::model::id::OrganisationId;
-use figloft::request::early_cancellations::EarlyCancellation;
-use figloft::request::job_canceller::JobCanceller;
+use figloft::request::job_canceller::{CancelRequest, JobCanceller};
 use figloft::request::submission_batcher::{SubmissionBatcher, SubmissionOutcome};
 use futures_util::future;
 use proptest::prelude::*;
@@ -69,9 +68,9 @@
     }
 }
 
-fn cancellation(job: u64, organisation: Option<&str>) -> EarlyCancellation {
+fn cancellation(job: u64, organisation: Option<&str>) -> CancelRequest {
     let record = record(job);
-    EarlyCancellation {
+    CancelRequest {
         job: record.id,
         pool: record.pool,
         queue: record.queue,
--- a/tests/pool_decisions/features.rs
+++ b/tests/pool_decisions/features.rs
@@ -596,6 +596,106 @@
     assert_ne!(again[0].target.worker, started[0].target.worker);
 }
 
+/// Plays six jobs of one task each, which takes `duration`, on three workers for two minutes. Workers report whole percents.
+/// Returns the number of starts, the number of times that a job waits for a start for more than 3 s, and whether all run
+/// at the end.
+fn play_long_tasks(duration: Duration, estimate_ms: u64) -> (usize, usize, bool) {
+    const JOBS: usize = 6;
+    let begin = Instant::now();
+    let mut scheduler = scheduler(begin, 3, 32);
+    for number in 0..JOBS {
+        scheduler.submit(begin, begin, record(number, vec![step(1, 1, estimate_ms)]), None);
+    }
+    let mut running: Vec<(Instant, StartCommand)> = Vec::new();
+    let mut sequence = [0_u64; 3];
+    let (mut start_count, mut late_starts) = (0, 0);
+    let mut idle_since = [begin; JOBS];
+    for tick in 0..1_200_u32 {
+        let now = begin + MS * 100 * tick;
+        for command in scheduler.decide(now, WALL, true) {
+            match command {
+                PoolCommand::Start(start) => {
+                    let job = (0..JOBS).find(|number| job_id(*number) == start.run.task.step.job);
+                    let idle = now.saturating_duration_since(idle_since[job.expect("job")]);
+                    late_starts += usize::from(idle > Duration::from_secs(3));
+                    start_count += 1;
+                    let outcome = StartOutcome::Started;
+                    scheduler.handle_start_outcome(now, &start.target.worker, &start.run, outcome);
+                    running.push((now, start));
+                }
+                PoolCommand::Stop(target, run) => {
+                    let worker = (0..3)
+                        .find(|number| worker_id(*number) == target.worker)
+                        .expect("worker");
+                    let stopped = running.iter().position(|(_, start)| start.run == run);
+                    let (_, start) = running.remove(stopped.expect("run"));
+                    sequence[worker] += 1;
+                    let job = (0..JOBS).find(|number| job_id(*number) == start.run.task.step.job);
+                    idle_since[job.expect("job")] = now;
+                    let ended = vec![end_row(sequence[worker], &start, RunOutcome::Stopped, "")];
+                    report_long_tasks(&mut scheduler, now, worker, &running, duration, ended);
+                }
+                _ => {}
+            }
+        }
+        if tick % 10 == 0 {
+            for worker in 0..3 {
+                report_long_tasks(&mut scheduler, now, worker, &running, duration, vec![]);
+            }
+        }
+    }
+    (start_count, late_starts, running.len() == JOBS)
+}
+
+/// Reports the runs of a worker with their progress.
+fn report_long_tasks(
+    scheduler: &mut PoolScheduler,
+    now: Instant,
+    worker: usize,
+    running: &[(Instant, StartCommand)],
+    duration: Duration,
+    ended: Vec<EndedRun>,
+) {
+    let own = running
+        .iter()
+        .filter(|(_, start)| start.target.worker == worker_id(worker));
+    let rows = own.map(|(started_at, start)| {
+        let elapsed = now.saturating_duration_since(*started_at);
+        ActiveRun {
+            progress_percent: (elapsed.as_secs_f64() / duration.as_secs_f64() * 100.0).floor(),
+            ..running_row(start)
+        }
+    });
+    scheduler.handle_poll_report(now, &worker_id(worker), now, worker_report(rows.collect(), ended));
+}
+
+/// Guards against long tasks that never end: without an estimate, or with one that is far too low, they counted as stalled
+/// every two seconds, and the workers on which they were stopped got no work.
+#[test]
+fn long_tasks_are_not_stopped_as_stalled() {
+    for estimate_ms in [0, 5_000, 200_000] {
+        let (starts, late, all_run) = play_long_tasks(Duration::from_secs(150), estimate_ms);
+        assert_eq!(
+            (starts, late, all_run),
+            (6, 0, true),
+            "estimate of {estimate_ms} ms"
+        );
+    }
+}
+
+/// Guards against tasks that stall on any worker and never end, because each run gets the same short time: tasks of an hour
+/// report their first percent after 36 s.
+#[test]
+fn task_that_stalls_everywhere_gets_more_time() {
+    for estimate_ms in [0, 1_000] {
+        let (starts, _, all_run) = play_long_tasks(Duration::from_hours(1), estimate_ms);
+        assert!(
+            all_run && starts <= 6 * 6,
+            "{starts} starts, estimate of {estimate_ms} ms"
+        );
+    }
+}
+
 /// Guards against states of ended jobs that stay in the store for ever, or that expire before the retention
 /// has passed.
 #[test]
