--- a/tests/platform_soak/checker.rs
+++ b/tests/platform_soak/checker.rs
@@ -7,6 +7,10 @@
 
 /// What the callers observed of one job.
 #[derive(Debug, Clone, Default)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other"
+)]
 pub struct JobView {
     /// Number of tasks of the job.
     pub tasks: u32,
@@ -20,6 +24,8 @@
     pub is_long_running: bool,
     /// Time at which a long-running job was first reported as failed.
     pub failed_at: Option<Instant>,
+    /// Whether a cancellation was acknowledged with the answer that no such job exists.
+    pub is_cancelled_unknown: bool,
 }
 
 /// Crashes of workers under one task after which its job may be given up. By chance some seeds have as many.
@@ -62,6 +68,9 @@
         if view.is_refused && has_started {
             violations.push(format!("{job}: ran although every submission was refused"));
         }
+        if view.is_cancelled_unknown && has_started {
+            violations.push(format!("{job}: ran although its cancellation found no job"));
+        }
         if !view.is_accepted {
             continue;
         }
--- a/tests/platform_soak/scenario.rs
+++ b/tests/platform_soak/scenario.rs
@@ -23,6 +23,12 @@
 use crate::link_proxy::{LinkMode, LinkProxy};
 use crate::node_process::NodeProcess;
 
+/// One job of so many is cancelled by a caller that has not waited for the answer to its submission.
+const CANCELLED_PART: usize = 6;
+
+/// Time after which such a caller leaves.
+const CANCELLING_CALLER_PATIENCE: Duration = Duration::from_millis(3);
+
 /// Jobs with long-running tasks, and their tasks, of which two may share a worker.
 const LONG_RUNNING_JOBS: u32 = 2;
 const LONG_RUNNING_TASKS: u32 = 4;
@@ -210,8 +216,14 @@
         let tasks = rng.random_range(1..6);
         let attempts: Vec<SocketAddr> = (0..4).map(|_| nodes[rng.random_range(0..NODE_COUNT)]).collect();
         let step = json!({"count": tasks, "cpu": 1000, "mem-mb": 256, "estimate-ms": 200});
-        let submission = submit(client.clone(), attempts, job, step, Arc::clone(&views));
-        submissions.push(tokio::spawn(submission));
+        let (client, views) = (client.clone(), Arc::clone(&views));
+        if submissions.len().is_multiple_of(CANCELLED_PART) {
+            let cancelled = submit_and_cancel(client, attempts, job, step, views);
+            submissions.push(tokio::spawn(cancelled));
+        } else {
+            let submission = submit(client, attempts, job, step, views);
+            submissions.push(tokio::spawn(submission));
+        }
         tokio::time::sleep(Duration::from_millis(rng.random_range(40..160))).await;
     }
     for submission in submissions {
@@ -244,6 +256,30 @@
     views.lock().expect("views").insert(job, view);
 }
 
+/// Submits a job, leaves without waiting for the answer, and cancels the job at one node after the other until a
+/// cancellation is acknowledged.
+async fn submit_and_cancel(
+    client: HttpClient,
+    nodes: Vec<SocketAddr>,
+    job: String,
+    step: Value,
+    views: JobViews,
+) {
+    let body = json!({"spec": "text", "steps": [step]});
+    let submission = send_request(&client, "POST", nodes[0], &job, &body);
+    let _ = tokio::time::timeout(CANCELLING_CALLER_PATIENCE, submission).await;
+    let mut view = JobView::default();
+    for node in nodes.iter().skip(1).chain(&nodes) {
+        let (status, _) = send_request(&client, "DELETE", *node, &job, &Value::Null).await;
+        view.is_cancelled_unknown = status == 410;
+        if matches!(status, 200 | 410) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    views.lock().expect("views").insert(job, view);
+}
+
 /// Sends a request. Returns the status, 0 if there is no response, and the JSON body.
 pub async fn send_request(
     client: &HttpClient,
