Share the reception of first records and their refusals

Submissions and cancellations received their batches with the same loop, and built the refusals that FirstRecord has. receive_batch serves both, and not_stored words both refusals. The error for a store that does not answer stood twice, the lookup of a worker's process three times; StepAdvice::is_pending was not used any more.

--- a/src/dispatch/pool_scheduler/advice_requests.rs
+++ b/src/dispatch/pool_scheduler/advice_requests.rs
@@ -19,6 +19,7 @@
 use crate::dispatch::worker_state::WorkerState;
 use crate::model::amount::MilliCores;
 use crate::model::id::{QueueId, WorkerId};
+use crate::model::unix_time::UnixMillis;
 
 /// Upper bound of the workers that the service accepts in one request.
 const MAX_NAMED_WORKERS: usize = 100;
@@ -103,7 +104,7 @@
         let wanted = wanted.filter(|id| self.is_ready(now, id, &first, spec));
         let workers = &self.workers;
         if let Some(advice) = self.advice.get_mut(step) {
-            advice.expire(now, |id| workers.get(id).and_then(|worker| worker.incarnation));
+            advice.expire(now, |id| find_incarnation(workers, id));
             if self.has_tickets(now, &first, spec, waiting.len() as u64, wanted) {
                 return true;
             }
@@ -146,11 +147,10 @@
         if workers.is_empty() {
             return None;
         }
-        let processes = workers.iter().map(|id| {
-            let incarnation = self.workers.get(id).and_then(|worker| worker.incarnation);
-            (id.clone(), incarnation)
-        });
-        let processes = processes.collect();
+        let processes = workers
+            .iter()
+            .map(|id| (id.clone(), find_incarnation(&self.workers, id)))
+            .collect();
         let advice = self.advice.entry(step.clone());
         let advice = advice.or_insert_with(|| StepAdvice::new(now));
         advice.begin_request(now, processes, |id| self.workers.contains_key(id));
@@ -293,7 +293,7 @@
         let latency = answer.as_ref().map(|answer| answer.latency);
         self.advice_queues.end_request(step, rule.as_ref(), latency);
         let workers = &self.workers;
-        let incarnation = |id: &WorkerId| workers.get(id).and_then(|worker| worker.incarnation);
+        let incarnation = |id: &WorkerId| find_incarnation(workers, id);
         let advice = self.advice.get_mut(step);
         let Some(summary) = advice.and_then(|advice| advice.finish_request(now, answer, incarnation)) else {
             return;
@@ -307,6 +307,11 @@
     }
 }
 
+/// Start time of the present process of a worker, if that is known.
+fn find_incarnation(workers: &BTreeMap<WorkerId, WorkerState>, id: &WorkerId) -> Option<UnixMillis> {
+    workers.get(id).and_then(|worker| worker.incarnation)
+}
+
 /// How soon a worker could take a task; `None` if that is not foreseeable.
 fn find_readiness(
     now: Instant,
--- a/src/dispatch/step_advice.rs
+++ b/src/dispatch/step_advice.rs
@@ -104,11 +104,6 @@
             .retain(|id, ticket| now < ticket.usable_until && incarnation(id) == ticket.incarnation);
     }
 
-    /// Whether a request is in flight.
-    pub fn is_pending(&self) -> bool {
-        self.pending.is_some()
-    }
-
     /// Whether a request may be sent.
     pub fn may_request(&self, now: Instant) -> bool {
         self.pending.is_none() && now >= self.retry_at
--- a/src/request/early_cancellations.rs
+++ b/src/request/early_cancellations.rs
@@ -177,25 +177,15 @@
 async fn run_batches(context: NodeContext, mut receiver: mpsc::Receiver<FirstRecord>) {
     let permits = Arc::new(Semaphore::new(MAX_BATCHES_IN_FLIGHT));
     let lease = Arc::new(tokio::sync::Mutex::new(RecordLease::default()));
-    let mut next_at = context.clock.now();
-    let mut batch = Vec::new();
-    while receiver.recv_many(&mut batch, MAX_BATCH_JOBS).await > 0 {
-        tokio::time::sleep_until(next_at.into()).await;
-        // The semaphore is never closed.
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            return;
-        };
-        while batch.len() < MAX_BATCH_JOBS
-            && let Ok(record) = receiver.try_recv()
-        {
-            batch.push(record);
-        }
-        next_at = context.clock.now() + BATCH_INTERVAL;
-        let (context, batch, lease) = (context.clone(), std::mem::take(&mut batch), Arc::clone(&lease));
+    while let Some((batch, permit)) =
+        first_record::receive_batch(&mut receiver, &permits, MAX_BATCH_JOBS).await
+    {
+        let (context, lease) = (context.clone(), Arc::clone(&lease));
         tokio::spawn(async move {
             store_batch(&context, batch, &lease).await;
             drop(permit);
         });
+        tokio::time::sleep(BATCH_INTERVAL).await;
     }
 }
 
@@ -208,12 +198,8 @@
     let lease = match acquired {
         Ok(lease) => lease,
         Err(error) => {
-            let message = format!(
-                "the job was not cancelled: no lease for its record: {}",
-                error.message()
-            );
-            let error = Error::new(ErrorKind::StoreUnavailable, message).with_retry_after(RETRY_AFTER);
-            return first_record::reply_all(batch, |_| Err(error.clone()));
+            let reason = format!("no lease for its record: {}", error.message());
+            return first_record::reply_all(batch, |record| Err(record.not_stored(&reason)));
         }
     };
     info!(context.log, "cancellations of unknown jobs are stored"; "count" => batch.len(),
--- a/src/request/first_record.rs
+++ b/src/request/first_record.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use slog::{Logger, info, warn};
-use tokio::sync::oneshot;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 
 use crate::clock::SharedClock;
 use crate::dispatch::job_record::{JobRecord, JobSummary};
@@ -64,7 +64,7 @@
 
 impl FirstRecord {
     /// Error for a record that is certainly not stored.
-    fn not_stored(&self, reason: &str) -> Error {
+    pub fn not_stored(&self, reason: &str) -> Error {
         let message = match self.submission {
             Some(_) => format!("the job was not accepted and will not run: {reason}"),
             None => format!("the job was not cancelled: {reason}"),
@@ -73,7 +73,7 @@
     }
 
     /// Error for a record that may be stored, or may still be.
-    fn outcome_unknown(&self, reason: &str) -> Error {
+    pub fn outcome_unknown(&self, reason: &str) -> Error {
         let message = match self.submission {
             Some(_) => format!("it is not known whether the job was accepted: {reason}"),
             None => format!("it is not known whether the job was cancelled: {reason}"),
@@ -94,6 +94,27 @@
     }
 }
 
+/// Waits for records and for the permit to store them, and returns all that wait by then, at most `max_records`. `None` if
+/// no further ones can come.
+pub async fn receive_batch(
+    receiver: &mut mpsc::Receiver<FirstRecord>,
+    permits: &Arc<Semaphore>,
+    max_records: usize,
+) -> Option<(Vec<FirstRecord>, OwnedSemaphorePermit)> {
+    let mut batch = Vec::new();
+    if receiver.recv_many(&mut batch, max_records).await == 0 {
+        return None;
+    }
+    // The semaphore is never closed.
+    let permit = Arc::clone(permits).acquire_owned().await.ok()?;
+    while batch.len() < max_records
+        && let Ok(record) = receiver.try_recv()
+    {
+        batch.push(record);
+    }
+    Some((batch, permit))
+}
+
 /// Stores a batch, trying again until the outcome is certain or the records' deadlines pass. Jobs that turn out to have a
 /// record are left out of the next attempt. The summaries are attached to `lease`, if there is one.
 pub async fn store_batch(
--- a/src/request/job_canceller.rs
+++ b/src/request/job_canceller.rs
@@ -85,8 +85,7 @@
     /// Those of the store, `bad_record` if the summary is malformed.
     pub async fn read_summary(&self, job: &JobId) -> Result<Option<(JobSummary, StoreRevision)>> {
         if self.context.store.is_unreachable() {
-            let error = Error::new(ErrorKind::StoreUnavailable, "the store does not answer");
-            return Err(error.with_retry_after(RETRY_AFTER));
+            return Err(store_unavailable());
         }
         let key = store_keys::summary_key(job);
         let Some(item) = self.context.store.get(&key, STORE_TIMEOUT).await? else {
@@ -121,3 +120,8 @@
 pub fn job_gone(job: &JobId) -> Error {
     Error::new(ErrorKind::JobGone, format!("job {job} is not known"))
 }
+
+/// Error for a call that is not made because the last ones to the store had no answer.
+pub fn store_unavailable() -> Error {
+    Error::new(ErrorKind::StoreUnavailable, "the store does not answer").with_retry_after(RETRY_AFTER)
+}
--- a/src/request/queue_api.rs
+++ b/src/request/queue_api.rs
@@ -235,7 +235,7 @@
     /// Counts the waiting jobs of a queue in all pools, since a queue may have been moved to another pool.
     async fn count_waiting(&self, queue: &QueueId) -> Result<Response<ResponseStream>> {
         if self.context.store.is_unreachable() {
-            return Err(store_unavailable());
+            return Err(job_canceller::store_unavailable());
         }
         let config = self.context.config.borrow().clone().unwrap_or_default();
         let (items, _) = self
@@ -270,7 +270,3 @@
         _ => "other",
     }
 }
-
-fn store_unavailable() -> Error {
-    Error::new(ErrorKind::StoreUnavailable, "the store does not answer").with_retry_after(RETRY_AFTER)
-}
--- a/src/request/submission_batcher.rs
+++ b/src/request/submission_batcher.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use slog::Logger;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 
 use crate::clock::SharedClock;
 use crate::dispatch::job_record::{JobRecord, JobState, JobSummary};
@@ -59,10 +59,6 @@
     /// `store_unavailable` or `overloaded` if the job is not stored and will not run, `job_cancelled` if its
     /// cancellation came first, `store_outcome_unknown` if it may have been stored.
     pub async fn submit(&self, record: JobRecord, deadline: Instant) -> Result<SubmissionOutcome> {
-        if self.store.is_unreachable() {
-            let message = "the job was not accepted and will not run: the store does not answer";
-            return Err(Error::new(ErrorKind::StoreUnavailable, message).with_retry_after(RETRY_AFTER));
-        }
         let (reply, receiver) = oneshot::channel();
         let first = FirstRecord {
             job: record.id.clone(),
@@ -78,6 +74,9 @@
             deadline,
             reply,
         };
+        if self.store.is_unreachable() {
+            return Err(first.not_stored("the store does not answer"));
+        }
         if self.sender.try_send(first).is_err() {
             let error = Error::new(ErrorKind::Overloaded, "too many submissions wait for the store");
             return Err(error.with_retry_after(RETRY_AFTER));
@@ -106,22 +105,11 @@
     log: Logger,
     mut receiver: mpsc::Receiver<FirstRecord>,
 ) {
-    let permits = Arc::new(tokio::sync::Semaphore::new(MAX_BATCHES_IN_FLIGHT));
-    let mut batch = Vec::new();
-    while receiver.recv_many(&mut batch, MAX_BATCH_JOBS).await > 0 {
-        // The semaphore is never closed.
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            return;
-        };
-        let free = MAX_BATCH_JOBS - batch.len();
-        for _ in 0..free {
-            match receiver.try_recv() {
-                Ok(submission) => batch.push(submission),
-                Err(_) => break,
-            }
-        }
-        let (store, clock, batch) = (store.clone(), Arc::clone(&clock), std::mem::take(&mut batch));
-        let log = log.clone();
+    let permits = Arc::new(Semaphore::new(MAX_BATCHES_IN_FLIGHT));
+    while let Some((batch, permit)) =
+        first_record::receive_batch(&mut receiver, &permits, MAX_BATCH_JOBS).await
+    {
+        let (store, clock, log) = (store.clone(), Arc::clone(&clock), log.clone());
         tokio::spawn(async move {
             first_record::store_batch(&store, &clock, &log, batch, None).await;
             drop(permit);
